--- /dev/null
+++ b/cmd/simhost/settings.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"cometpond/policy"
+)
+
+// wireSettings is the settings object as the wire words it; unknown keys are skipped.
+type wireSettings struct {
+	Balancers  int    `json:"balancers"`
+	Me         int    `json:"me"`
+	MyZone     string `json:"myZone"`
+	FamilyInfo struct {
+		MaxUnits   int     `json:"maxUnits"`
+		PeerIntake float64 `json:"peerIntake"`
+		TruedUp    bool    `json:"truedUp"`
+	} `json:"familyInfo"`
+	Feedback struct {
+		How string `json:"how"`
+	} `json:"feedback"`
+	Limits struct {
+		Cancel         bool    `json:"cancel"`
+		MaxAttempts    int     `json:"maxAttempts"`
+		MaxRetryAfterS float64 `json:"maxRetryAfterS"`
+		ParallelTries  bool    `json:"parallelTries"`
+		PeerMessages   bool    `json:"peerMessages"`
+		Probes         bool    `json:"probes"`
+		RetryAfter     bool    `json:"retryAfter"`
+	} `json:"limits"`
+	Packages []struct {
+		Name         string  `json:"name"`
+		UnitsPerS    float64 `json:"unitsPerS"`
+		PeakUnits    float64 `json:"peakUnits"`
+		Parallel     int     `json:"parallel"`
+		Pays         float64 `json:"pays"`
+		ExtraWorth   float64 `json:"extraWorth"`
+		ExcessCost   float64 `json:"excessCost"`
+		HardRate     float64 `json:"hardRate"`
+		CapDepth     float64 `json:"capDepth"`
+		CeilingSlack float64 `json:"ceilingSlack"`
+	} `json:"packages"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+	} `json:"prices"`
+	Profiles []struct {
+		Name       string  `json:"name"`
+		AimS       float64 `json:"aimS"`
+		AimStretch float64 `json:"aimStretch"`
+		DeadlineS  float64 `json:"deadlineS"`
+		Effect     string  `json:"effect"`
+		KeyScope   string  `json:"keyScope"`
+		KeyTTLS    float64 `json:"keyTtlS"`
+		LateWorth  float64 `json:"lateWorth"`
+		Stream     bool    `json:"stream"`
+		Worth      float64 `json:"worth"`
+	} `json:"profiles"`
+	Rules struct {
+		AnswerSlackS float64 `json:"answerSlackS"`
+		ColdFrom     float64 `json:"coldFrom"`
+		ColdS        float64 `json:"coldS"`
+		FallMultiple float64 `json:"fallMultiple"`
+		FallS        float64 `json:"fallS"`
+	} `json:"rules"`
+	ScoreParts struct {
+		WorstTenant float64 `json:"worstTenant"`
+	} `json:"scoreParts"`
+	TickS float64 `json:"tickS"`
+}
+
+var effects = map[string]policy.Effect{"retryable": policy.Safe, "dedup": policy.Keyed, "fragile": policy.Unsafe}
+
+var scopes = map[string]policy.Scope{"": policy.ScopeAll, "all": policy.ScopeAll, "zone": policy.ScopeZone,
+	"cell": policy.ScopeCell}
+
+// settings translates the settings; whether they make sense is for policy.New to say.
+func settings(text string) (policy.Settings, error) {
+	var w wireSettings
+	if err := json.Unmarshal([]byte(text), &w); err != nil {
+		return policy.Settings{}, err
+	}
+	s := policy.Settings{
+		Me: w.Me, Gateways: w.Balancers, Zone: w.MyZone,
+		MaxUnits: w.FamilyInfo.MaxUnits, TrueUp: w.FamilyInfo.TruedUp, PeerIntake: w.FamilyInfo.PeerIntake,
+		Peers: w.Limits.PeerMessages, Probes: w.Limits.Probes, Cancel: w.Limits.Cancel,
+		Parallel: w.Limits.ParallelTries, RetryAfter: w.Limits.RetryAfter,
+		MaxAttempts: w.Limits.MaxAttempts, MaxRetryAfterS: w.Limits.MaxRetryAfterS,
+		ReportByProbe: w.Feedback.How == "probe", ReportByAnswer: w.Feedback.How == "answers",
+		AnswerSlackS: w.Rules.AnswerSlackS, ColdFrom: w.Rules.ColdFrom, ColdS: w.Rules.ColdS,
+		FallMultiple: w.Rules.FallMultiple, FallS: w.Rules.FallS,
+		TickS: w.TickS, CrossZonePrice: w.Prices.CrossZone, WorstPlanWeight: w.ScoreParts.WorstTenant,
+	}
+	for _, p := range w.Profiles {
+		effect, ok := effects[p.Effect]
+		if !ok {
+			return s, fmt.Errorf("class %s: unknown effect %q", p.Name, p.Effect)
+		}
+		scope, ok := scopes[p.KeyScope]
+		if !ok {
+			return s, fmt.Errorf("class %s: unknown keyScope %q", p.Name, p.KeyScope)
+		}
+		s.Classes = append(s.Classes, policy.Class{Name: p.Name, AimS: p.AimS, AimStretch: p.AimStretch,
+			DeadlineS: p.DeadlineS, Worth: p.Worth, LateWorth: p.LateWorth, Effect: effect, KeyScope: scope,
+			KeyTTLS: p.KeyTTLS, Stream: p.Stream})
+	}
+	for _, p := range w.Packages {
+		s.Plans = append(s.Plans, policy.Plan{Name: p.Name, Rate: p.UnitsPerS, Burst: p.PeakUnits,
+			Parallel: p.Parallel, Price: p.Pays, ExtraWorth: p.ExtraWorth, ExcessCost: p.ExcessCost,
+			CeilingRate: p.HardRate, CeilingBurst: p.CapDepth, CeilingSlack: p.CeilingSlack})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,160 @@
+// Package policy decides for one gateway of a fleet that keeps every customer
+// of a shared back end to its plan. It holds no clock, no randomness of its own
+// and no network: time and seed come in as values, and what is to be done goes
+// out through Actions. policy.go holds every decision; this file is its
+// interface; message.go is the encoding of the messages between gateways.
+package policy
+
+// Effect tells whether a class of request may run more than once.
+type Effect int
+
+// The effects of a class.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // repeats are dropped by a group of servers for a time
+	Unsafe               // must not run twice
+)
+
+// Scope is the group of servers that drops the repeats of a keyed request.
+type Scope int
+
+// The scopes of a key.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of request. Times are in seconds.
+type Class struct {
+	Name       string
+	AimS       float64 // an answer within this time earns its full worth
+	AimStretch float64 // the aim grows by this multiple of the request's own work
+	DeadlineS  float64
+	Worth      float64
+	LateWorth  float64 // share of the worth after the aim
+	Effect     Effect
+	KeyScope   Scope
+	KeyTTLS    float64
+	Stream     bool
+}
+
+// Plan describes the quota that each customer of the plan holds over all gateways.
+type Plan struct {
+	Name         string
+	Rate         float64 // units a second; 0: no such quota
+	Burst        float64 // the most units the quota holds
+	Parallel     int     // attempts out at once; 0: no such quota
+	Price        float64 // factor on the worth
+	ExtraWorth   float64 // share of the worth earned beyond the quota
+	ExcessCost   float64 // share of the worth that sending on beyond the quota costs
+	CeilingRate  float64 // 0: no ceiling
+	CeilingBurst float64
+	CeilingSlack float64
+}
+
+// Settings are fixed for the life of a Gateway. Times are in seconds.
+type Settings struct {
+	Me, Gateways int
+	Zone         string
+	Classes      []Class
+	Plans        []Plan
+
+	MaxUnits   int
+	TrueUp     bool    // units are a guess, the true ones come with the answer
+	PeerIntake float64 // messages a second that a gateway takes in
+
+	Peers, Probes, Cancel, Parallel, RetryAfter bool
+	MaxAttempts                                 int
+	MaxRetryAfterS                              float64
+	ReportByProbe, ReportByAnswer               bool
+
+	AnswerSlackS, ColdFrom, ColdS, FallMultiple, FallS float64
+
+	TickS           float64 // the least time between two batches of events
+	CrossZonePrice  float64
+	WorstPlanWeight float64 // weight of the worst-served plan in the goal
+}
+
+// State is what the list of servers says of a server.
+type State int
+
+// The states of a server.
+const (
+	Up State = iota
+	Draining
+	Removed
+)
+
+// Server is an entry of the list of servers.
+type Server struct {
+	ID, Zone string
+	Cell     int
+	State    State
+	Weight   float64
+	SinceS   float64 // when its process started; 0: long ago
+}
+
+// Request is a client's request that this gateway now owes one final answer.
+type Request struct {
+	ID, Class, Plan, Customer string
+	DeadlineS                 float64 // clock time at which the client gives up
+	First, Entries            int     // the customer's gateways: Entries in a row from First
+	Units                     float64
+	Retry                     bool
+}
+
+// Status is the way an attempt or a probe ended.
+type Status int
+
+// The ways an attempt ends.
+const (
+	OK            Status = iota
+	Error                // the server answered with an error; may have run
+	Full                 // turned away unseen; did not run
+	Timeout              // no answer in time; may have run
+	ConnectFailed        // never reached the server; did not run
+	Reset                // the connection broke; may have run
+	Cancelled            // called off; may have run
+	Moot                 // not sent
+)
+
+// Load is a server's load report. Fields that were not reported are below 0.
+type Load struct {
+	InFlight, Queue, Util, ServiceMS, ServedPerS, FailedPerS float64
+}
+
+// Outcome ends one attempt. Over tells that the request needs no answer any more.
+type Outcome struct {
+	ID, Server string
+	Attempt    int
+	Status     Status
+	Over       bool
+	SpentS     float64
+	Units      float64 // the true units, with TrueUp and OK
+	Load       *Load
+}
+
+// ProbeResult ends one probe.
+type ProbeResult struct {
+	Server string
+	Status Status
+	SpentS float64
+	Load   *Load
+}
+
+// Broadcast as the addressee of Tell means every other gateway.
+const Broadcast = -1
+
+// Actions is what a Gateway asks of its ingress. Calls happen only while one of
+// the Gateway's event methods runs, and in the order in which they are to take effect.
+type Actions interface {
+	Send(id, server string, timeoutS float64) // starts the request's next attempt
+	Refuse(id string, retryInS float64)       // final answer: trying again is harmless
+	Fail(id string)                           // final answer: promises nothing
+	Cancel(id string, attempt int)
+	SetTimer(token uint64, delayS float64)
+	Probe(server string)
+	Tell(gateway int, data []byte)
+	Log(text string)
+}
--- /dev/null
+++ b/policy/example_test.go
@@ -0,0 +1,94 @@
+package policy_test
+
+import (
+	"fmt"
+
+	"cometpond/policy"
+)
+
+// ingress is the least that an ingress has to do: carry out what the gateway asks.
+type ingress struct {
+	name string
+	out  [][]byte // messages on their way
+	sent []string
+}
+
+func (in *ingress) Send(id, server string, timeoutS float64) {
+	in.sent = append(in.sent, server)
+	fmt.Printf("%s: send %s to %s\n", in.name, id, server)
+}
+func (in *ingress) Refuse(id string, retryInS float64)    { fmt.Printf("%s: refuse %s\n", in.name, id) }
+func (in *ingress) Fail(id string)                        { fmt.Printf("%s: fail %s\n", in.name, id) }
+func (in *ingress) Cancel(id string, attempt int)         {}
+func (in *ingress) SetTimer(token uint64, delayS float64) {}
+func (in *ingress) Probe(server string)                   {}
+func (in *ingress) Log(text string)                       { fmt.Printf("%s: %s\n", in.name, text) }
+func (in *ingress) Tell(gateway int, data []byte) {
+	in.out = append(in.out, data)
+}
+
+func settings(me, gateways int) policy.Settings {
+	return policy.Settings{
+		Me: me, Gateways: gateways, Peers: gateways > 1, PeerIntake: 40, MaxAttempts: 3, MaxRetryAfterS: 1,
+		Classes: []policy.Class{{Name: "read", AimS: 1, DeadlineS: 2, Worth: 1, Effect: policy.Safe}},
+		Plans:   []policy.Plan{{Name: "basic", Rate: 1, Burst: 3, Price: 1, ExcessCost: 1}},
+	}
+}
+
+// One gateway from its start to a final answer.
+func ExampleGateway() {
+	in := &ingress{name: "gateway"}
+	g, err := policy.New(settings(0, 1), 42, 10, in)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	g.Servers(10, []policy.Server{{ID: "10.0.0.1:80"}}, true)
+	for i := range 2 {
+		g.Request(10, policy.Request{ID: fmt.Sprint("r", i), Class: "read", Plan: "basic", Customer: "ada",
+			DeadlineS: 12, Entries: 1, Units: 2})
+	}
+	g.Outcome(10.1, policy.Outcome{ID: "r0", Server: "10.0.0.1:80", Status: policy.OK, Over: true, SpentS: 0.1})
+	// Output:
+	// gateway: send r0 to 10.0.0.1:80
+	// gateway: refuse r1
+}
+
+// Two gateways keep one customer to one quota: what one lets in, the other hears of.
+func ExampleGateway_owners() {
+	ins := [2]*ingress{{name: "west"}, {name: "east"}}
+	var gates [2]*policy.Gateway
+	now := 10.0
+	for i := range gates {
+		gates[i], _ = policy.New(settings(i, 2), uint64(i), now, ins[i])
+		gates[i].Servers(now, []policy.Server{{ID: "10.0.0.1:80"}}, true)
+	}
+	ask := func(gateway int, id string) {
+		gates[gateway].Request(now, policy.Request{ID: id, Class: "read", Plan: "basic", Customer: "ada",
+			DeadlineS: now + 2, Entries: 2, Units: 2})
+	}
+	ask(0, "first")
+	for range 30 { // the ingress's timers: 0.6 s, some batches each way
+		now += 0.02
+		for i, g := range gates {
+			g.Timer(now, 1)
+			for _, data := range ins[1-i].out {
+				g.Peer(now, 1-i, data)
+			}
+			ins[1-i].out = nil
+		}
+	}
+	ask(1, "second")
+	// Output:
+	// west: send first to 10.0.0.1:80
+	// east: refuse second
+}
+
+// Invalid settings come back as an error.
+func ExampleNew() {
+	s := settings(0, 1)
+	s.Plans[0].Burst = 0
+	_, err := policy.New(s, 1, 0, &ingress{})
+	fmt.Println(err)
+	// Output: plan "basic": rates must not be below 0, and a rate needs a burst
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,899 @@
+package policy
+
+// This is the decision module; its interface is in api.go. Every customer is hashed on a ring of
+// gateways to one owner, which alone keeps its window count against the whole quota. The others tell
+// the owner their counts in batches, pass only their split of the room it last reported, and fall back
+// to a local window when it is silent (docs/design.md tells what was kept and changed).
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// Constants, with their reasons. Times are in seconds.
+const (
+	ringPoints    = 512   // points a gateway, as in the post, but
+	ringMost      = 8192  // on the whole ring no more than about so many
+	batchS        = 0.1   // least time between reports to one owner: "a few times a second"
+	reportShare   = 0.45  // of peerIntake that a gateway's own reports may take
+	holdShare     = 0.5   // of peerIntake that members refused by their owner may ask for again
+	freshS        = 0.5   // a verdict no older is split; with an older one the owner is asked
+	askWaitS      = 0.08  // how long a request waits for the owner's word before it is asked again
+	reportWaitS   = 0.3   // the same for reports with no request waiting
+	askTries      = 3     // then the local window decides
+	missMost      = 2     // a peer that leaves so many unanswered is silent: it leaves the ring
+	silentRetryS  = 1.0   // for so long
+	gapS          = 0.1   // no event for so long: this gateway itself stood still
+	poolShare     = 0.5   // of a ceiling, that grants of the first gateway on the ring are paid from
+	anyIntake     = 1e6   // stands for no bound on it
+	lagS          = 0.05  // added to a verdict's age
+	demandTauS    = 1.5   // memory of what a customer asks for
+	cheapLeaves   = 0.18  // of the burst, that the cheapest work leaves to dearer work of its customer
+	memberS       = 10.0  // a member unheard of a customer for so long asks nothing of it
+	outS          = 3.0   // a member's attempts out are believed for so long
+	youngS        = 2.0   // a ledger younger than this believes the room that members hand back
+	forgetS       = 60.0  // customers unused for so long are forgotten
+	tickS         = 0.02  // how often queue and attempts are looked at
+	probeEveryS   = 1.0   // load probes, where load reports come with probes alone
+	probeShare    = 0.25  // probes a request, at most
+	startLimit    = 3.0   // attempts out at one server, all gateways together, to begin with
+	firstLat      = 0.15  // of its aim that a class is taken to need before it is known
+	maxLimit      = 64.0  // attempts out at one server, all gateways together, at most
+	growBy        = 0.1   // attempts that one fast answer adds to the limit
+	shrinkBy      = 0.03  // share of one server's limit that a slow one takes off
+	stretchHigh   = 0.22  // answers that take this share of their aim shrink a server's limit
+	stretchLow    = 0.15  // and below this one it may grow
+	minLimit      = 3.0   // and at least
+	lookLeast     = 2     // healthy servers looked at for a request, at least
+	lookAll       = 12    // gateways, up to which each looks at all servers
+	coldChance    = 0.5   // of a gateway's part of a cold server, where that is under one request
+	utilS         = 3.0   // a load report counts for so long
+	utilWeight    = 2.0   // attempts that a server's cores all busy stand for
+	partWeight    = 1.0   // of its part of the limit by its speed that a server may hold
+	crossWeight   = 25.0  // attempts out that the price of crossing zones stands for, a point of 1
+	againWeight   = 4.0   // the same for a server that the request was sent to before
+	sickTauS      = 4.0   // how long a sick server is shunned
+	sickWeight    = 30.0  // how far
+	errorSick     = 0.5   // how sick one error makes it
+	hedgeSick     = 0.3   // attempts at servers so sick are tried elsewhere early
+	hedgeX        = 4.0   // and others after so many mean latencies
+	newsKept      = 64    // what servers were last heard of doing, to be told to other gateways
+	newsSent      = 6     // with each message
+	newsS         = 2.0   // while it is no older
+	newsStepS     = 0.2   // and so much newer than what is known already; also the least silence that tells
+	utilLow       = 0.8   // cores less busy than this let a limit grow again
+	silentX       = 6.0   // a server that answers nothing for so many mean latencies is in doubt
+	patienceMin   = 10    // tries of a class before later ones are told from first ones
+	patienceBins  = 101   // shares of the deadline told apart
+	hedgeShare    = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
+	downS         = 0.5   // a server that refuses connections is left alone so long, then probed
+	timeoutWeight = 0.15  // how far one attempt that timed out moves a server's speed and limit
+	busyTauS      = 1.0   // memory of what this gateway keeps out at a server
+	guardS        = 0.004 // margin on deadlines
+)
+
+// New returns the gateway's decisions at its start. The list of servers follows through Servers.
+func New(s Settings, seed uint64, now float64, act Actions) (*Gateway, error) {
+	if err := check(s, act); err != nil {
+		return nil, err
+	}
+	g := &Gateway{s: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, born: now,
+		classes: map[string]*class{}, byPlan: map[string]*plan{}, servers: map[string]*server{},
+		byHash: map[uint16]*server{}, reqs: map[string]*request{}, custs: map[uint32]*customer{},
+		peers: make([]peer, s.Gateways), warmAt: now}
+	g.boot = uint8(g.rng.Uint32())
+	g.tokens, g.tokensAt = 2, now
+	g.limit = startLimit / float64(s.Gateways) // for one server
+	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
+	g.setUp(min(ringPoints, max(8, ringMost/s.Gateways)))
+	g.act.SetTimer(1, tickS)
+	return g, nil
+}
+
+// newClass is a class as a gateway knows it at the start.
+func newClass(c Class, i int) *class { return &class{Class: c, index: i, lat: firstLat * c.AimS} }
+
+// newServer is a server as a gateway knows it when it is first listed.
+func newServer(g *Gateway) *server {
+	n := len(g.classList)
+	return &server{speed: 1, utilAt: math.Inf(-1), sick: make([]sick, n), okAt: make([]float64, n)}
+}
+
+// newCustomer is a customer as a gateway knows it when it is first heard of: with a full window, but
+// an empty split of its ceiling, filling since this gateway's start.
+func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
+	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now,
+		ceilAt: g.born, poolAt: g.born}
+	g.custs[key] = c
+	return c
+}
+
+// ---- The path of a request ----
+
+// Request takes a client's request.
+func (g *Gateway) Request(now float64, q Request) {
+	g.clock(now)
+	cls := g.classes[q.Class]
+	if g.reqs[q.ID] != nil {
+		return
+	} else if cls == nil {
+		g.act.Fail(q.ID)
+		return
+	}
+	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
+	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
+	if cls.laterTry(q.DeadlineS - now) {
+		r.aimAt = min(r.aimAt, q.DeadlineS-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
+	}
+	r.aimAt = min(r.aimAt, q.DeadlineS)
+	price := 1.0
+	if r.plan != nil {
+		price, r.cust = r.plan.Price, g.customer(q)
+		g.asked(r.cust, q.Units)
+	}
+	if r.aimAt < now+cls.lat {
+		price *= cls.LateWorth
+	}
+	r.prio = cls.Worth * price // units stand for work as well as for worth, and cancel out
+	r.cheap = 1 - cls.Worth/max(g.maxWorth, 1e-9)
+	g.probes = min(g.probes+probeShare, 2)
+	g.reqs[q.ID] = r
+	g.live = append(g.live, r)
+	v := pass
+	if r.cust != nil {
+		v = g.inQuota(r)
+	}
+	switch {
+	case v == deny || !g.mayRetry(r): // a client's late try can arrive with no time left at all
+		g.refuse(r)
+	case v == wait:
+		g.ask(r)
+	default:
+		g.take(r, false)
+		g.place(r)
+	}
+}
+
+// laterTry tells a client's later try from a first one. First tries of a class all have the same time,
+// the commonest; a later one has what is left of its first try's deadline. Guards against answers that
+// come too late to count; it would harm where clients draw their patience for each try.
+func (c *class) laterTry(left float64) bool {
+	bin := c.came(left)
+	return c.times[c.usual] > patienceMin && max(bin-c.usual, c.usual-bin) > 1
+}
+
+// place sends the request on, or queues it when no server has room.
+func (g *Gateway) place(r *request) {
+	if !g.mayRetry(r) {
+		g.refuse(r)
+	} else if s := g.choose(r); s != nil {
+		g.send(r, s)
+	} else {
+		g.queue = append(g.queue, r)
+	}
+}
+
+func (g *Gateway) send(r *request, s *server) {
+	s.busy = s.busy*math.Exp((s.sentAt-g.now)/busyTauS) + min(s.speed*r.cls.lat/busyTauS, 1)
+	g.begin(r, s)
+	if g.coldShare(s) < 1 {
+		s.sentLog = append(s.sentLog, sentWork{g.now, r.cls.lat})
+	} else {
+		g.warmRate += r.cls.lat / (demandTauS * float64(max(1, len(g.order))))
+	}
+	g.act.Send(r.ID, s.ID, max(r.endAt()-g.now, guardS))
+}
+
+// refuse ends the request with the mildest answer that is true.
+func (g *Gateway) refuse(r *request) {
+	if r.over {
+		return
+	}
+	may := r.ran != nil || r.out > 0
+	if may && (r.cls.Effect == Unsafe || r.cls.Effect == Keyed && r.cls.KeyScope != ScopeAll) {
+		g.act.Fail(r.ID)
+	} else {
+		g.act.Refuse(r.ID, g.s.MaxRetryAfterS)
+	}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; g.s.Cancel && !a.done && !a.called {
+			a.called = true
+			g.act.Cancel(r.ID, i)
+		}
+	}
+	g.over(r)
+}
+
+// Outcome takes the end of an attempt.
+func (g *Gateway) Outcome(now float64, o Outcome) {
+	g.clock(now)
+	r, a := g.ended(o)
+	if r == nil {
+		return
+	}
+	g.report(a.srv, o.Load)
+	g.learn(r, a, o)
+	if never := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot; !never && r.ran == nil {
+		r.ran, r.ranAt = a.srv, a.sentAt
+	}
+	if o.Status == OK && g.s.TrueUp && r.taken && o.Units > 0 {
+		g.charge(r.cust, o.Units-r.Units)
+	}
+	if r.over || o.Over || o.Status == OK {
+		g.over(r)
+	} else if r.out == 0 && !r.stream {
+		g.place(r)
+	}
+	g.drain()
+}
+
+// endAt is when an answer is no longer worth the servers' work: after the aim, for
+// the share of the time left in which it still earns something.
+func (r *request) endAt() float64 { return r.aimAt + r.cls.LateWorth*max(r.DeadlineS-r.aimAt, 0) }
+
+// mayRetry tells whether another attempt is allowed and worth it.
+func (g *Gateway) mayRetry(r *request) bool {
+	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > r.endAt() {
+		return false
+	}
+	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
+}
+
+// drain sends what waits, dearest per work first, and drops what can't make its aim.
+func (g *Gateway) drain() {
+	if len(g.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(g.queue, func(a, b *request) int { return cmp.Compare(b.prio, a.prio) })
+	g.queue = slices.DeleteFunc(g.queue, func(r *request) bool {
+		if !r.over && g.now+r.cls.lat <= r.aimAt && g.mayRetry(r) {
+			s := g.choose(r)
+			if s != nil {
+				g.send(r, s)
+			}
+			return s != nil
+		}
+		g.refuse(r)
+		return true
+	})
+}
+
+// Timer takes a timer: all work that no event brings.
+func (g *Gateway) Timer(now float64, token uint64) {
+	g.clock(now)
+	if token != 1 {
+		return
+	}
+	g.act.SetTimer(1, tickS)
+	g.drain()
+	g.watch()
+	g.probe()
+	g.unanswered()
+	g.flush()
+	if now > g.sweepAt {
+		g.sweepAt = now + forgetS/4
+		g.forget(forgetS)
+	}
+}
+
+// ---- Quotas and the exchange with owners ----
+
+// alive tells that a peer answers: reports in a row without one take it off the ring for a while.
+func (g *Gateway) alive(gw int) bool {
+	p := &g.peers[gw]
+	return gw == g.s.Me || p.missed < missMost || g.now-p.missAt > silentRetryS
+}
+
+// owner is the gateway that counts the customer.
+func (g *Gateway) owner(c *customer) int {
+	switch {
+	case !g.s.Peers || c.entries == 1:
+		return g.s.Me
+	case c.entries == 0 || g.alive(c.prime):
+		return c.prime
+	}
+	return g.walk(c, true)
+}
+
+// inQuota decides on the ordinary path: the owner by its count, a member by its split of the room it
+// last heard. Where that can't tell, since the split is under one request or the news is old, the
+// request waits for the owner's word, which is the post's own call.
+func (g *Gateway) inQuota(r *request) verdict {
+	c, p := r.cust, r.plan
+	if g.owner(c) == g.s.Me && g.fits(g.ledger(c), c, r.Units, r.cheap) &&
+		(g.ceilingHolds(c, r.Units) || g.poolHolds(c, r.Units)) {
+		return pass
+	} else if g.owner(c) == g.s.Me {
+		return deny
+	}
+	room, age, mine := g.roomNow(c), g.now-c.roomAt, g.demandNow(c)
+	switch {
+	case len(c.asks) > 0:
+		return wait
+	case g.now < c.holdTill:
+		return deny
+	case p.Parallel > 0 && (age > freshS || c.out+c.othersOut+1 >= p.Parallel), !g.ceilingHolds(c, r.Units):
+		return wait
+	}
+	need := r.Units
+	if mine+c.others > p.Rate {
+		need += r.cheap * cheapLeaves * p.Burst
+	}
+	switch old := !c.known || age > freshS; {
+	case p.Rate == 0:
+		return pass
+	case old && need*float64(c.entries) <= min(room, room-(c.others-p.Rate)*age):
+		return pass // each of the customer's gateways may think the same at this moment
+	case !old && need <= max(room*mine/max(mine+c.others, 1e-9), room-2*c.others*(age+lagS)):
+		return pass
+	case r.Units > room && age < batchS:
+		return deny
+	}
+	return wait
+}
+
+// fits tells whether the owner's count has room. While the customer asks for more than its rate, the
+// cheaper a class is a unit, the more room it must leave to dearer ones.
+func (g *Gateway) fits(l *ledger, c *customer, units, cheap float64) bool {
+	p := c.plan
+	if p.Parallel > 0 && c.out+l.outs(g.now, -1) >= p.Parallel {
+		return false
+	} else if p.Rate == 0 {
+		return true
+	}
+	if g.demandNow(c)+l.demandNow(g.now) > p.Rate {
+		units += cheap * cheapLeaves * p.Burst
+	}
+	return units <= l.room
+}
+
+// ledger brings the owner's count up to now. The window opens evenly; for a stand-in that nobody has
+// reported to, by its part alone: it may be cut off while others serve the same customer.
+func (g *Gateway) ledger(c *customer) *ledger {
+	if c.led == nil {
+		c.led = &ledger{room: g.roomNow(c), at: g.now, born: g.now, members: map[int]*member{}}
+	}
+	l, rate := c.led, c.plan.Rate
+	if c.prime != g.s.Me && len(l.members) == 0 {
+		rate /= float64(c.entries)
+	}
+	l.room, l.at = min(c.plan.Burst, l.room+rate*(g.now-l.at)), g.now
+	return l
+}
+
+// take charges a first send to quota and ceiling when it is let in.
+func (g *Gateway) take(r *request, paid bool) {
+	c := r.cust
+	if c == nil {
+		return
+	}
+	switch {
+	case paid:
+	case g.ceilingHolds(c, r.Units):
+		c.ceil -= r.Units
+	default:
+		c.pool -= r.Units
+	}
+	r.taken = true
+	g.charge(c, r.Units)
+}
+
+func (g *Gateway) charge(c *customer, units float64) {
+	if g.owner(c) == g.s.Me {
+		l := g.ledger(c)
+		l.room = max(l.room-units, min(l.room, 0))
+	}
+	c.total += units
+	if c.total > c.acked || units < 0 {
+		g.note(c, false)
+	}
+}
+
+// note marks the customer for the next report to its owner.
+func (g *Gateway) note(c *customer, urgent bool) {
+	o := g.owner(c)
+	if o == g.s.Me {
+		c.acked = c.total
+		return
+	}
+	if !c.dirty || c.askOf != o {
+		g.due(c, o)
+	}
+	g.peers[o].urgent = g.peers[o].urgent || urgent
+}
+
+// ask holds the request until its customer's owner has spoken.
+func (g *Gateway) ask(r *request) {
+	c := r.cust
+	c.asks, r.asking = append(c.asks, r), true
+	if len(c.asks) > 1 {
+		return // it joins the next report
+	}
+	c.tries, c.waitFrom = 0, g.now
+	g.expect(c)
+	g.note(c, true)
+	g.flush()
+}
+
+// flush sends what is due to peers. All hear about as much as all send, so each gateway keeps its own
+// reports to a share of what one takes in; answers come on top.
+func (g *Gateway) flush() {
+	share := g.s.PeerIntake * reportShare
+	g.tokens = min(max(2, share*batchS*2), g.tokens+share*(g.now-g.tokensAt))
+	g.tokensAt = g.now
+	g.pending = slices.DeleteFunc(g.pending, func(i int) bool {
+		p := &g.peers[i]
+		if p.urgent && g.tokens >= 1 || g.tokens >= 2 && g.now-p.toldAt >= batchS {
+			g.tokens--
+			g.tell(i)
+		}
+		p.pending = len(p.reports) > 0
+		return !p.pending
+	})
+}
+
+// tell reports to a peer as owner.
+func (g *Gateway) tell(i int) {
+	p, n := &g.peers[i], 0
+	b := g.header()
+	for _, c := range p.reports {
+		if len(b)+msgRecord > msgLimit {
+			break
+		}
+		if n++; c.askOf != i || !c.dirty {
+			continue
+		}
+		c.dirty = false
+		r := record{Key: c.key, Plan: c.plan.index, Known: c.known, Flag: i == c.prime, Total: c.total,
+			Room: g.roomNow(c), Rate: g.demandNow(c), Out: c.out, Unacked: max(c.total-c.acked, 0)}
+		c.asked = len(c.asks)
+		for k, q := range c.asks {
+			if r.Want += q.Units; k == 0 {
+				r.First, r.Cheap = q.Units, q.cheap
+			}
+		}
+		b = appendRecord(b, r)
+		if c.waitFrom == 0 || c.asked > 0 {
+			c.waitFrom = g.now
+		}
+		g.expect(c)
+	}
+	p.reports = slices.Delete(p.reports, 0, n)
+	p.toldAt, p.urgent = g.now, p.urgent && len(p.reports) > 0
+	g.post(i, b)
+}
+
+// post sends a message with records, and with what is new of servers in the room left.
+func (g *Gateway) post(to int, b []byte) {
+	if len(b) == msgHeader {
+		return
+	}
+	b[msgCount] = byte((len(b) - msgHeader) / msgRecord)
+	for i := len(g.news) - 1; i >= max(0, len(g.news)-newsSent) && len(b)+msgItem <= msgLimit; i-- {
+		if n := g.news[i]; g.now-n.at < newsS {
+			b = appendItem(b, n, g.now)
+		}
+	}
+	g.act.Tell(to, b)
+}
+
+// unanswered looks after reports without a reply: they are told again, after a second silence to the
+// next on the ring, and after a third the request falls back to the local window. A gap in this
+// gateway's own time is nobody's silence.
+func (g *Gateway) unanswered() {
+	for _, c := range g.waiting {
+		most := reportWaitS
+		if len(c.asks) > 0 {
+			most = askWaitS
+		}
+		if c.waitFrom > 0 && g.now-max(c.waitFrom, g.gapAt) > most {
+			if !c.dirty { // it was told
+				p := &g.peers[c.askOf]
+				p.missed, p.missAt = p.missed+1, g.now
+			}
+			c.tries++
+			c.waitFrom, c.asked = 0, 0
+			if c.tries >= askTries {
+				c.tries = 0
+				g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false)
+			} else {
+				g.note(c, len(c.asks) > 0)
+				if len(c.asks) > 0 {
+					c.waitFrom = g.now
+				}
+			}
+		}
+		c.waiting = c.waitFrom > 0
+	}
+	g.waiting = slices.DeleteFunc(g.waiting, func(c *customer) bool { return !c.waiting })
+}
+
+// localHolds is the local window, where no owner answers: this gateway's count alone, and its part
+// of the rate alone, as the others may go on serving the same customer.
+func (g *Gateway) localHolds(c *customer, units float64) bool {
+	p, n := c.plan, float64(c.entries)
+	if p.Parallel > 0 && c.out+c.othersOut >= p.Parallel {
+		return false
+	}
+	c.local = min(max(p.Burst/n, float64(g.s.MaxUnits)), c.local+p.Rate/n*(g.now-c.localAt))
+	c.localAt = g.now
+	if p.Rate > 0 && units > min(c.local, g.roomNow(c)) {
+		return false
+	}
+	c.local -= units
+	return true
+}
+
+// resolve ends the wait of the first n requests that asked.
+func (g *Gateway) resolve(c *customer, n int, ok func(*request) bool, paid bool) {
+	list := c.asks[:n]
+	c.asks = slices.Clone(c.asks[n:])
+	for _, r := range list {
+		switch r.asking = false; {
+		case r.over:
+		case ok(r) && (paid || g.ceilingHolds(c, r.Units)):
+			g.take(r, paid)
+			g.place(r)
+		default:
+			g.refuse(r)
+		}
+	}
+}
+
+// Peer takes a message of another gateway. Reports are answered at once, all in one message.
+func (g *Gateway) Peer(now float64, from int, data []byte) {
+	g.clock(now)
+	boot, seq, recs, items, ok := parseMessage(data, now)
+	if !ok || from < 0 || from >= len(g.peers) || from == g.s.Me {
+		return
+	}
+	p := &g.peers[from]
+	if p.late(boot, seq) {
+		return
+	}
+	p.missed = 0
+	g.inRate, g.inAt = g.inRate*math.Exp(g.inAt-now)+1, now
+	for _, n := range items {
+		g.told(n)
+	}
+	b := g.header()
+	for _, r := range recs {
+		c := g.custs[r.Key]
+		switch {
+		case r.Plan >= len(g.plans):
+		case r.Owner && c != nil && c.askOf == from:
+			g.heard(c, r)
+		case !r.Owner:
+			if c == nil {
+				c = g.newCustomer(r.Key, g.plans[r.Plan])
+			}
+			c.usedAt = now
+			b = appendRecord(b, g.count(c, from, r))
+		}
+	}
+	g.post(from, b)
+	g.flush()
+}
+
+// count takes in a member's report and gives the owner's answer. Units that are asked for are set
+// aside at once: the next report shows which of them were used.
+func (g *Gateway) count(c *customer, from int, r record) record {
+	l := g.ledger(c)
+	m := l.members[from]
+	if m == nil || m.boot != g.peers[from].boot {
+		if r.Known && g.now-l.born < youngS {
+			// A young count, after a restart or a move: the member hands back what it heard.
+			l.room = min(l.room, max(r.Room+r.Unacked, 0))
+		}
+		m = &member{boot: g.peers[from].boot, total: r.Total - r.Unacked}
+		l.members[from] = m
+	}
+	l.room = max(l.room-l.told(m, r, g.now), min(l.room, 0))
+	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true}
+	if r.Want > 0 {
+		grant := 0.0
+		for _, w := range []float64{r.Want, r.First} {
+			if c.plan.Parallel > 0 {
+				w = r.First
+			}
+			if g.fits(l, c, w, r.Cheap) {
+				grant = w
+				break
+			}
+		}
+		if grant > 0 {
+			l.room -= grant
+			m.total += grant
+			m.out++
+			if v.Flag = r.Flag && g.poolHolds(c, grant); v.Flag {
+				c.pool -= grant
+			}
+		} else {
+			busy := g.s.PeerIntake * holdShare
+			v.Hold = float64(l.heard(g.now)) / max(busy, 1) * min(g.inRate/max(busy, 1), 3)
+		}
+		v.Want = r.Want
+	}
+	v.Total, v.Room, v.Out = m.total, l.room, c.out+l.outs(g.now, from)
+	v.Rate = max(l.demandNow(g.now)-m.rate, 0) + g.demandNow(c)
+	return v
+}
+
+// heard takes in what the owner says.
+func (g *Gateway) heard(c *customer, r record) {
+	most := c.total + quarters(r.Total-c.total)
+	c.known, c.room, c.roomAt, c.acked = true, r.Room, g.now, most
+	c.others, c.othersOut = r.Rate, r.Out
+	if r.Want > 0 && c.asked > 0 {
+		n := min(c.asked, len(c.asks))
+		c.asked, c.tries, c.holdTill = 0, 0, g.now+r.Hold
+		g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+1e-9 }, r.Flag)
+		if r.Hold > 0 {
+			g.resolve(c, len(c.asks), func(*request) bool { return false }, false)
+		}
+	}
+	if c.acked = min(most, c.total); most > c.total || len(c.asks) > 0 && c.asked == 0 {
+		g.note(c, len(c.asks) > 0)
+	}
+	if len(c.asks) == 0 {
+		c.waitFrom, c.tries = 0, 0
+	} else if c.asked == 0 {
+		c.waitFrom = g.now
+		g.expect(c)
+	}
+}
+
+// ceilingHolds brings this gateway's fixed split of half the ceiling up to now and tells whether
+// units fit. A split starts empty, as a restarted gateway may just have spent its own.
+func (g *Gateway) ceilingHolds(c *customer, units float64) bool {
+	p, n := c.plan, float64(max(c.entries, 1))
+	if p.CeilingRate <= 0 {
+		return true
+	}
+	part := (1 - poolShare) / n
+	c.ceil = min(p.CeilingBurst*part, c.ceil+p.CeilingRate*part*(g.now-c.ceilAt))
+	c.ceilAt = g.now
+	return units <= c.ceil
+}
+
+// poolHolds does so for the other part, which the first gateway on the customer's ring pays grants from.
+// It is the same one for all, whoever is silent, so the parts add up whatever is lost or restarted.
+func (g *Gateway) poolHolds(c *customer, units float64) bool {
+	if c.prime != g.s.Me || c.plan.CeilingRate <= 0 {
+		return false
+	}
+	c.pool = min(c.plan.CeilingBurst*poolShare, c.pool+c.plan.CeilingRate*poolShare*(g.now-c.poolAt))
+	c.poolAt = g.now
+	return units <= c.pool
+}
+
+// ---- Servers ----
+
+// Servers takes the list of servers, whole or only what changed.
+func (g *Gateway) Servers(now float64, list []Server, whole bool) {
+	g.clock(now)
+	before := float64(max(1, len(g.order)))
+	g.list(list, whole, func(s *server) {
+		s.speed, s.downUntil = 1, 0
+		clear(s.sick)
+	})
+	g.part = float64(len(g.order)) / float64(g.s.Gateways)
+	g.limit *= float64(max(1, len(g.order))) / before
+	g.drain()
+}
+
+// coldRoom holds a cold server to its share of what a warm one is sent, over any window in which it
+// could fall. Where a gateway's part of that is under one request, chance decides: all adds up the same.
+func (g *Gateway) coldRoom(s *server, work float64) bool {
+	share := g.coldShare(s)
+	if share >= 1 {
+		s.sentLog = nil
+		return true
+	}
+	sum := s.sentWithin(g.now, g.s.FallS)
+	budget := share * g.warmRate * g.s.FallS
+	return s.inflight < 2 && (sum+work <= budget || sum == 0 && g.rng.Float64()*work <= budget*coldChance)
+}
+
+// full tells that as much is out as may be. A part of one that is free is rounded up while answers
+// are fast, and makes a pause while they are slow: many gateways that round up drive servers hard.
+func (g *Gateway) full(r *request) bool {
+	free := g.limit - float64(g.out)
+	part := free < 1 && g.stretch >= stretchHigh
+	return free <= 0 || part && g.now-g.sentAt < max(r.cls.lat, g.spent)/free
+}
+
+// choose picks the server for the request's next attempt, nil if none has room.
+func (g *Gateway) choose(r *request) *server {
+	var best *server
+	low := math.Inf(1)
+	if g.full(r) {
+		return nil
+	}
+	// With many gateways each looks at a few servers only: all would pick the same one by the same news.
+	n := len(g.order)
+	look, from := max(lookLeast, n*lookAll/g.s.Gateways), g.rng.IntN(max(1, n))
+	for k := 0; k < n && look > 0; k++ {
+		s := g.order[(from+k)%n]
+		if s.State != Up || g.now < s.downUntil || !g.coldRoom(s, r.cls.lat) ||
+			float64(s.inflight) >= math.Ceil(partWeight*g.limit/float64(n)/s.speed) ||
+			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
+			continue
+		}
+		// What the others have there is unseen: the best guess is that each sends as this one does.
+		load := float64(s.inflight) + 1 + float64(g.s.Gateways-1)*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
+		if s.Zone != g.s.Zone {
+			load += crossWeight * g.s.CrossZonePrice
+		}
+		if g.now-s.utilAt < utilS {
+			load += utilWeight * s.util
+		}
+		for i := range r.attempts {
+			if r.attempts[i].srv == s {
+				load += againWeight
+			}
+		}
+		ill := g.sickness(s, r.cls)
+		if ill < hedgeSick {
+			look--
+		}
+		cost := load * s.speed * (1 + sickWeight*ill) * (1 + 0.02*g.rng.Float64())
+		if cost < low {
+			best, low = s, cost
+		}
+	}
+	return best
+}
+
+// fails raises the sickness of a server for a class, or for all where c is nil.
+func (g *Gateway) fails(s *server, c *class, by float64) {
+	for _, k := range g.classList {
+		if c == nil || k == c {
+			x := g.sickness(s, k)
+			s.sick[k.index] = sick{x + by*(1-x), g.now}
+			g.spread(item{s.hash, k.index, s.sick[k.index].level, g.now})
+		}
+	}
+}
+
+// told takes in what another gateway tells of a server, and tells it on while it is new.
+func (g *Gateway) told(n item) {
+	s := g.byHash[n.server]
+	if s == nil || s.SinceS > n.at {
+		return
+	}
+	if n.class == loadItem {
+		if n.at < s.utilAt+newsStepS {
+			return
+		}
+		s.util, s.utilAt = n.value, n.at
+	} else if n.class < len(s.sick) {
+		k := &s.sick[n.class]
+		if n.at < k.at+newsStepS || n.at < s.okAt[n.class] {
+			return
+		}
+		*k = sick{n.value, n.at}
+	}
+	g.spread(n)
+}
+
+// learn takes from an attempt's end what it tells of the server.
+func (g *Gateway) learn(r *request, a *attempt, o Outcome) {
+	s, c := a.srv, r.cls
+	tells := o.Status == OK || o.Status == Timeout && g.sickness(s, c) < hedgeSick // of the others too
+	slow := min(o.SpentS/c.lat, 4)
+	switch o.Status {
+	case OK:
+		s.okAt[c.index], s.sick[c.index] = g.now, sick{}
+		c.n++
+		c.lat += (o.SpentS - c.lat) * max(0.02, 1/float64(c.n+1))
+		s.speed = max(s.speed+0.1*(slow-s.speed), 0.3)
+	case Timeout, Error:
+		if g.fails(s, c, errorSick); o.Status == Timeout {
+			s.speed += timeoutWeight * max(4-s.speed, 0) // slow, if not silent
+		}
+	case ConnectFailed, Reset:
+		g.fails(s, nil, errorSick)
+		s.downUntil = g.now + downS*(1+g.rng.Float64())
+	}
+	if !tells {
+		return
+	}
+	g.spent += 0.1 * (o.SpentS - g.spent)
+	g.stretch += 0.1 * (o.SpentS/c.AimS - g.stretch)
+	util, fresh := g.meanUtil()
+	easy := fresh && util < utilLow    // cores are free: not driven too hard
+	step := min(1, startLimit/g.limit) // one answer tells of one server among those in use
+	if o.Status == Timeout && !easy {
+		g.limit *= 1 - timeoutWeight*step
+	}
+	if g.stretch > stretchHigh && !easy {
+		g.limit *= 1 - shrinkBy*step
+	} else if (easy || g.stretch < stretchLow) && float64(g.out)+1.5 >= g.limit {
+		g.limit += growBy * min(1, g.limit)
+	}
+	g.limit = min(max(g.limit, minLimit*g.part), maxLimit*g.part)
+}
+
+// watch looks at the attempts that are out: a server that leaves a class unanswered for long is sick
+// for it, and what waits is tried elsewhere where allowed.
+func (g *Gateway) watch() {
+	g.live = slices.DeleteFunc(g.live, func(r *request) bool { return r.over && r.out == 0 })
+	for _, r := range g.live {
+		if r.asking && g.now+tickS > r.endAt()-r.cls.lat {
+			g.refuse(r)
+			continue
+		}
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			if !a.done && !a.seen && g.now-max(a.sentAt, g.gapAt) > max(silentX*r.cls.lat, newsStepS) &&
+				a.srv.okAt[r.cls.index] < a.sentAt {
+				a.seen = true
+				g.fails(a.srv, r.cls, 1)
+			}
+		}
+		if r.over || r.stream || r.out != 1 || r.cls.Effect == Unsafe {
+			continue
+		}
+		a := &r.attempts[len(r.attempts)-1]
+		age, ill := g.now-a.sentAt, g.sickness(a.srv, r.cls) > hedgeSick
+		early := !ill && (!g.s.Parallel || age < hedgeX*r.cls.lat || len(g.queue) > 0)
+		if early || a.done || a.called || age < hedgeShare*r.cls.AimS {
+			continue
+		}
+		ran, at := r.ran, r.ranAt
+		if r.ran == nil {
+			r.ran, r.ranAt = a.srv, a.sentAt
+		}
+		s := (*server)(nil)
+		if g.mayRetry(r) {
+			s = g.choose(r)
+		}
+		switch {
+		case s == nil || s == a.srv:
+			r.ran, r.ranAt = ran, at
+		case g.s.Parallel:
+			g.send(r, s)
+		case g.s.Cancel:
+			a.called = true
+			g.act.Cancel(r.ID, len(r.attempts)-1)
+		}
+	}
+	g.warmRate *= math.Exp((g.warmAt - g.now) / demandTauS)
+	g.warmAt = g.now
+}
+
+// probe asks servers for their load where that comes with probes alone: the longest unheard of
+// first, and no more than a share of the requests.
+func (g *Gateway) probe() {
+	if !g.s.Probes || !g.s.ReportByProbe || g.probes < 1 {
+		return
+	}
+	next, oldest := (*server)(nil), g.now-probeEveryS
+	for _, s := range g.order {
+		if at := max(s.askedAt, s.utilAt); s.State == Up && at <= oldest {
+			next, oldest = s, at
+		}
+	}
+	if next != nil {
+		next.askedAt = g.now
+		g.probes--
+		g.act.Probe(next.ID)
+	}
+}
+
+// Probed takes the end of a probe.
+func (g *Gateway) Probed(now float64, p ProbeResult) {
+	g.clock(now)
+	s := g.servers[p.Server]
+	if s == nil {
+		return
+	}
+	g.report(s, p.Load)
+	if p.Status == Timeout || p.Status == ConnectFailed {
+		g.fails(s, nil, errorSick)
+	}
+	g.drain()
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,573 @@
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// What a gateway keeps, and plain helpers. What is done with it is in policy.go.
+
+type class struct {
+	Class
+	index int
+	lat   float64 // mean latency of good answers
+	n     int
+	// how often tries came with which share of the deadline, and the commonest
+	times [patienceBins]int
+	usual int
+}
+
+type plan struct {
+	Plan
+	index int
+}
+
+type server struct {
+	Server
+	hash         uint16
+	listed       bool
+	inflight     int
+	speed        float64 // latency against the class's mean
+	sentAt       float64
+	busy         float64 // mean attempts out here of late
+	util, utilAt float64
+	askedAt      float64 // last probe
+	sick         []sick  // by class
+	okAt         []float64
+	downUntil    float64
+	sentLog      []sentWork // while cold
+}
+
+// sick tells how sure it was that a server leaves a class unanswered.
+type sick struct{ level, at float64 }
+
+// item is news of a server: that it is sick for a class, or its use.
+type item struct {
+	server    uint16
+	class     int
+	value, at float64
+}
+
+// list takes in a list of servers; it calls restarted for each that has started anew.
+func (g *Gateway) list(list []Server, whole bool, restarted func(*server)) {
+	for _, s := range g.order {
+		s.listed = s.listed && !whole
+	}
+	for _, e := range list {
+		s := g.servers[e.ID]
+		if s == nil {
+			s = newServer(g)
+			s.hash = uint16(hashOf(e.ID))
+			g.servers[e.ID] = s
+			if _, twice := g.byHash[s.hash]; twice {
+				g.byHash[s.hash] = nil // two of the same hash: what is told of either is not used
+			} else {
+				g.byHash[s.hash] = s
+			}
+		} else if e.SinceS > s.SinceS {
+			restarted(s)
+		}
+		s.Server, s.listed = e, e.State != Removed
+	}
+	g.order = g.order[:0]
+	for _, s := range g.servers {
+		if s.listed {
+			g.order = append(g.order, s)
+		}
+	}
+	slices.SortFunc(g.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// sentWithin sums the work sent to a cold server within the last so many seconds.
+func (s *server) sentWithin(now, span float64) (sum float64) {
+	keep := s.sentLog[:0]
+	for _, w := range s.sentLog {
+		if now-w.at < span {
+			keep = append(keep, w)
+			sum += w.work
+		}
+	}
+	s.sentLog = keep
+	return sum
+}
+
+type sentWork struct{ at, work float64 }
+
+type attempt struct {
+	srv    *server
+	sentAt float64
+	done   bool
+	called bool // cancelled by us
+	seen   bool // its silence was taken in
+}
+
+type request struct {
+	Request
+	cls      *class
+	plan     *plan
+	cust     *customer
+	aimAt    float64
+	attempts []attempt
+	out      int
+	ran      *server // first server where it may have run
+	ranAt    float64
+	over     bool
+	asking   bool // the owner's word is awaited
+	taken    bool // charged to its quota
+	stream   bool
+	prio     float64
+	cheap    float64 // 0 for the dearest class, towards 1 for the cheapest
+}
+
+// customer is what a gateway keeps of one customer.
+type customer struct {
+	key            uint32
+	hash           uint64
+	plan           *plan
+	first, entries int // entries 0: known from others' reports alone
+	prime          int // first on the ring of its gateways
+	usedAt         float64
+	total          float64 // own count of what was let in, ever
+	acked          float64 // as the owner last took it in
+	demand         float64 // units a second asked for here
+	demandAt       float64
+	out            int
+	known          bool    // the owner has reported
+	room, roomAt   float64 // as last reported
+	others         float64 // what the others are asked for
+	othersOut      int
+	holdTill       float64    // the owner refuses until then
+	asks           []*request // wait for the owner's word
+	asked          int        // of them, told to the owner
+	tries          int
+	waitFrom       float64 // since when a report is unanswered, 0: none
+	waiting        bool    // in Gateway.waiting
+	dirty          bool    // to be reported
+	askOf          int     // to this gateway
+	ceil, ceilAt   float64
+	pool, poolAt   float64
+	local, localAt float64
+	led            *ledger
+}
+
+// ledger is an owner's count: the window opens evenly, and what is unused
+// carries over up to one burst.
+type ledger struct {
+	room, at, born   float64
+	demand, demandAt float64
+	members          map[int]*member
+}
+
+type member struct {
+	boot  uint8
+	total float64 // as last told, and what was set aside for it since
+	rate  float64
+	out   int
+	at    float64 // last report
+}
+
+// outs sums the attempts that members other than one have out.
+func (l *ledger) outs(now float64, but int) (n int) {
+	for i, m := range l.members {
+		if i != but && now-m.at < outS {
+			n += m.out
+		}
+	}
+	return n
+}
+
+// heard counts the members heard of late.
+func (l *ledger) heard(now float64) (n int) {
+	for _, m := range l.members {
+		if now-m.at < memberS {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *ledger) demandNow(now float64) float64 {
+	return max(l.demand, 0) * math.Exp((l.demandAt-now)/demandTauS)
+}
+
+// quarters rounds a difference of two counts, of which one has come over the wire.
+func quarters(x float64) float64 { return float64(int16(int64(math.Floor(x*4+0.5)))) / 4 }
+
+type peer struct {
+	missed  int     // reports without an answer since it was last heard
+	missAt  float64 // the last of them
+	toldAt  float64
+	boot    uint8
+	seq     uint16
+	reports []*customer
+	pending bool // in Gateway.pending
+	urgent  bool // a request waits
+}
+
+// Gateway decides for one gateway.
+type Gateway struct {
+	s         Settings
+	act       Actions
+	rng       *rand.Rand
+	now       float64
+	born      float64
+	boot      uint8
+	seq       uint16
+	gapAt     float64 // when this gateway last came back from a gap of its own
+	lost      float64 // share of reports unanswered
+	inRate    float64 // messages a second that come in
+	inAt      float64
+	tokens    float64 // reports that may be sent
+	tokensAt  float64
+	pending   []int       // peers with reports due
+	waiting   []*customer // with reports unanswered
+	limit     float64     // attempts out here, at all servers
+	part      float64     // servers a gateway
+	out       int         // attempts out
+	stretch   float64     // mean of latency over aim
+	spent     float64     // mean time until an answer or a time-out
+	cutAt     float64
+	sentAt    float64
+	probes    float64 // that may be sent
+	news      []item
+	byHash    map[uint16]*server
+	classList []*class
+	maxWorth  float64 // of any class, a unit
+	ring      []ringPoint
+	classes   map[string]*class
+	plans     []*plan
+	byPlan    map[string]*plan
+	servers   map[string]*server
+	order     []*server
+	reqs      map[string]*request
+	live      []*request
+	queue     []*request
+	custs     map[uint32]*customer
+	peers     []peer
+	warmRate  float64 // work a second sent to each warm server
+	warmAt    float64
+	sweepAt   float64
+}
+
+type ringPoint struct {
+	at uint64
+	gw int
+}
+
+// mix spreads the bits of x (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// hashOf is a customer's point on the ring.
+func hashOf(customer string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(customer))
+	return mix(h.Sum64())
+}
+
+// sameGroup tells whether two servers drop the repeats of the same key.
+func sameGroup(scope Scope, a, b *server) bool {
+	switch scope {
+	case ScopeZone:
+		return a.Zone == b.Zone
+	case ScopeCell:
+		return a.Zone == b.Zone && a.Cell == b.Cell
+	}
+	return true
+}
+
+// check tells what is wrong with the settings.
+func check(s Settings, act Actions) error {
+	switch {
+	case act == nil:
+		return fmt.Errorf("no actions given")
+	case s.Gateways < 1:
+		return fmt.Errorf("gateways is %d, want 1 at least", s.Gateways)
+	case s.Me < 0 || s.Me >= s.Gateways:
+		return fmt.Errorf("me is %d, want 0 to %d", s.Me, s.Gateways-1)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("no classes given")
+	case len(s.Plans) > 16:
+		return fmt.Errorf("%d plans given, 16 at most", len(s.Plans))
+	}
+	for _, c := range s.Classes {
+		if !(c.DeadlineS > 0) || !(c.AimS > 0) || c.Worth < 0 {
+			return fmt.Errorf("class %q: aim and deadline must be above 0 and worth not below", c.Name)
+		}
+	}
+	for _, p := range s.Plans {
+		if p.Rate < 0 || p.Rate > 0 && p.Burst <= 0 || p.Parallel < 0 || p.CeilingRate < 0 || p.Price < 0 {
+			return fmt.Errorf("plan %q: rates must not be below 0, and a rate needs a burst", p.Name)
+		}
+	}
+	return nil
+}
+
+// outBy counts the customer's attempts out, which a parallel plan's owner hears of.
+func (g *Gateway) outBy(r *request, n int) {
+	if r.cust == nil {
+		return
+	}
+	if r.cust.out += n; r.plan.Parallel > 0 {
+		g.note(r.cust, false)
+	}
+}
+
+// over notes that a request has had its final answer, and forgets it once nothing is out. What was
+// never sent never counted.
+func (g *Gateway) over(r *request) {
+	r.over = true
+	if r.taken && len(r.attempts) == 0 {
+		r.taken = false
+		g.charge(r.cust, -r.Units)
+	}
+	if r.out == 0 {
+		delete(g.reqs, r.ID)
+	}
+}
+
+// asked counts what the customer asks for here, passed or not.
+func (g *Gateway) asked(c *customer, units float64) {
+	c.demand, c.demandAt = g.demandNow(c)+units/demandTauS, g.now
+}
+
+func (g *Gateway) demandNow(c *customer) float64 {
+	return c.demand * math.Exp((c.demandAt-g.now)/demandTauS)
+}
+
+// walk goes on the ring from the customer's point to the first gateway that serves it, and with
+// skip to the first that is not silent.
+func (g *Gateway) walk(c *customer, skip bool) int {
+	i, _ := slices.BinarySearchFunc(g.ring, c.hash, func(p ringPoint, h uint64) int { return cmp.Compare(p.at, h) })
+	for n := range g.ring {
+		gw := g.ring[(i+n)%len(g.ring)].gw
+		if d := (gw - c.first + g.s.Gateways) % g.s.Gateways; d < c.entries && (!skip || g.alive(gw)) {
+			return gw
+		}
+	}
+	return g.s.Me
+}
+
+// expect has the customer's reports looked after until they are answered.
+func (g *Gateway) expect(c *customer) {
+	if !c.waiting {
+		c.waiting = true
+		g.waiting = append(g.waiting, c)
+	}
+}
+
+func (g *Gateway) header() []byte {
+	g.seq++
+	return appendHeader(make([]byte, 0, msgLimit), g.boot, g.seq)
+}
+
+// spread keeps what is to be told to other gateways of servers, newest last.
+func (g *Gateway) spread(n item) {
+	if g.news = append(g.news, n); len(g.news) > newsKept {
+		g.news = g.news[1:]
+	}
+}
+
+// meanUtil is the use of the servers' cores, by what was reported of late.
+func (g *Gateway) meanUtil() (mean float64, fresh bool) {
+	n := 0.0
+	for _, s := range g.order {
+		if g.now-s.utilAt < utilS {
+			n++
+			mean += s.util
+		}
+	}
+	return mean / max(n, 1), n > 0
+}
+
+// roomNow is the room as a member knows it.
+func (g *Gateway) roomNow(c *customer) float64 {
+	if c.led != nil {
+		// Ownership moved on: what was counted here is the best start for a member.
+		c.room, c.roomAt, c.known, c.acked, c.led = g.ledger(c).room, g.now, true, c.total, nil
+	}
+	return min(c.plan.Burst, c.room+c.plan.Rate*(g.now-c.roomAt)) - max(c.total-c.acked, 0)
+}
+
+// clock sets the time, and notes when this gateway itself stood still.
+func (g *Gateway) clock(now float64) {
+	if now-g.now > gapS {
+		g.gapAt = now
+	}
+	g.now = now
+}
+
+// customer finds or makes what is kept of a customer.
+func (g *Gateway) customer(q Request) *customer {
+	h := hashOf(q.Customer)
+	key := uint32(h >> 32)
+	c := g.custs[key]
+	if c == nil {
+		c = g.newCustomer(key, g.byPlan[q.Plan])
+	}
+	if c.entries == 0 {
+		c.hash, c.first, c.entries = h, q.First, q.Entries
+		if c.entries <= 0 || c.entries > g.s.Gateways {
+			c.first, c.entries = 0, g.s.Gateways
+		}
+		c.prime = g.walk(c, false)
+	}
+	c.usedAt = g.now
+	return c
+}
+
+// setUp makes the classes, the plans and the ring.
+func (g *Gateway) setUp(points int) {
+	for i, c := range g.s.Classes {
+		g.maxWorth = max(g.maxWorth, c.Worth)
+		g.classList = append(g.classList, newClass(c, i))
+		g.classes[c.Name] = g.classList[i]
+	}
+	for i, p := range g.s.Plans {
+		g.plans = append(g.plans, &plan{Plan: p, index: i})
+		g.byPlan[p.Name] = g.plans[i]
+	}
+	for gw := range g.s.Gateways {
+		for i := range points {
+			g.ring = append(g.ring, ringPoint{mix(uint64(gw)<<32 | uint64(i)), gw})
+		}
+	}
+	slices.SortFunc(g.ring, func(a, b ringPoint) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.gw, b.gw))
+	})
+}
+
+// coldShare is the least part of its capacity that the server must have by now.
+func (g *Gateway) coldShare(s *server) float64 {
+	age := g.now - s.SinceS
+	if s.SinceS <= 0 || age >= g.s.ColdS || g.s.ColdS <= 0 {
+		return 1
+	}
+	return g.s.ColdFrom + (1-g.s.ColdFrom)*max(age, 0)/g.s.ColdS
+}
+
+// sickness tells how sure it is, from 0 to 1, that the server does not answer the class.
+func (g *Gateway) sickness(s *server, c *class) float64 {
+	k := s.sick[c.index]
+	return k.level * math.Exp((k.at-g.now)/sickTauS)
+}
+
+// forget drops customers unused for so long.
+func (g *Gateway) forget(age float64) {
+	for k, c := range g.custs {
+		if g.now-c.usedAt > age && c.out == 0 && len(c.asks) == 0 {
+			delete(g.custs, k)
+		} else if c.led != nil {
+			for i, m := range c.led.members {
+				if g.now-m.at > age {
+					delete(c.led.members, i)
+				}
+			}
+		}
+	}
+}
+
+// due puts the customer on the list of what a peer is to be told.
+func (g *Gateway) due(c *customer, peer int) {
+	p := &g.peers[peer]
+	c.dirty, c.askOf = true, peer
+	p.reports = append(p.reports, c)
+	if !p.pending {
+		p.pending = true
+		g.pending = append(g.pending, peer)
+	}
+}
+
+// told takes a member's report into the sums, and returns the units it is beyond what was known.
+func (l *ledger) told(m *member, r record, now float64) float64 {
+	delta := quarters(r.Total - m.total)
+	l.demand = l.demandNow(now) + r.Rate - m.rate*math.Exp((m.at-now)/demandTauS)
+	l.demandAt = now
+	*m = member{boot: m.boot, total: r.Total, rate: r.Rate, out: r.Out, at: now}
+	return delta
+}
+
+// Started takes the start of a streamed answer: the attempt belongs to the client now.
+func (g *Gateway) Started(now float64, id string, attempt int) {
+	g.clock(now)
+	if r := g.reqs[id]; r != nil {
+		r.stream = true
+	}
+}
+
+// Gone takes the news that the request needs no answer any more.
+func (g *Gateway) Gone(now float64, id string) {
+	g.clock(now)
+	if r := g.reqs[id]; r != nil && !r.over {
+		g.over(r)
+	}
+}
+
+// report takes in a load report.
+func (g *Gateway) report(s *server, l *Load) {
+	if l != nil && l.Util >= 0 {
+		s.util, s.utilAt = l.Util, g.now
+		g.spread(item{s.hash, loadItem, l.Util, g.now})
+	}
+}
+
+// verdict is what quota and ceiling say of a first send.
+type verdict int
+
+const (
+	deny verdict = iota
+	pass
+	wait // the owner is asked
+)
+
+// came counts what was left of the deadline when a try came, and returns its bin.
+func (c *class) came(left float64) int {
+	bin := int(min(max(left/c.DeadlineS, 0), 1)*(patienceBins-1) + 0.5)
+	c.times[bin]++
+	if c.times[bin] > c.times[c.usual] {
+		c.usual = bin
+	}
+	return bin
+}
+
+// begin counts an attempt as out.
+func (g *Gateway) begin(r *request, s *server) {
+	s.inflight++
+	g.out++
+	r.out++
+	g.sentAt, s.sentAt = g.now, g.now
+	g.outBy(r, 1)
+	r.attempts = append(r.attempts, attempt{srv: s, sentAt: g.now})
+}
+
+// ended finds the attempt and counts it as done; nil if there is none out.
+func (g *Gateway) ended(o Outcome) (*request, *attempt) {
+	r := g.reqs[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].done {
+		return nil, nil
+	}
+	a := &r.attempts[o.Attempt]
+	a.done = true
+	a.srv.inflight--
+	g.out--
+	r.out--
+	g.outBy(r, -1)
+	return r, a
+}
+
+// late tells whether a message is older than one taken in already, or comes twice.
+func (p *peer) late(boot uint8, seq uint16) bool {
+	if boot == p.boot && p.seq != 0 && int16(seq-p.seq) <= 0 {
+		return true
+	}
+	p.boot, p.seq = boot, seq
+	return false
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# The project's test command: format, vet, build, tests, the module's size.
+set -euo pipefail
+cd "$(dirname "$0")"
+out=$(gofmt -l policy internal cmd)
+if [ -n "$out" ]; then echo "gofmt needed: $out"; exit 1; fi
+go vet ./...
+build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
+[ -n "$build" ] || { echo "no build command in deploy/balancer.toml"; exit 1; }
+bash -c "$build"
+go test -count=1 ./...
+for f in $(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",'); do
+  lines=$(grep -c '[^[:space:]]' "$f")
+  [ "$lines" -le 850 ] || { echo "$f holds $lines lines, 850 at most"; exit 1; }
+  long=$(awk '{ gsub(/\t/, " ") } length($0) > 110 { print NR }' "$f")
+  [ -z "$long" ] || { echo "$f: over 110 characters in lines" $long; exit 1; }
+  echo "$f: $lines non-blank lines"
+done
