--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 
+	"cometpond/internal/settings"
 	"cometpond/internal/wire"
 	"cometpond/policy"
 )
@@ -209,23 +210,8 @@
 	502: policy.ConnectFailed, 598: policy.Reset, 499: policy.Cancelled, 410: policy.Moot}
 
 func (f *fields) load() *policy.Load {
-	r := policy.Load{InFlight: -1, Queue: -1, Util: -1, ServiceMS: -1, ServedPerS: -1, FailedPerS: -1}
-	some, err := f.l.Pairs("load", func(name string, v float64) {
-		switch name {
-		case "busy_reqs":
-			r.InFlight = v
-		case "pending":
-			r.Queue = v
-		case "cpu_share":
-			r.Util = v
-		case "svc_ms":
-			r.ServiceMS = v
-		case "served_ps":
-			r.ServedPerS = v
-		case "failed_ps":
-			r.FailedPerS = v
-		}
-	})
+	r := settings.NoLoad
+	some, err := f.l.Pairs("load", func(name string, v float64) { settings.SetLoad(&r, name, v) })
 	if keep(f, some, err) {
 		return &r
 	}
@@ -243,11 +229,11 @@
 		if err != nil {
 			return nil, err
 		}
-		s, err := settings(text)
+		s, err := settings.Parse([]byte(text))
 		if err != nil {
 			return nil, fmt.Errorf("ENLIST: field settings: %w", err)
 		}
-		g, err := policy.New(s, seed, h.now, actions{h.out, i})
+		g, err := policy.New(s.Settings, seed, h.now, actions{h.out, i})
 		if err != nil {
 			return nil, fmt.Errorf("ENLIST: field settings: %w", err)
 		}
--- /dev/null
+++ b/internal/ingress/config.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"cometpond/internal/settings"
+)
+
+// Config is what an ingress is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int // file descriptors that the process may hold
+
+	PeerListen netip.AddrPort // not valid: no peers
+	Peers      []netip.AddrPort
+	PeersAll   netip.AddrPort
+
+	Known    targets
+	Settings settings.Settings
+}
+
+const defaultSockets = 1024
+
+// ReadConfig reads the configuration file.
+func ReadConfig(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte) (Config, error) {
+	var f struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int `json:"sockets"`
+		}
+		PeerListen string   `json:"peer_listen"`
+		Peers      []string `json:"peers"`
+		PeersAll   string   `json:"peers_all"`
+		Known      targets
+		Settings   json.RawMessage
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return Config{}, err
+	}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, MemoryMB: f.Limits.MemoryMB,
+		Sockets: f.Limits.Sockets, Known: f.Known}
+	if c.Sockets <= 0 {
+		c.Sockets = defaultSockets
+	}
+	for name, addr := range map[string]string{"listen": f.Listen, "discovery": f.Discovery} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return c, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	if len(f.Settings) == 0 {
+		return c, fmt.Errorf("settings are missing")
+	}
+	if c.Settings, err = settings.Parse(f.Settings); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if c.Settings.DialTimeoutS <= 0 || c.Settings.ConnIdleS <= 0 {
+		return c, fmt.Errorf("settings: limits.dialTimeoutS and limits.connIdleS must be above 0")
+	}
+	if !c.Settings.Peers {
+		return c, nil
+	}
+	if c.PeerListen, err = netip.ParseAddrPort(f.PeerListen); err != nil {
+		return c, fmt.Errorf("peer_listen: %w", err)
+	}
+	if len(f.Peers) != c.Settings.Gateways {
+		return c, fmt.Errorf("peers: %d addresses given for %d ingresses", len(f.Peers), c.Settings.Gateways)
+	}
+	for i, text := range f.Peers {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return c, fmt.Errorf("peers: number %d: %w", i, err)
+		}
+		c.Peers = append(c.Peers, addr)
+	}
+	if f.PeersAll != "" {
+		if c.PeersAll, err = netip.ParseAddrPort(f.PeersAll); err != nil {
+			return c, fmt.Errorf("peers_all: %w", err)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/ingress/loop.go
@@ -0,0 +1,242 @@
+// Package ingress carries out on real sockets what the decision module asks for, and reports to it
+// what came of it. It decides nothing about quotas, backends or further attempts.
+package ingress
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"cometpond/policy"
+)
+
+const (
+	eventQueue = 1024
+	// New connections come for up to 0.4 s after a planned restart was announced, and what is lost
+	// from 0.7 s on counts: the listener closes between the two.
+	acceptAfterTerm = 500 * time.Millisecond
+	sweepEvery      = time.Second
+)
+
+// clock gives Unix seconds that advance by the monotonic clock alone.
+type clock struct {
+	base time.Time
+	unix float64
+}
+
+func newClock() clock {
+	t := time.Now()
+	return clock{t, float64(t.UnixNano()) / 1e9}
+}
+
+func (c clock) now() float64 { return c.unix + time.Since(c.base).Seconds() }
+
+// event is something that happened outside the loop, with the time at which it did.
+type event struct {
+	at float64
+	do func()
+}
+
+// Ingress is one gateway on real sockets. Its loop alone owns the gateway and all that is not said
+// to belong to another goroutine.
+type Ingress struct {
+	cfg    Config
+	log    *slog.Logger
+	clock  clock
+	events chan event
+	done   chan struct{} // closed when the loop has ended
+
+	gate   *policy.Gateway
+	now    float64 // what the module was last told; never goes back
+	timers timerHeap
+	wake   *time.Timer
+	wakeAt float64
+	soon   []func() // outcomes that an action yielded, for when its event method has returned
+	noise  limiter
+
+	listener *net.TCPListener
+	clients  clientSet
+	requests map[string]*request
+	backends backendSet
+	peers    *peerLink
+	leaving  bool // the listener is closed, connections close between requests
+}
+
+// Run serves until ctx ends and then drains. It returns nil after a complete drain.
+func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
+		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour)}
+	in.now = in.clock.now()
+	in.clients.init(cfg.Sockets)
+	in.backends.init(cfg)
+	gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, in.now, in)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	in.gate = gate
+	if cfg.Settings.Peers {
+		if in.peers, err = in.openPeers(); err != nil {
+			return fmt.Errorf("peers: %w", err)
+		}
+		defer in.peers.close()
+	}
+	in.takeList(cfg.Known.with(true))
+	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
+	if err == nil {
+		in.listener, err = net.ListenTCP("tcp", addr)
+	}
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	stop, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go in.watchDiscovery(stop)
+	go in.accept(in.listener)
+	in.every(sweepEvery, in.sweep)
+	in.loop(ctx)
+	return nil
+}
+
+// loop handles events one at a time until the drain is complete.
+func (in *Ingress) loop(ctx context.Context) {
+	defer close(in.done)
+	term := ctx.Done()
+	for !in.leaving || in.clients.open() > 0 || len(in.requests) > 0 {
+		in.arm()
+		select {
+		case e := <-in.events:
+			in.handle(e)
+		case <-in.wake.C:
+			in.wakeAt = 0
+			in.fire()
+		case <-term:
+			term = nil
+			in.log.Info("draining")
+			in.after(acceptAfterTerm.Seconds(), in.leave)
+		}
+	}
+}
+
+// post hands the loop an event of another goroutine.
+func (in *Ingress) post(at float64, do func()) {
+	select {
+	case in.events <- event{at, do}:
+	case <-in.done:
+	}
+}
+
+// handle runs one event and what it left to do. A panic costs the event, not the process.
+func (in *Ingress) handle(e event) {
+	in.now = max(in.now, e.at)
+	in.guard(e.do)
+	for len(in.soon) > 0 {
+		do := in.soon[0]
+		in.soon = in.soon[1:]
+		in.guard(do)
+	}
+	in.soon = nil
+}
+
+func (in *Ingress) guard(do func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			in.log.Error("event failed", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
+	do()
+}
+
+// leave ends the time in which new connections are taken.
+func (in *Ingress) leave() {
+	in.leaving = true
+	in.listener.Close()
+	in.clients.closeIdle(in)
+}
+
+// ---- Timers ----
+
+type timer struct {
+	at float64
+	do func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = timer{}
+	*h = (*h)[:last]
+	return t
+}
+
+// after runs do on the loop, delay seconds from now.
+func (in *Ingress) after(delay float64, do func()) {
+	heap.Push(&in.timers, timer{in.now + delay, do})
+}
+
+func (in *Ingress) every(d time.Duration, do func()) {
+	in.after(d.Seconds(), func() {
+		in.every(d, do)
+		do()
+	})
+}
+
+// arm sets the one system timer to the earliest of the heap, if that has changed.
+func (in *Ingress) arm() {
+	if len(in.timers) == 0 || in.timers[0].at == in.wakeAt {
+		return
+	}
+	in.wakeAt = in.timers[0].at
+	in.wake.Reset(max(0, time.Duration((in.wakeAt-in.clock.now())*float64(time.Second))))
+}
+
+func (in *Ingress) fire() {
+	now := in.clock.now()
+	for len(in.timers) > 0 && in.timers[0].at <= now {
+		in.handle(event{now, heap.Pop(&in.timers).(timer).do})
+	}
+}
+
+// ---- policy.Actions, but for those of requests and attempts ----
+
+// SetTimer implements policy.Actions.
+func (in *Ingress) SetTimer(token uint64, delayS float64) {
+	in.after(max(delayS, 0), func() { in.gate.Timer(in.now, token) })
+}
+
+// Tell implements policy.Actions.
+func (in *Ingress) Tell(gateway int, data []byte) {
+	if in.peers != nil {
+		in.peers.tell(gateway, data)
+	}
+}
+
+// Log implements policy.Actions.
+func (in *Ingress) Log(text string) { in.log.Info(text) }
+
+// limiter bounds how often faults of others are logged.
+type limiter struct {
+	second int64
+	n      int
+}
+
+const notesPerSecond = 5
+
+// note logs a fault of somebody else, unless there were many within this second. Loop only.
+func (in *Ingress) note(what string, args ...any) {
+	if second := int64(in.now); second != in.noise.second {
+		in.noise = limiter{second: second}
+	}
+	if in.noise.n++; in.noise.n <= notesPerSecond {
+		in.log.Warn(what, args...)
+	}
+}
--- a/cmd/simhost/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package main
+// Package settings reads the settings object that the simulator's first message and a
+// real ingress's configuration both carry.
+package settings
 
 import (
 	"encoding/json"
@@ -22,6 +24,9 @@
 	} `json:"feedback"`
 	Limits struct {
 		Cancel         bool    `json:"cancel"`
+		ConnIdleS      float64 `json:"connIdleS"`
+		DialTimeoutS   float64 `json:"dialTimeoutS"`
+		MostHeld       int     `json:"mostHeld"`
 		MaxAttempts    int     `json:"maxAttempts"`
 		MaxRetryAfterS float64 `json:"maxRetryAfterS"`
 		ParallelTries  bool    `json:"parallelTries"`
@@ -74,13 +79,22 @@
 var scopes = map[string]policy.Scope{"": policy.ScopeAll, "all": policy.ScopeAll, "zone": policy.ScopeZone,
 	"cell": policy.ScopeCell}
 
-// settings translates the settings; whether they make sense is for policy.New to say.
-func settings(text string) (policy.Settings, error) {
+// Settings is what the module is told, and beside it what only a real ingress has to know.
+type Settings struct {
+	policy.Settings
+	ConnIdleS    float64 // a backend closes a connection that has stood idle for so long
+	DialTimeoutS float64 // a connection not made by then has failed
+	MostHeld     int     // open requests at most; 0: no such limit
+}
+
+// Parse translates the settings; whether they make sense is for policy.New to say.
+func Parse(text []byte) (Settings, error) {
 	var w wireSettings
-	if err := json.Unmarshal([]byte(text), &w); err != nil {
-		return policy.Settings{}, err
+	if err := json.Unmarshal(text, &w); err != nil {
+		return Settings{}, err
 	}
-	s := policy.Settings{
+	s := Settings{ConnIdleS: w.Limits.ConnIdleS, DialTimeoutS: w.Limits.DialTimeoutS, MostHeld: w.Limits.MostHeld}
+	s.Settings = policy.Settings{
 		Me: w.Me, Gateways: w.Balancers, Zone: w.MyZone,
 		MaxUnits: w.FamilyInfo.MaxUnits, TrueUp: w.FamilyInfo.TruedUp, PeerIntake: w.FamilyInfo.PeerIntake,
 		Peers: w.Limits.PeerMessages, Probes: w.Limits.Probes, Cancel: w.Limits.Cancel,
@@ -111,3 +125,24 @@
 	}
 	return s, nil
 }
+
+// NoLoad is a load report in which nothing was reported yet.
+var NoLoad = policy.Load{InFlight: -1, Queue: -1, Util: -1, ServiceMS: -1, ServedPerS: -1, FailedPerS: -1}
+
+// SetLoad puts a value into a load report by its name in the settings; unknown names are passed over.
+func SetLoad(r *policy.Load, name string, v float64) {
+	switch name {
+	case "busy_reqs":
+		r.InFlight = v
+	case "pending":
+		r.Queue = v
+	case "cpu_share":
+		r.Util = v
+	case "svc_ms":
+		r.ServiceMS = v
+	case "served_ps":
+		r.ServedPerS = v
+	case "failed_ps":
+		r.FailedPerS = v
+	}
+}
