--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -50,14 +50,15 @@
 	open  int // connections, dials among them
 	most  int
 	idleS float64
-	dialS time.Duration
+	dial  func(addr string) (net.Conn, error)
 }
 
 func (s *backendSet) init(cfg Config) {
 	s.byID = map[string]*backend{}
 	s.most = max(8, (cfg.Sockets-reservedFDs)*3/8)
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
-	s.dialS = time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
+	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
+	s.dial = func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, timeout) }
 }
 
 // ready tells whether a request could be sent anywhere.
@@ -285,7 +286,7 @@
 }
 
 func (in *Ingress) dial(be *backend, addr string) {
-	conn, err := net.DialTimeout("tcp", addr, in.backends.dialS)
+	conn, err := in.backends.dial(addr)
 	var c *backConn
 	if err == nil {
 		c = &backConn{be: be, conn: conn.(*net.TCPConn)}
@@ -386,6 +387,7 @@
 	status policy.Status
 	value  []byte // served: the value in RESP, as the backend wrote it
 	load   *policy.Load
+	probe  bool   // a reply to a probe
 	spoilt string // why the reply could not be used
 }
 
@@ -439,6 +441,10 @@
 // replied ends the attempt that the connection carries.
 func (in *Ingress) replied(c *backConn, res result, at float64) {
 	a := c.attempt
+	if a != nil && res.status == policy.OK && res.probe != (a.req == nil) {
+		c.dead.Store(true)
+		res = result{status: policy.Reset, spoilt: "a reply to something else"}
+	}
 	if res.spoilt != "" {
 		in.note("bad reply", "backend", c.be.ID, "why", res.spoilt)
 	}
@@ -484,7 +490,7 @@
 		return res
 	case redcon.Bulk: // of a probe
 		if v.Data != nil {
-			return result{status: policy.OK, value: bytes.Clone(v.Raw), load: parseLoad(string(v.Data))}
+			return result{status: policy.OK, probe: true, load: parseLoad(string(v.Data))}
 		}
 	case redcon.Error:
 		text := string(v.Data)
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -81,6 +81,10 @@
 	if c.Settings.DialTimeoutS <= 0 || c.Settings.ConnIdleS <= 0 {
 		return c, fmt.Errorf("settings: limits.dialTimeoutS and limits.connIdleS must be above 0")
 	}
+	c.Known.Full = true
+	if err := c.Known.check(); err != nil {
+		return c, fmt.Errorf("known: %w", err)
+	}
 	if !c.Settings.Peers {
 		return c, nil
 	}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -43,11 +43,6 @@
 var targetStates = map[string]policy.State{"in_service": policy.Up, "terminating": policy.Draining,
 	"terminated": policy.Removed}
 
-func (t targets) with(full bool) targets {
-	t.Full = full
-	return t
-}
-
 // parseTargets reads one line of a watch and checks every entry of it.
 func parseTargets(line []byte) (targets, error) {
 	var t targets
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -41,6 +41,17 @@
 	do func()
 }
 
+// gateway is what the loop tells the decision module, a *policy.Gateway.
+type gateway interface {
+	Request(now float64, q policy.Request)
+	Outcome(now float64, o policy.Outcome)
+	Gone(now float64, id string)
+	Servers(now float64, list []policy.Server, whole bool)
+	Timer(now float64, token uint64)
+	Peer(now float64, from int, data []byte)
+	Probed(now float64, p policy.ProbeResult)
+}
+
 // Ingress is one gateway on real sockets. Its loop alone owns the gateway and all that is not said
 // to belong to another goroutine.
 type Ingress struct {
@@ -50,7 +61,7 @@
 	events chan event
 	done   chan struct{} // closed when the loop has ended
 
-	gate   *policy.Gateway
+	gate   gateway
 	now    float64 // what the module was last told; never goes back
 	timers timerHeap
 	wake   *time.Timer
@@ -58,47 +69,75 @@
 	soon   []func() // outcomes that an action yielded, for when its event method has returned
 	noise  limiter
 
-	listener *net.TCPListener
-	clients  clientSet
-	requests map[string]*request
-	backends backendSet
-	peers    *peerLink
-	leaving  bool // the listener is closed, connections close between requests
+	acceptFor time.Duration // how long after the signal new connections are taken
+	listener  *net.TCPListener
+	clients   clientSet
+	requests  map[string]*request
+	backends  backendSet
+	peers     *peerLink
+	leaving   bool // the listener is closed, connections close between requests
 }
 
 // Run serves until ctx ends and then drains. It returns nil after a complete drain.
 func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+	in, err := open(cfg, log)
+	if err != nil {
+		return err
+	}
+	gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, in.now, in)
+	if err != nil {
+		in.close()
+		return fmt.Errorf("settings: %w", err)
+	}
+	in.serve(ctx, gate)
+	return nil
+}
+
+// open makes an ingress and its sockets; nothing is read from them yet.
+func open(cfg Config, log *slog.Logger) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
-		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour)}
+		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
+		acceptFor: acceptAfterTerm}
 	in.now = in.clock.now()
 	in.clients.init(cfg.Sockets)
 	in.backends.init(cfg)
-	gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, in.now, in)
+	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if in.listener, err = net.ListenTCP("tcp", addr); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
 	}
-	in.gate = gate
 	if cfg.Settings.Peers {
 		if in.peers, err = in.openPeers(); err != nil {
-			return fmt.Errorf("peers: %w", err)
+			in.listener.Close()
+			return nil, err
 		}
-		defer in.peers.close()
-	}
-	in.takeList(cfg.Known.with(true))
-	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
-	if err == nil {
-		in.listener, err = net.ListenTCP("tcp", addr)
 	}
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	return in, nil
+}
+
+func (in *Ingress) close() {
+	in.listener.Close()
+	if in.peers != nil {
+		in.peers.close()
 	}
-	stop, cancel := context.WithCancel(context.Background())
+}
+
+// serve starts the readers and runs the loop to the end of the drain.
+func (in *Ingress) serve(ctx context.Context, gate gateway) {
+	defer in.close()
+	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go in.watchDiscovery(stop)
+	in.gate = gate
+	in.takeList(in.cfg.Known)
+	go in.watchDiscovery(background)
 	go in.accept(in.listener)
+	if in.peers != nil {
+		go in.peers.receive()
+	}
 	in.every(sweepEvery, in.sweep)
 	in.loop(ctx)
-	return nil
 }
 
 // loop handles events one at a time until the drain is complete.
@@ -116,7 +155,7 @@
 		case <-term:
 			term = nil
 			in.log.Info("draining")
-			in.after(acceptAfterTerm.Seconds(), in.leave)
+			in.after(in.acceptFor.Seconds(), in.leave)
 		}
 	}
 }
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -33,7 +33,6 @@
 	}
 	p := &peerLink{in: in, conn: conn, queue: make(chan datagram, peerQueue)}
 	go p.send()
-	go p.receive()
 	return p, nil
 }
 
