Bound the drain, fail a send whose new connection broke at once, own no slack on deadlines

Found by reading the sources against the protocol, each with its lines: - dialed(): a connection that broke between dial and use left the attempt waiting until its time-out; it is now a failed connect. Bad configurations and the settings reader have tests of their own.

By hand: SIGTERM with one open connection, exit 0.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -316,7 +316,9 @@
 		}
 		return
 	}
-	in.release(c)
+	if in.release(c); len(be.waiting) > be.dials { // it broke at once
+		in.finish(be.waiting[0], result{status: policy.ConnectFailed}, in.now)
+	}
 }
 
 // release puts a connection to use for what waits, or into the pool.
@@ -343,12 +345,13 @@
 
 // write sends the command: at once what the socket takes, the rest on a goroutine of its own.
 func (in *Ingress) write(c *backConn, a *attempt) {
-	var b []byte
+	b := in.bytes[:0]
 	if a.req == nil {
-		b = redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+		b = redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(b, 2), "INFO"), "load")
 	} else {
-		b = a.req.appendTo(nil, a.until-in.now)
+		b = a.req.appendTo(b, a.until-in.now)
 	}
+	in.bytes = b
 	a.conn, c.attempt = c, a
 	c.written.Store(false)
 	c.busy.Store(true)
@@ -359,10 +362,11 @@
 	case n == len(b):
 		c.written.Store(true)
 	default:
+		rest := bytes.Clone(b[n:])
 		c.writes.Add(1)
 		go func() {
 			defer c.writes.Done()
-			if _, err := c.conn.Write(b[n:]); err == nil {
+			if _, err := c.conn.Write(rest); err == nil {
 				c.written.Store(true)
 			} else {
 				c.conn.Close() // its reader reports it
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -19,7 +19,7 @@
 	pendingMost  = 1 << 20         // bytes that a client may leave unread
 	clientWriteS = 5 * time.Second // and for how long
 	lingerMost   = 2 * time.Second // how long a refused client's bytes are read and dropped
-	lingerBytes  = 64 << 20        // and how many
+	lingerBytes  = 1 << 20         // and how many
 	acceptRetry  = 5 * time.Millisecond
 	reservedFDs  = 32 // for the listener, discovery, peers and the runtime
 )
@@ -245,8 +245,8 @@
 	c.slots = append(c.slots, r.slot)
 	c.usedAt = in.now
 	in.requests[q.ID] = r
-	// The module answers well before; should it fail to, the client still hears in time.
-	in.after(r.deadline-in.now, func() {
+	// The module answers well before; should it fail to, the client hears all the same.
+	in.after(r.deadline+in.cfg.Settings.AnswerSlackS-in.now, func() {
 		if !r.over {
 			in.note("no answer from the module in time", "id", r.ID)
 			in.fail(r)
@@ -352,7 +352,9 @@
 	}
 	rest := c.pending[n:]
 	if len(rest) == 0 {
-		c.pending = c.pending[:0]
+		if c.pending = c.pending[:0]; cap(c.pending) > 4*readSize {
+			c.pending = nil
+		}
 		return
 	}
 	c.writing, c.pending = true, nil
@@ -374,6 +376,19 @@
 	}()
 }
 
+// stop ends a drain that takes too long: what is still owed fails while its client can hear of it.
+func (in *Ingress) stop() {
+	for _, r := range in.requests {
+		if !r.over {
+			in.fail(r)
+			in.gate.Gone(in.now, r.ID)
+		}
+	}
+	for c := range in.clients.all {
+		in.closeClient(c)
+	}
+}
+
 // clientGone takes a client's hang-up: nothing is owed for what it had asked.
 func (in *Ingress) clientGone(c *client) {
 	if c.closed {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -285,20 +285,20 @@
 		want  policy.Status
 		load  bool
 	}{
-		"value":           {"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", policy.OK, false},
-		"error":           {"-ERR failed\r\n", policy.Error, false},
-		"error and load":  {"-ERR failed cpu_share=0.5\r\n", policy.Error, true},
-		"busy and load":   {"-BUSY cpu_share=0.5\r\n", policy.Full, true},
-		"closed":          {"", policy.Reset, false},
-		"half and closed": {"*3\r\n$10\r\nab", policy.Reset, false},
-		"noise":           {"\x00\x01\x02", policy.Reset, false},
-		"huge length":     {"*3\r\n$3000000000\r\nab", policy.Reset, false},
-		"negative length": {"*3\r\n$-7\r\n", policy.Reset, false},
-		"null value":      {"*3\r\n$-1\r\n$-1\r\n$-1\r\n", policy.Reset, false},
-		"no array":        {"$1\r\nv\r\n", policy.Reset, false},
-		"empty array":     {"*0\r\n", policy.Reset, false},
-		"unreadable load": {"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\n%=%\r\n", policy.OK, false},
-		"value and more":  {"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n$1\r\nw\r\n", policy.OK, false},
+		"value":            {"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", policy.OK, false},
+		"error":            {"-ERR failed\r\n", policy.Error, false},
+		"error and load":   {"-ERR failed cpu_share=0.5\r\n", policy.Error, true},
+		"busy and load":    {"-BUSY cpu_share=0.5\r\n", policy.Full, true},
+		"closed":           {"", policy.Reset, false},
+		"half and closed":  {"*3\r\n$10\r\nab", policy.Reset, false},
+		"noise":            {"\x00\x01\x02", policy.Reset, false},
+		"oversized length": {"*3\r\n$65537\r\nab", policy.Reset, false},
+		"negative length":  {"*3\r\n$-7\r\n", policy.Reset, false},
+		"null value":       {"*3\r\n$-1\r\n$-1\r\n$-1\r\n", policy.Reset, false},
+		"no array":         {"$1\r\nv\r\n", policy.Reset, false},
+		"empty array":      {"*0\r\n", policy.Reset, false},
+		"unreadable load":  {"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\n%=%\r\n", policy.OK, false},
+		"value and more":   {"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n$1\r\nw\r\n", policy.OK, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := start(t, testConfig(closed), sendTo(0))
@@ -479,9 +479,9 @@
 		"-ERR Protocol error: invalid length":         "*2\r\n$-2\r\nab\r\n",
 		"-ERR Protocol error: invalid number":         "*-1\r\n",
 		"-ERR Protocol error: invalid number of ":     "*99999999\r\n",
-		"-ERR Protocol error: value over 64 KiB":      "*5\r\n$60000000\r\n",
+		"-ERR Protocol error: value over 64 KiB":      "*5\r\n$65537\r\n",
 		"-ERR Protocol error: value and length":       "*1\r\n$1\r\nabc\r\n",
-		"-ERR Protocol error: line too long":          "*" + strings.Repeat("1", 5000),
+		"-ERR Protocol error: line too long":          "*" + strings.Repeat("1", 2*maxLine),
 		"-ERR Protocol error: malformed line":         "*1\n",
 		"-ERR empty command":                          "*0\r\n",
 		"-ERR unknown command \"NOVEL\"":              command("NOVEL"),
@@ -578,6 +578,16 @@
 	r = start(t, testConfig(addr), func(r *rig) { r.in.acceptFor = time.Millisecond })
 	r.term()
 	get(t, r.end) // by itself, once the time for late connections is over
+
+	r = start(t, testConfig(addr), nil)
+	c := r.client()
+	c.send(look("mute")...)
+	get(t, r.mod.requests)
+	r.do(func() { r.in.leave(); r.in.stop() })
+	if got := c.line(); got != "-ERR failed" || c.line() != "" {
+		t.Errorf("at the end of a drain that took too long: %q", got)
+	}
+	get(t, r.end)
 }
 
 // Guards against running out of descriptors: the connection that idles longest makes room.
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -19,7 +19,9 @@
 	// New connections come for up to 0.4 s after a planned restart was announced, and what is lost
 	// from 0.7 s on counts: the listener closes between the two.
 	acceptAfterTerm = 500 * time.Millisecond
-	sweepEvery      = time.Second
+	// SIGKILL may follow from 3.7 s after the signal on. The module answers long before.
+	drainMost  = 3500 * time.Millisecond
+	sweepEvery = time.Second
 )
 
 // clock gives Unix seconds that advance by the monotonic clock alone.
@@ -68,6 +70,7 @@
 	wakeAt float64
 	soon   []func() // outcomes that an action yielded, for when its event method has returned
 	noise  limiter
+	bytes  []byte // of the command that is being written
 
 	acceptFor time.Duration // how long after the signal new connections are taken
 	listener  *net.TCPListener
@@ -144,7 +147,7 @@
 func (in *Ingress) loop(ctx context.Context) {
 	defer close(in.done)
 	term := ctx.Done()
-	for !in.leaving || in.clients.open() > 0 || len(in.requests) > 0 {
+	for !in.leaving || in.clients.open() > 0 {
 		in.arm()
 		select {
 		case e := <-in.events:
@@ -183,7 +186,7 @@
 func (in *Ingress) guard(do func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			in.log.Error("event failed", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			in.note("event failed", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		}
 	}()
 	do()
@@ -194,6 +197,7 @@
 	in.leaving = true
 	in.listener.Close()
 	in.clients.closeIdle(in)
+	in.after((drainMost - acceptAfterTerm).Seconds(), in.stop)
 }
 
 // ---- Timers ----
--- a/internal/ingress/resp.go
+++ b/internal/ingress/resp.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // Bounds on what is read from a socket. The codec itself knows none: it would wait for a value of
@@ -34,7 +35,7 @@
 			return 0, errors.New("line too long")
 		}
 		// An unknown type is told at once: its line may never end.
-		if !bytes.ContainsRune([]byte("*$+-:"), rune(b[0])) {
+		if strings.IndexByte("*$+-:", b[0]) < 0 {
 			return 0, fmt.Errorf("unknown type %q", b[0])
 		}
 		return 0, nil
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"cometpond/policy"
+)
+
+func TestParse(t *testing.T) {
+	const text = `{"balancers":3,"me":1,"new":[1],"limits":{"connIdleS":15,"dialTimeoutS":0.25,"mostHeld":20000,"maxAttempts":5},
+"profiles":[{"name":"send","aimS":1.5,"deadlineS":4,"effect":"fragile","worth":5}],
+"packages":[{"name":"chaine","unitsPerS":30,"peakUnits":79,"hardRate":55,"capDepth":147,"ceilingSlack":15}]}`
+	s, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Gateways != 3 || s.Me != 1 || s.ConnIdleS != 15 || s.DialTimeoutS != 0.25 || s.MostHeld != 20000 || s.MaxAttempts != 5 {
+		t.Errorf("got %+v", s)
+	}
+	if len(s.Classes) != 1 || s.Classes[0].Effect != policy.Unsafe || len(s.Plans) != 1 || s.Plans[0].CeilingBurst != 147 {
+		t.Errorf("got %+v and %+v", s.Classes, s.Plans)
+	}
+	for want, change := range map[string][2]string{
+		`unknown effect "mild"`: {"fragile", "mild"},
+		`unknown keyScope`:      {`"worth":5`, `"keyScope":"street"`},
+		"unexpected end":        {text, "{"},
+	} {
+		if _, err := Parse([]byte(strings.Replace(text, change[0], change[1], 1))); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+func TestSetLoadByName(t *testing.T) {
+	l := NoLoad
+	for i, name := range []string{"busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps", "new"} {
+		SetLoad(&l, name, float64(i))
+	}
+	if l != (policy.Load{InFlight: 0, Queue: 1, Util: 2, ServiceMS: 3, ServedPerS: 4, FailedPerS: 5}) {
+		t.Errorf("got %+v", l)
+	}
+}
