Refuse in words what comes beyond the bound on connections

The log of n0 has 8 times 'client turned away: too many connections' with 32 open, its bound at that limit, and no other line; memory stood at 6 MB and descriptors at 62 of 96, so neither limit was hit. At fault: addClient closed the connection on which a client had already written its request, which is taken from then on.

Change: an eighth of the descriptors is kept for connections beyond the bound. What they ask is refused with -BUSY, which is true, as nothing was sent; once another connection idles it makes room and they are served.

TestSurplusClientsAreRefusedInWords fails without the change.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -54,18 +54,21 @@
 	pending []byte // what the socket has not taken yet
 	writing bool   // a goroutine writes what was pending
 	usedAt  float64
+	surplus bool // beyond the bound: what it asks is refused while that holds
 	closed  bool
 }
 
 // clientSet bounds the connections of clients.
 type clientSet struct {
-	all  map[*client]struct{}
-	most int
+	all     map[*client]struct{}
+	most    int
+	surplus int // so many more are taken, to be refused in words
 }
 
 func (s *clientSet) init(sockets int) {
 	s.all = map[*client]struct{}{}
 	s.most = max(8, (sockets-reservedFDs)/2)
+	s.surplus = max(2, (sockets-reservedFDs)/8)
 }
 
 func (s *clientSet) open() int { return len(s.all) }
@@ -79,18 +82,28 @@
 	}
 }
 
-// evict makes room by closing the connection that has idled longest.
-func (s *clientSet) evict(in *Ingress) bool {
-	var oldest *client
-	for c := range s.all {
-		if len(c.slots) == 0 && len(c.pending) == 0 && (oldest == nil || c.usedAt < oldest.usedAt) {
-			oldest = c
+// full tells that more connections are open, the newcomer aside, than may be served, after those that
+// idle longest were closed to make room.
+func (s *clientSet) full(in *Ingress, newcomer *client) bool {
+	for {
+		others := len(s.all)
+		if _, counted := s.all[newcomer]; counted {
+			others--
+		}
+		if others < s.most {
+			return false
+		}
+		var oldest *client
+		for c := range s.all {
+			if c != newcomer && len(c.slots) == 0 && len(c.pending) == 0 && (oldest == nil || c.usedAt < oldest.usedAt) {
+				oldest = c
+			}
+		}
+		if oldest == nil {
+			return true
 		}
-	}
-	if oldest != nil {
 		in.closeClient(oldest)
 	}
-	return oldest != nil
 }
 
 // accept takes connections until the listener is closed.
@@ -119,7 +132,8 @@
 }
 
 func (in *Ingress) addClient(c *client) {
-	if in.leaving || len(in.clients.all) >= in.clients.most && !in.clients.evict(in) {
+	c.surplus = in.clients.full(in, c)
+	if in.leaving || c.surplus && in.clients.open() >= in.clients.most+in.clients.surplus {
 		in.note("client turned away: too many connections", "open", in.clients.open())
 		c.closed = true
 		close(c.quit)
@@ -233,6 +247,10 @@
 	switch {
 	case c.closed:
 		return
+	case c.surplus && in.clients.full(in, c):
+		in.note("request refused: too many connections", "open", in.clients.open())
+		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
+		return
 	case in.requests[q.ID] != nil:
 		in.answerAtOnce(c, redcon.AppendError(nil, "ERR a request of this id is open"), false)
 		return
@@ -240,6 +258,7 @@
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
 	}
+	c.surplus = false
 	r := &request{call: q, client: c, slot: &slot{}, deadline: at + q.waitS}
 	r.slot.req = r
 	c.slots = append(c.slots, r.slot)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -609,6 +609,33 @@
 	}
 }
 
+// Guards against requests lost to the bound on descriptors: a connection beyond it was closed, and with
+// it the request that had come along. It is refused in words, and served once another one idles.
+func TestSurplusClientsAreRefusedInWords(t *testing.T) {
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most, r.in.clients.surplus = 1, 1 })
+	busy := r.client()
+	busy.send(look("a")...)
+	get(t, r.mod.requests)
+	surplus := r.client()
+	surplus.send(look("b")...)
+	if got := surplus.line(); got != "-BUSY 1000" {
+		t.Errorf("beyond the bound: %q", got)
+	}
+	next := r.client() // an idle one of the surplus makes room for it
+	next.send(look("b")...)
+	if got := next.line(); got != "-BUSY 1000" || surplus.line() != "" {
+		t.Errorf("beyond the bound, once more: %q", got)
+	}
+	if len(r.mod.requests) != 0 {
+		t.Error("the module was asked about a request that was refused for it")
+	}
+	r.do(func() { r.in.Fail("a") })
+	next.send(look("c")...)
+	if q := get(t, r.mod.requests); q.ID != "c" || busy.line() != "-ERR failed" || busy.line() != "" {
+		t.Errorf("with room made: %+v", q)
+	}
+}
+
 // Guards against a list that falls behind: the watch goes on from the last version after it broke,
 // a partial list merges, a full one replaces, and a bad line costs only itself.
 func TestDiscoveryWatch(t *testing.T) {
