--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -749,3 +750,63 @@
 		t.Errorf("got %+v", p)
 	}
 }
+
+// Guards the edge between the two ways in which a broken connection may end an attempt: a command of
+// which the socket took only a part has not run, and one that is written in the end is served.
+func TestCommandThatTheSocketTakesInParts(t *testing.T) {
+	small := func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}
+	l, err := (&net.ListenConfig{Control: small}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r := start(t, testConfig(l.Addr().String()), func(r *rig) {
+		sendTo(0)(r)
+		dial := r.in.backends.dial
+		r.in.backends.dial = func(addr string) (net.Conn, error) {
+			c, err := dial(addr)
+			if err == nil {
+				err = c.(*net.TCPConn).SetWriteBuffer(4096)
+			}
+			return c, err
+		}
+	})
+	body := strings.Repeat("x", maxValue)
+	post := func(id string) *wire {
+		c := r.client()
+		c.send("CALL.POST", customer, id, "c=bill,t=basic,d=600000,units=2,spread=2,first=1", body)
+		get(t, r.mod.requests)
+		return c
+	}
+	post("a")
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.until("a part is written", func() bool {
+		a := r.in.requests["a"].attempts[0]
+		return a.conn != nil && !a.conn.written.Load()
+	})
+	b.Close()
+	if o := get(t, r.mod.outcomes); o.Status != policy.ConnectFailed {
+		t.Errorf("a command that was cut off: %+v", o)
+	}
+	c := post("b")
+	b, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newWire(t, b)
+	if args := w.command(); len(args) != 5 || args[4] != body {
+		t.Error("the command did not come whole")
+	}
+	io.WriteString(w, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+	if c.line() != "$1" || c.line() != "v" {
+		t.Error("not served")
+	}
+	if o := get(t, r.mod.outcomes); o.Status != policy.OK {
+		t.Errorf("got %+v", o)
+	}
+}
