Wait for an unfinished write with a mutex in place of a wait group

At fault: write() added to the connection's wait group (loop) while read() might already wait on it with a count of nought, which a wait group does not allow. The outcome was right all the same, as the reader closes the connection before it waits, so a write begun after that fails; but the code must not lean on it. The mutex is held by the loop until its write is over, and the reader takes it once at its end.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -274,10 +274,10 @@
 	be      *backend
 	conn    *net.TCPConn
 	raw     syscall.RawConn
-	busy    atomic.Bool    // a reply is expected
-	dead    atomic.Bool    // not to be used again
-	written atomic.Bool    // the whole of the attempt's command
-	writes  sync.WaitGroup // a write that the loop did not wait for
+	busy    atomic.Bool // a reply is expected
+	dead    atomic.Bool // not to be used again
+	written atomic.Bool // the whole of the attempt's command
+	writing sync.Mutex  // held while a write that the loop does not wait for goes on
 
 	// Loop only.
 	attempt *attempt
@@ -363,9 +363,9 @@
 		c.written.Store(true)
 	default:
 		rest := bytes.Clone(b[n:])
-		c.writes.Add(1)
+		c.writing.Lock() // only its own reader takes it besides, for a moment at its end
 		go func() {
-			defer c.writes.Done()
+			defer c.writing.Unlock()
 			if _, err := c.conn.Write(rest); err == nil {
 				c.written.Store(true)
 			} else {
@@ -432,7 +432,8 @@
 	}
 	c.dead.Store(true)
 	c.conn.Close()
-	c.writes.Wait() // whether the command was wholly written decides what its end means
+	c.writing.Lock() // whether the command was wholly written decides what its end means
+	c.writing.Unlock()
 	at := in.clock.now()
 	in.post(at, func() { in.lost(c, at) })
 }
