--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -109,6 +109,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, in: in, mod: newModule(), end: make(chan struct{}), term: cancel, reread: make(chan Config)}
+	in.backends.copyS = 0 // the tests' answers are alike
 	if change != nil {
 		change(r)
 	}
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -20,6 +21,14 @@
 	// A second copy of an answer comes right behind it. What has rested for so long is taken first, so
 	// that the copy is seen before the next command goes out.
 	restS = 0.005
+	// An answer with the same bytes as the one before it on its connection, no later than this, is taken
+	// for its copy. Values of requests differ, as do the load reports beside them.
+	copyS = 0.1
+)
+
+var (
+	hashSeed = maphash.MakeSeed()
+	errCopy  = errors.New("a copy of the answer before it")
 )
 
 // backend is a backend of the list and its connections.
@@ -37,12 +46,14 @@
 	open  int // connections, dials among them
 	most  int
 	idleS float64
+	copyS float64 // see there; never changes
 	dial  func(addr string) (net.Conn, error)
 }
 
 func (s *backendSet) init(cfg Config) {
 	s.byID = map[string]*backend{}
 	s.most = max(8, (cfg.Sockets-reservedFDs)*3/8)
+	s.copyS = copyS
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
 	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
 	s.dial = func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, timeout) }
@@ -306,6 +317,10 @@
 func (c *backConn) read(in *Ingress) {
 	buf := buffer{budget: &in.input}
 	defer buf.free()
+	var last struct {
+		hash uint64
+		at   float64
+	}
 	for {
 		room := buf.room()
 		if room == nil {
@@ -333,6 +348,13 @@
 				c.spoilt(in, at, buf.b, errors.New(res.spoilt))
 				break
 			}
+			// Bytes of a copy that were on their way when the next command was written are told by this.
+			hash := maphash.Bytes(hashSeed, buf.b[:size])
+			if res.status == policy.OK && hash == last.hash && at-last.at < in.backends.copyS {
+				c.spoilt(in, at, buf.b, errCopy)
+				break
+			}
+			last.hash, last.at = hash, at
 			stray := len(buf.b) > size
 			buf.drop(len(buf.b))
 			if stray {
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// Guards against the same where the copy comes once the next command is written: no client must be served
+// with it. The next command's request has failed, as its own answer can't be told any more.
+func TestCopyBehindTheNextCommand(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), func(r *rig) {
+		sendTo(0)(r)
+		r.in.backends.copyS = 3600
+	})
+	c := r.client()
+	c.send(look("a")...)
+	b := get(t, conns)
+	b.command()
+	io.WriteString(b, value)
+	c.served("the first")
+	get(t, r.mod.outcomes)
+	c.send(look("b")...)
+	if got := b.command(); len(got) != 4 || got[2] != "b" {
+		t.Fatalf("the connection got %q", got)
+	}
+	io.WriteString(b, value)
+	if o := get(t, r.mod.outcomes); o.Status != policy.Error || o.Over {
+		t.Errorf("got %+v", o)
+	}
+	if b.command() != nil {
+		t.Error("the connection is used on")
+	}
+}
+
 // Guards against an answer from what stands now where a backend has been: a connection that was in use
 // while its backend moved, or started anew, is not pooled.
 func TestMovedBackendsConnectionsAreNotPooled(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -74,7 +74,8 @@
 	hedgeShare    = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
 	downS         = 0.5   // a server that refuses connections is left alone so long, then probed
 	downFrom      = 2     // such failures in a row: one tells of a connection, not of its server
-	onceSick      = 0.1   // how sick that one makes it, or one error behind an answer
+	onceSick      = 0.1   // how sick that one makes it
+	errorsSick    = 0.9   // the same for errors in a row: they come fast, and draw work on a server
 	fullS         = 0.05  // a server that turns work away is left alone so long, twice as long each time
 	fullMostS     = 0.8   // and at most
 	timeoutWeight = 0.15  // how far one attempt that timed out moves a server's speed and limit
@@ -113,7 +114,7 @@
 // newCustomer is a customer as a gateway knows it when it is first heard of: with a full window, but
 // an empty split of its ceiling, filling since this gateway's start.
 func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
-	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now,
+	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now, turnedAt: math.Inf(-1),
 		ceilAt: g.born, poolAt: g.born}
 	g.custs[key] = c
 	return c
@@ -132,16 +133,18 @@
 		return
 	}
 	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan], halfAt: now + halfShare*(q.DeadlineS-now)}
-	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
-	if cls.laterTry(q.DeadlineS - now) {
-		r.aimAt = min(r.aimAt, q.DeadlineS-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
-	}
-	r.aimAt = min(r.aimAt, q.DeadlineS)
+	later := cls.laterTry(q.DeadlineS - now)
 	price := 1.0
 	if r.plan != nil {
 		price, r.cust = r.plan.Price, g.customer(q)
 		g.asked(r.cust, q.Units)
+		later = later && g.triesAgain(r.cust, cls)
+	}
+	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
+	if later {
+		r.aimAt = min(r.aimAt, q.DeadlineS-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
 	}
+	r.aimAt = min(r.aimAt, q.DeadlineS)
 	if r.aimAt < now+cls.lat {
 		price *= cls.LateWorth
 	}
@@ -156,6 +159,9 @@
 	}
 	switch {
 	case v == deny || !g.mayRetry(r): // a client's late try can arrive with no time left at all
+		if v != deny && r.cust != nil { // what came too late tells of no later try to come
+			defer func(at float64) { r.cust.turnedAt = at }(r.cust.turnedAt)
+		}
 		g.refuse(r)
 	case v == wait:
 		g.ask(r)
@@ -174,6 +180,13 @@
 	return c.seen > patienceMin && float64(near) < common && float64(c.most) >= common
 }
 
+// triesAgain tells that the customer's clients may well be on later tries: it was turned away here within
+// the time that a client waits, or asks for more than its rate. Clients with little time ask for the first
+// time too, and what is inside the quota must not be refused for that.
+func (g *Gateway) triesAgain(c *customer, cls *class) bool {
+	return g.now-c.turnedAt < cls.DeadlineS || c.plan.Rate > 0 && g.demandNow(c)+c.others > c.plan.Rate
+}
+
 // place sends the request on, or queues it when no server has room.
 func (g *Gateway) place(r *request) {
 	if len(r.attempts) == 0 {
@@ -202,6 +215,9 @@
 	if r.over {
 		return
 	}
+	if r.cust != nil {
+		r.cust.turnedAt = g.now
+	}
 	may := r.ran != nil || r.out > 0
 	if may && (r.cls.Effect == Unsafe || r.cls.Effect == Keyed && r.cls.KeyScope != ScopeAll) {
 		g.act.Fail(r.ID)
@@ -798,14 +814,6 @@
 	g.spread(n)
 }
 
-// again tells how sick so many failures in a row make a server.
-func again(n int) float64 {
-	if n < downFrom {
-		return onceSick
-	}
-	return errorSick
-}
-
 // learn takes from an attempt's end what it tells of the server.
 func (g *Gateway) learn(r *request, a *attempt, o Outcome) {
 	s, c := a.srv, r.cls
@@ -823,12 +831,19 @@
 		s.speed += timeoutWeight * max(4-s.speed, 0) // slow, if not silent
 	case Error:
 		s.errs[c.index]++
-		g.fails(s, c, again(s.errs[c.index]))
+		by := errorSick
+		if s.errs[c.index] >= downFrom {
+			by = errorsSick
+		}
+		g.fails(s, c, by)
 	case ConnectFailed, Reset:
 		s.broken++
-		if g.fails(s, nil, again(s.broken)); s.broken >= downFrom {
-			s.downUntil = g.now + downS*(1+g.rng.Float64())
+		if s.broken < downFrom {
+			g.fails(s, nil, onceSick)
+			break
 		}
+		g.fails(s, nil, errorSick)
+		s.downUntil = g.now + downS*(1+g.rng.Float64())
 	case Full:
 		s.fulls++
 		s.downUntil = max(s.downUntil, g.now+min(fullS*math.Exp2(float64(s.fulls-1)), fullMostS))
--- a/policy/state.go
+++ b/policy/state.go
@@ -133,6 +133,7 @@
 	first, entries int // entries 0: known from others' reports alone
 	prime          int // first on the ring of its gateways
 	usedAt         float64
+	turnedAt       float64 // when a request was last refused for want of quota or room
 	total          float64 // own count of what was let in, ever
 	acked          float64 // as the owner last took it in
 	demand         float64 // units a second asked for here
