--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,8 +114,9 @@
 // newCustomer is a customer as a gateway knows it when it is first heard of: with a full window, but
 // an empty split of its ceiling, filling since this gateway's start.
 func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
-	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now, turnedAt: math.Inf(-1),
-		ceilAt: g.born, poolAt: g.born}
+	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now,
+		turnedAt: math.Inf(-1),
+		ceilAt:   g.born, poolAt: g.born}
 	g.custs[key] = c
 	return c
 }
@@ -132,7 +133,8 @@
 		g.act.Fail(q.ID)
 		return
 	}
-	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan], halfAt: now + halfShare*(q.DeadlineS-now)}
+	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
+	r.halfAt = now + halfShare*(q.DeadlineS-now)
 	later := cls.laterTry(q.DeadlineS - now)
 	price := 1.0
 	if r.plan != nil {
@@ -263,7 +265,8 @@
 
 // mayRetry tells whether another attempt is allowed and worth it.
 func (g *Gateway) mayRetry(r *request) bool {
-	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > r.endAt() || !r.written && g.now > r.halfAt {
+	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > r.endAt() ||
+		!r.written && g.now > r.halfAt {
 		return false
 	}
 	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
@@ -720,7 +723,8 @@
 }
 
 // coldRoom holds a cold server to its part of the work by what it can do, over any window in which it
-// could fall. What is asked for counts, not what was sent: in a release all servers may be cold. Where a gateway's part of that is under one request, chance decides: all adds up the same.
+// could fall. What is asked for counts, not what was sent: in a release all servers may be cold. Where a
+// gateway's part of that is under one request, chance decides: all adds up the same.
 func (g *Gateway) coldRoom(s *server, work float64) bool {
 	share := g.coldShare(s)
 	if share >= 1 {
