--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -93,7 +93,7 @@
 		return c, fmt.Errorf("settings: limits.dialTimeoutS and limits.connIdleS must be above 0")
 	}
 	c.Known.Full = true
-	if err := c.Known.check(); err != nil {
+	if err := c.Known.Check(); err != nil {
 		return c, fmt.Errorf("known: %w", err)
 	}
 	if !c.Settings.Peers {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -47,8 +47,10 @@
 	do func()
 }
 
-// gateway is what the loop tells the decision module, a *policy.Gateway.
-type gateway interface {
+// Gateway is what the loop tells whoever decides: the module in this process, a *policy.Gateway, or what stands
+// for a module elsewhere. Its methods are called by the loop alone, one at a time, with the times of events in
+// Unix seconds that never go back.
+type Gateway interface {
 	Request(now float64, q policy.Request)
 	Outcome(now float64, o policy.Outcome)
 	Gone(now float64, id string)
@@ -58,6 +60,15 @@
 	Probed(now float64, p policy.ProbeResult)
 }
 
+// Host is what a Gateway that is no module may ask of the ingress beside its Actions.
+type Host interface {
+	policy.Actions
+	Post(do func(now float64))       // runs do on the loop; of any goroutine, which waits while the loop is behind
+	After(delayS float64, do func()) // runs do on the loop, so much later; loop only
+	Note(what string, args ...any)   // logs a fault of somebody else, at a bounded rate; loop only
+	Now() float64                    // loop only
+}
+
 // Ingress is one gateway on real sockets. Its loop alone owns the gateway and all that is not said
 // to belong to another goroutine.
 type Ingress struct {
@@ -67,7 +78,7 @@
 	events chan event
 	done   chan struct{} // closed when the loop has ended
 
-	gate   gateway
+	gate   Gateway
 	now    float64 // what the module was last told; never goes back
 	timers timerHeap
 	wake   *time.Timer
@@ -89,14 +100,29 @@
 // Run serves until ctx ends and then drains. It returns nil after a complete drain. Of each
 // configuration that comes on reread, which may be nil, the address of discovery is taken over.
 func Run(ctx context.Context, cfg Config, reread <-chan Config, log *slog.Logger) error {
+	return RunWith(ctx, cfg, reread, log, func(_ context.Context, h Host) (Gateway, error) {
+		gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, h.Now(), h)
+		if err != nil {
+			return nil, fmt.Errorf("settings: %w", err)
+		}
+		return gate, nil
+	})
+}
+
+// RunWith is Run with another decider. What make starts ends with the context that it gets, which ends when the
+// drain is complete.
+func RunWith(ctx context.Context, cfg Config, reread <-chan Config, log *slog.Logger,
+	make func(context.Context, Host) (Gateway, error)) error {
 	in, err := open(cfg, log)
 	if err != nil {
 		return err
 	}
-	gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, in.now, in)
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	gate, err := make(life, in)
 	if err != nil {
 		in.close()
-		return fmt.Errorf("settings: %w", err)
+		return err
 	}
 	in.serve(ctx, reread, gate)
 	return nil
@@ -135,7 +161,7 @@
 }
 
 // serve starts the readers and runs the loop to the end of the drain.
-func (in *Ingress) serve(ctx context.Context, reread <-chan Config, gate gateway) {
+func (in *Ingress) serve(ctx context.Context, reread <-chan Config, gate Gateway) {
 	defer in.close()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -279,6 +305,23 @@
 	}
 }
 
+// ---- Host ----
+
+// Post implements Host.
+func (in *Ingress) Post(do func(now float64)) {
+	at := in.clock.now()
+	in.post(at, func() { do(in.now) })
+}
+
+// After implements Host.
+func (in *Ingress) After(delayS float64, do func()) { in.after(delayS, do) }
+
+// Note implements Host.
+func (in *Ingress) Note(what string, args ...any) { in.note(what, args...) }
+
+// Now implements Host.
+func (in *Ingress) Now() float64 { return in.now }
+
 // ---- policy.Actions, but for those of requests and attempts ----
 
 // SetTimer implements policy.Actions.
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"cometpond/internal/roster"
 	"cometpond/policy"
 )
 
@@ -81,7 +82,7 @@
 			s.byID[e.ID] = be
 		}
 		moved := be.Addr != e.Addr || be.StartedMS != e.StartedMS
-		be.target, be.state = e, targetStates[e.State]
+		be.target, be.state = e, roster.States[e.State]
 		if moved || be.state != policy.Up {
 			s.retire(in, be)
 		}
