--- a/policy/state.go
+++ b/policy/state.go
@@ -29,20 +29,21 @@
 
 type server struct {
 	Server
-	hash                  uint16
-	listed                bool
-	inflight              int
-	speed                 float64 // latency against the class's mean
-	sentAt                float64
-	busy                  float64 // mean attempts out here of late
-	util, utilAt, askedAt float64 // askedAt: last probe
-	sick                  []sick  // by class
-	okAt                  []float64
-	errs                  []int // by class: errors since it last answered
-	broken                int   // attempts that found no connection, or lost it, since it last answered
-	fulls                 int   // attempts it turned away since then
-	downUntil             float64
-	sentLog               []sentWork // while cold
+	hash         uint16
+	listed       bool
+	inflight     int
+	speed        float64 // latency against the class's mean
+	sentAt       float64
+	busy         float64 // mean attempts out here of late
+	util, utilAt float64
+	askedAt      float64 // last probe
+	sick         []sick  // by class
+	okAt         []float64
+	errs         []int // by class: errors since it last answered
+	broken       int   // attempts that found no connection, or lost it, since it last answered
+	fulls        int   // attempts it turned away since then
+	downUntil    float64
+	sentLog      []sentWork // while cold
 }
 
 // sick tells how sure it was that a server leaves a class unanswered.
@@ -126,39 +127,41 @@
 
 // customer is what a gateway keeps of one customer.
 type customer struct {
-	key                                        uint32
-	hash                                       uint64
-	plan                                       *plan
-	first, entries                             int // entries 0: known from others' reports alone
-	prime                                      int // first on the ring of its gateways
-	usedAt                                     float64
-	turnedAt                                   float64 // when a request was last refused for want of quota or room
-	total                                      float64 // own count of what was let in, ever
-	acked                                      float64 // as the owner last took it in
-	demand                                     float64 // units a second asked for here
-	demandAt                                   float64
-	out                                        int
-	known                                      bool    // the owner has reported
-	room, roomAt                               float64 // as last reported
-	others                                     float64 // what the others are asked for
-	othersOut                                  int
-	holdTill                                   float64    // the owner refuses until then
-	asks                                       []*request // wait for the owner's word
-	asked                                      int        // of them, told to the owner
-	tries                                      int
-	waitFrom                                   float64 // since when a report is unanswered, 0: none
-	waiting                                    bool    // in Gateway.waiting
-	dirty                                      bool    // to be reported
-	askOf                                      int     // to this gateway
-	ceil, ceilAt, pool, poolAt, local, localAt float64
-	led                                        *ledger
+	key            uint32
+	hash           uint64
+	plan           *plan
+	first, entries int // entries 0: known from others' reports alone
+	prime          int // first on the ring of its gateways
+	usedAt         float64
+	turnedAt       float64 // when a request was last refused for want of quota or room
+	total          float64 // own count of what was let in, ever
+	acked          float64 // as the owner last took it in
+	demand         float64 // units a second asked for here
+	demandAt       float64
+	out            int
+	known          bool    // the owner has reported
+	room, roomAt   float64 // as last reported
+	others         float64 // what the others are asked for
+	othersOut      int
+	holdTill       float64    // the owner refuses until then
+	asks           []*request // wait for the owner's word
+	asked, tries   int        // asked: of them, told to the owner
+	waitFrom       float64    // since when a report is unanswered, 0: none
+	waiting        bool       // in Gateway.waiting
+	dirty          bool       // to be reported
+	askOf          int        // to this gateway
+	ceil, ceilAt   float64
+	pool, poolAt   float64
+	local, localAt float64
+	led            *ledger
 }
 
 // ledger is an owner's count: the window opens evenly, and what is unused
 // carries over up to one burst.
 type ledger struct {
-	room, at, born, demand, demandAt float64
-	members                          map[int]*member
+	room, at, born   float64
+	demand, demandAt float64
+	members          map[int]*member
 }
 
 type member struct {
@@ -197,14 +200,13 @@
 func quarters(x float64) float64 { return float64(int16(int64(math.Floor(x*4+0.5)))) / 4 }
 
 type peer struct {
-	missed  int     // reports without an answer since it was last heard
-	missAt  float64 // the last of them
-	toldAt  float64
-	boot    uint8
-	seq     uint16
-	reports []*customer
-	pending bool // in Gateway.pending
-	urgent  bool // a request waits
+	missed          int     // reports without an answer since it was last heard
+	missAt          float64 // the last of them
+	toldAt          float64
+	boot            uint8
+	seq             uint16
+	reports         []*customer
+	pending, urgent bool // in Gateway.pending; a request waits
 }
 
 // Gateway decides for one gateway.
@@ -225,9 +227,7 @@
 	limit            float64     // attempts out here, at all servers
 	part             float64     // servers a gateway
 	out              int         // attempts out
-	stretch          float64     // mean of latency over aim
-	spent            float64     // mean time until an answer or a time-out
-	cutAt            float64
+	stretch, spent   float64     // means of latency over aim, of time until an answer or a time-out
 	sentAt           float64
 	probes           float64 // that may be sent
 	news             []item
