--- a/policy/message.go
+++ b/policy/message.go
@@ -70,8 +70,8 @@
 // Count is the message by which something that is no gateway hands counts to a customer's owner, in the place of
 // a member: total units in all, of which fresh (63 at most) are new to the owner if it knows no member of this boot.
 func Count(boot uint8, seq uint16, customer string, plan int, total, fresh float64, out int) []byte {
-	r := record{Key: uint32(hashOf(customer) >> 32), Plan: plan, Total: total, Unacked: fresh, Out: out}
-	b := appendRecord(appendHeader(make([]byte, 0, msgHeader+msgRecord), boot, seq), r)
+	b := appendRecord(appendHeader(nil, boot, seq), record{Key: uint32(hashOf(customer) >> 32), Plan: plan,
+		Total: total, Unacked: fresh, Out: out})
 	b[msgCount] = 1
 	return b
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -241,13 +241,13 @@
 	servers          map[string]*server
 	order            []*server
 	reqs             map[string]*request
-	live             []*request
-	queue            []*request
-	custs            map[uint32]*customer
-	peers            []peer
-	work, workAt     float64 // a second that quotas let in
-	shares           float64 // of their capacity that the servers have by now, in sum
-	sweepAt          float64
+	live, queue      []*request
+
+	custs        map[uint32]*customer
+	peers        []peer
+	work, workAt float64 // a second that quotas let in
+	shares       float64 // of their capacity that the servers have by now, in sum
+	sweepAt      float64
 }
 
 type ringPoint struct {
