Forwarders, planners and a laboratory: first shape of two levels

Packages link (frames), fleet (what all agree on), forward (the forwarder's core and its link), planner (leases, recovery, host of one module a cell, server), lab (stand-ins, links that are cut, processes that are killed, auditor), program and cmd/eiderfleet.

--- /dev/null
+++ b/cmd/eiderfleet/lab.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+
+	"cometpond/internal/fleet"
+	"cometpond/internal/lab"
+)
+
+func runLab(args []string) error {
+	set := flag.NewFlagSet("lab", flag.ContinueOnError)
+	forwarders := set.Int("forwarders", 20, "forwarders, or one-program ingresses with -planners 0")
+	planners := set.Int("planners", 3, "planners; 0 for a fleet of one level")
+	nodes := set.Int("nodes", 10, "zone nodes")
+	length := set.Duration("for", time.Minute, "how long clients ask")
+	faults := set.Bool("faults", true, "have things go wrong")
+	every := set.Duration("every", 2*time.Second, "mean time between two faults")
+	kinds := set.String("kinds", "", "faults to choose from: kill, term, pause, cut, split, lone, forwarder, drain")
+	seed := set.Uint64("seed", 1, "of accounts, traffic and faults")
+	scale := set.Float64("scale", 1, "of the number of accounts")
+	spread := set.Int("spread", 4, "forwarders that an account comes through")
+	dir := set.String("dir", "", "where files and logs go (a new folder)")
+	if err := set.Parse(args); err != nil {
+		return err
+	}
+	if *dir == "" {
+		var err error
+		if *dir, err = os.MkdirTemp("", "eiderfleet"); err != nil {
+			return err
+		}
+	}
+	if err := os.MkdirAll(*dir, 0o700); err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	n := func(x int) int { return max(1, int(float64(x)**scale)) }
+	sc := lab.Scenario{Length: *length, Faults: *faults, Every: *every,
+		Accounts: lab.Accounts(n(20), n(10), n(3), *forwarders, *spread, *seed),
+		FleetConfig: lab.FleetConfig{Forwarders: *forwarders, Planners: *planners, Nodes: *nodes, Classes: lab.LabClasses,
+			Plans: lab.LabPlans, Node: lab.LabNode, Seed: *seed, Dir: *dir, Params: fleet.Params{},
+			Spawn: func(kind, file string) *exec.Cmd {
+				if kind == "ingress" {
+					c := exec.Command(filepath.Join(filepath.Dir(self), "eiderspread"))
+					c.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+					return c
+				}
+				return exec.Command(self, kind, file)
+			}}}
+	if *kinds != "" {
+		sc.Kinds = strings.Split(*kinds, ",")
+	}
+	fmt.Printf("%d cores, %d forwarders, %d planners, %d nodes, %d accounts, %v, seed %d, faults %v; logs in %s\n",
+		runtime.NumCPU(), *forwarders, *planners, *nodes, len(sc.Accounts), *length, *seed, *faults, *dir)
+	f, rep, err := lab.Run(sc, os.Stdout)
+	if err != nil {
+		return err
+	}
+	rep.Print(os.Stdout)
+	var fc, pc time.Duration
+	for _, p := range f.Forwarders {
+		fc += p.CPU()
+	}
+	for _, p := range f.Planners {
+		pc += p.CPU()
+	}
+	fmt.Printf("CPU a try: forwarders %.0f us, planners %.0f us\n", fc.Seconds()*1e6/float64(max(rep.Tries, 1)),
+		pc.Seconds()*1e6/float64(max(rep.Tries, 1)))
+	if len(rep.Breaches) > 0 {
+		return fmt.Errorf("%d breaches", len(rep.Breaches))
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/eiderfleet/main.go
@@ -0,0 +1,84 @@
+// Command eiderfleet is eiderspread on two levels: forwarders, planners, and what one needs to run and to try them.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"cometpond/internal/program"
+)
+
+const usage = `usage: eiderfleet COMMAND ...
+  forwarder [-check] FILE   a forwarder by its operator's file (deploy/forwarder.toml)
+  planner [-check] FILE     a planner by its operator's file (deploy/planner.toml)
+  status ADDR [ADDR ...]    who leads what, by the status addresses of forwarders and planners
+  lab [flags]               a fleet with stand-ins on loopback, with faults and an audit; lab -h lists the flags
+`
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "eiderfleet:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) == 0 {
+		fmt.Fprint(os.Stderr, usage)
+		return fmt.Errorf("no command given")
+	}
+	switch name, rest := args[0], args[1:]; name {
+	case "forwarder", "planner":
+		set := flag.NewFlagSet(name, flag.ContinueOnError)
+		check := set.Bool("check", false, "check the file and all that it names, and end")
+		if err := set.Parse(rest); err != nil {
+			return err
+		}
+		if set.NArg() != 1 {
+			return fmt.Errorf("%s wants one file", name)
+		}
+		if *check {
+			return program.Check(name, set.Arg(0))
+		}
+		return program.Run(name, set.Arg(0))
+	case "status":
+		return status(rest, os.Stdout)
+	case "lab":
+		return runLab(rest)
+	case "help", "-h", "--help":
+		fmt.Print(usage)
+		return nil
+	default:
+		fmt.Fprint(os.Stderr, usage)
+		return fmt.Errorf("unknown command %q", name)
+	}
+}
+
+// status prints what programs tell of themselves. One that does not answer is an error, after the others.
+func status(addrs []string, w io.Writer) error {
+	client := http.Client{Timeout: 2 * time.Second}
+	var last error
+	for _, a := range addrs {
+		resp, err := client.Get("http://" + a + "/")
+		if err != nil {
+			last = err
+			continue
+		}
+		var v any
+		err = json.NewDecoder(resp.Body).Decode(&v)
+		resp.Body.Close()
+		if err != nil {
+			last = fmt.Errorf("%s: %w", a, err)
+			continue
+		}
+		out := json.NewEncoder(w)
+		out.SetIndent("", " ")
+		out.Encode(v)
+	}
+	return last
+}
--- /dev/null
+++ b/internal/fleet/file.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/BurntSushi/toml"
+
+	"cometpond/internal/link"
+)
+
+// File is what the operator's files of forwarders and planners have in common; docs/operating-two-levels.md
+// explains each key.
+type File struct {
+	Fleet      string
+	Number     int
+	Forwarders int
+	Planners   int
+	Cells      int
+	LeaseMS    float64 `toml:"lease_ms"`
+	BeatMS     float64 `toml:"beat_ms"`
+	SilenceMS  float64 `toml:"silence_ms"`
+	WaitMS     float64 `toml:"wait_ms"`
+	FailsafeMS float64 `toml:"failsafe_ms"`
+	Base       string  // the configuration that an ingress would have
+	Status     string  // where the status is served, on loopback; empty: nowhere
+	TLS        struct{ Cert, Key, CA string }
+}
+
+// Decode reads an operator's file. A key that is not known is an error.
+func Decode(path string, into any) error {
+	md, err := toml.DecodeFile(path, into)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if extra := md.Undecoded(); len(extra) > 0 {
+		return fmt.Errorf("%s: unknown key %s", path, extra[0])
+	}
+	return nil
+}
+
+// Params translates and checks.
+func (f File) Params() (Params, error) {
+	p := Params{Name: f.Fleet, Forwarders: f.Forwarders, Planners: f.Planners, Cells: f.Cells, LeaseS: f.LeaseMS / 1e3,
+		BeatS: f.BeatMS / 1e3, SilenceS: f.SilenceMS / 1e3, WaitS: f.WaitMS / 1e3, FailsafeS: f.FailsafeMS / 1e3}
+	if err := p.Check(); err != nil {
+		return p, err
+	}
+	if f.Base == "" {
+		return p, fmt.Errorf("base names no configuration")
+	}
+	if f.Status != "" {
+		a, err := netip.ParseAddrPort(f.Status)
+		if err != nil {
+			return p, fmt.Errorf("status: %w", err)
+		}
+		if !a.Addr().IsLoopback() {
+			return p, fmt.Errorf("status: %s is no loopback address", f.Status)
+		}
+	}
+	if t := f.TLS; (t.Cert == "" || t.Key == "" || t.CA == "") && (t.Cert != "" || t.Key != "" || t.CA != "") {
+		return p, fmt.Errorf("tls: cert, key and ca are needed together")
+	}
+	return p, nil
+}
+
+// Identity is the file's part on mutual TLS.
+func (f File) Identity() link.Identity { return link.Identity(f.TLS) }
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -160,7 +160,7 @@
 				conn.Close()
 			}
 		}
-		at := in.clock.now()
+		at := in.clock.Now()
 		if err != nil {
 			<-in.clients.room
 			in.post(at, func() { in.note("accept failed", "error", err) })
@@ -194,11 +194,11 @@
 	for {
 		room := c.buf.room()
 		if room == nil {
-			c.refuse(in, in.clock.now(), errNoRoom)
+			c.refuse(in, in.clock.Now(), errNoRoom)
 			return
 		}
 		n, err := c.conn.Read(room)
-		at := in.clock.now()
+		at := in.clock.Now()
 		c.buf.grew(n)
 		used, ok := c.commands(in, at, words)
 		if !ok {
@@ -266,7 +266,7 @@
 	c.conn.SetReadDeadline(time.Now().Add(lingerMost))
 	n, err := io.Copy(io.Discard, io.LimitReader(c.conn, lingerBytes))
 	gone := n < lingerBytes && !errors.Is(err, os.ErrDeadlineExceeded)
-	in.post(in.clock.now(), func() {
+	in.post(in.clock.Now(), func() {
 		if c.lingered = true; gone || c.idle() {
 			in.clientGone(c)
 		} // else once the answers before the last one are written
@@ -375,7 +375,7 @@
 	go func() {
 		c.conn.SetWriteDeadline(time.Now().Add(clientWriteS))
 		_, err := c.conn.Write(rest)
-		in.post(in.clock.now(), func() {
+		in.post(in.clock.Now(), func() {
 			c.writing = false
 			switch {
 			case c.closed:
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -37,6 +37,6 @@
 		}
 	}()
 	roster.New(in.cfg.Discovery, in.cfg.Known.Version,
-		func(t targets) { in.post(in.clock.now(), func() { in.takeList(t) }) },
-		func(what string, args ...any) { in.post(in.clock.now(), func() { in.note(what, args...) }) }).Run(ctx, moves)
+		func(t targets) { in.post(in.clock.Now(), func() { in.takeList(t) }) },
+		func(what string, args ...any) { in.post(in.clock.Now(), func() { in.note(what, args...) }) }).Run(ctx, moves)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -804,7 +804,7 @@
 func TestTimeNeverGoesBack(t *testing.T) {
 	r := start(t, testConfig("127.0.0.1:1"), nil)
 	var first, second float64
-	r.in.post(r.in.clock.now()+5, func() { first = r.in.now })
+	r.in.post(r.in.clock.Now()+5, func() { first = r.in.now })
 	r.do(func() { second = r.in.now })
 	if second < first {
 		t.Errorf("the time went from %f to %f", first, second)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"time"
 
+	"cometpond/internal/mono"
 	"cometpond/policy"
 )
 
@@ -28,19 +29,6 @@
 	sweepEvery = time.Second
 )
 
-// clock gives Unix seconds that advance by the monotonic clock alone.
-type clock struct {
-	base time.Time
-	unix float64
-}
-
-func newClock() clock {
-	t := time.Now()
-	return clock{t, float64(t.UnixNano()) / 1e9}
-}
-
-func (c clock) now() float64 { return c.unix + time.Since(c.base).Seconds() }
-
 // event is something that happened outside the loop, with the time at which it did.
 type event struct {
 	at float64
@@ -74,7 +62,7 @@
 type Ingress struct {
 	cfg    Config
 	log    *slog.Logger
-	clock  clock
+	clock  mono.Clock
 	events chan event
 	done   chan struct{} // closed when the loop has ended
 
@@ -130,10 +118,10 @@
 
 // open makes an ingress and its sockets; nothing is read from them yet.
 func open(cfg Config, log *slog.Logger) (*Ingress, error) {
-	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
+	in := &Ingress{cfg: cfg, log: log, clock: mono.New(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
 		acceptFor: acceptAfterTerm}
-	in.now = in.clock.now()
+	in.now = in.clock.Now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
 	in.backends.init(cfg)
@@ -295,11 +283,11 @@
 		return
 	}
 	in.wakeAt = in.timers[0].at
-	in.wake.Reset(max(0, time.Duration((in.wakeAt-in.clock.now())*float64(time.Second))))
+	in.wake.Reset(max(0, time.Duration((in.wakeAt-in.clock.Now())*float64(time.Second))))
 }
 
 func (in *Ingress) fire() {
-	now := in.clock.now()
+	now := in.clock.Now()
 	for len(in.timers) > 0 && in.timers[0].at <= now {
 		in.handle(event{now, heap.Pop(&in.timers).(*timer).do})
 	}
@@ -309,7 +297,7 @@
 
 // Post implements Host.
 func (in *Ingress) Post(do func(now float64)) {
-	at := in.clock.now()
+	at := in.clock.Now()
 	in.post(at, func() { do(in.now) })
 }
 
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -85,7 +85,7 @@
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		number, known := numbers[from]
-		at := in.clock.now()
+		at := in.clock.Now()
 		if !known || n > maxDatagram {
 			in.post(at, func() { in.note("datagram dropped", "from", from, "bytes", n) })
 			continue
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -204,7 +204,7 @@
 			c = nil
 		}
 	}
-	in.post(in.clock.now(), func() { in.dialed(be, c, err) })
+	in.post(in.clock.Now(), func() { in.dialed(be, c, err) })
 }
 
 // dialed gives a new connection to the attempt that has waited longest, or takes its failure.
@@ -325,11 +325,11 @@
 	for {
 		room := buf.room()
 		if room == nil {
-			c.spoilt(in, in.clock.now(), nil, errNoRoom)
+			c.spoilt(in, in.clock.Now(), nil, errNoRoom)
 			break
 		}
 		n, err := c.conn.Read(room)
-		at := in.clock.now()
+		at := in.clock.Now()
 		if n > 0 && !c.busy.Load() {
 			in.post(at, func() { in.note("bytes that nobody asked for", "backend", c.be.ID, "bytes", n) })
 			break // what follows can't be told apart
@@ -375,7 +375,7 @@
 	c.conn.Close()
 	c.writing.Lock() // whether the command was wholly written decides what its end means
 	c.writing.Unlock()
-	at := in.clock.now()
+	at := in.clock.Now()
 	in.post(at, func() { in.lost(c, at) })
 }
 
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,456 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cometpond/internal/fleet"
+	"cometpond/internal/roster"
+	"cometpond/policy"
+)
+
+// Spawn makes the command of one program: kind is forwarder, planner or ingress, file its configuration.
+type Spawn func(kind, file string) *exec.Cmd
+
+// FleetConfig describes a fleet under test and its stand-ins.
+type FleetConfig struct {
+	Forwarders, Planners int // with Planners 0 the forwarders are one-program ingresses that talk to each other
+	Nodes                int
+	Params               fleet.Params // times; the rest is filled in
+	Classes              []policy.Class
+	Plans                []policy.Plan
+	Node                 NodeConfig
+	Seed                 uint64
+	Dir                  string
+	Spawn                Spawn
+	MemoryMB, Sockets    int
+}
+
+// Fleet is a running fleet with its stand-ins.
+type Fleet struct {
+	cfg        FleetConfig
+	Hist       *History
+	Roster     *Roster
+	Forwarders []*Proc
+	Planners   []*Proc
+	Links      [][]*Link // by planner and forwarder
+	nodes      []*Node
+	keys       *Keys
+	nodeSeq    int
+}
+
+// freeAddr finds an address that nobody listens on.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// settingsOf words classes and plans as the platform does.
+func settingsOf(cfg FleetConfig, me int, peers bool) map[string]any {
+	effects := map[policy.Effect]string{policy.Safe: "retryable", policy.Keyed: "dedup", policy.Unsafe: "fragile"}
+	var profiles, packages []map[string]any
+	for _, c := range cfg.Classes {
+		profiles = append(profiles, map[string]any{"name": c.Name, "aimS": c.AimS, "deadlineS": c.DeadlineS,
+			"effect": effects[c.Effect], "keyScope": "all", "keyTtlS": c.KeyTTLS, "worth": c.Worth})
+	}
+	for _, p := range cfg.Plans {
+		packages = append(packages, map[string]any{"name": p.Name, "unitsPerS": p.Rate, "peakUnits": p.Burst,
+			"parallel": p.Parallel, "pays": p.Price, "hardRate": p.CeilingRate, "capDepth": p.CeilingBurst,
+			"ceilingSlack": p.CeilingSlack, "excessCost": 1.0})
+	}
+	return map[string]any{"balancers": cfg.Forwarders, "me": me, "myZone": "a",
+		"familyInfo": map[string]any{"maxUnits": 6, "peerIntake": 40.0}, "feedback": map[string]any{"how": "answers"},
+		"limits": map[string]any{"cancel": true, "connIdleS": 15.0, "dialTimeoutS": 0.25, "maxAttempts": 5,
+			"maxRetryAfterS": 1.0, "mostHeld": 20000, "peerMessages": peers, "retryAfter": true},
+		"profiles": profiles, "packages": packages, "tickS": 0.004,
+		"rules": map[string]any{"answerSlackS": 0.05, "coldFrom": 0.26, "coldS": 10.0, "fallMultiple": 3.0, "fallS": 1.0}}
+}
+
+// StartFleet starts stand-ins and programs and waits until every forwarder takes requests.
+func StartFleet(cfg FleetConfig) (*Fleet, error) {
+	f := &Fleet{cfg: cfg, Hist: NewHistory(), keys: NewKeys()}
+	f.Roster = NewRoster(f.Hist)
+	for range cfg.Nodes {
+		if _, err := f.AddNode(); err != nil {
+			return f, err
+		}
+	}
+	var err error
+	if cfg.Planners > 0 {
+		err = f.twoLevels()
+	} else {
+		err = f.oneLevel()
+	}
+	if err != nil {
+		return f, err
+	}
+	for _, p := range append(append([]*Proc{}, f.Planners...), f.Forwarders...) {
+		if err := p.Start(); err != nil {
+			return f, err
+		}
+	}
+	for _, p := range f.Forwarders {
+		if err := p.Ready(20 * time.Second); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// base writes a configuration as the platform gives it.
+func (f *Fleet) base(name string, number int, listen string, peers []string) (string, error) {
+	discovery, err := f.Roster.For(name)
+	if err != nil {
+		return "", err
+	}
+	c := map[string]any{"name": name, "listen": listen, "discovery": discovery,
+		"seed": fmt.Sprintf("%016x", f.cfg.Seed*1000+uint64(number)+1), "limits": map[string]any{"memory_mb": max(f.cfg.MemoryMB, 64), "sockets": max(f.cfg.Sockets, 512)},
+		"known": f.Roster.All(), "settings": settingsOf(f.cfg, number, len(peers) > 0)}
+	if len(peers) > 0 {
+		c["peer_listen"], c["peers"] = peers[number], peers
+	}
+	return f.write(name+".json", c)
+}
+
+func (f *Fleet) write(name string, v any) (string, error) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(f.cfg.Dir, name)
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+func (f *Fleet) oneLevel() error {
+	var peers []string
+	for range f.cfg.Forwarders {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		peers = append(peers, c.LocalAddr().String())
+	}
+	for i := range f.cfg.Forwarders {
+		listen, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		file, err := f.base(f.Party(i), i, listen, peers)
+		if err != nil {
+			return err
+		}
+		f.Forwarders = append(f.Forwarders, f.proc("ingress", f.Party(i), file, listen, ""))
+	}
+	return nil
+}
+
+// Party is the roster's name of a forwarder.
+func (f *Fleet) Party(i int) string { return "f" + strconv.Itoa(i) }
+
+func (f *Fleet) proc(kind, name, file, listen, status string) *Proc {
+	return &Proc{Name: name, Listen: listen, Status: status, log: filepath.Join(f.cfg.Dir, name+".log"),
+		cmd: func() *exec.Cmd { return f.cfg.Spawn(kind, file) }}
+}
+
+func (f *Fleet) common(number int, base, status string) string {
+	p := f.cfg.Params
+	return fmt.Sprintf("fleet = \"lab\"\nnumber = %d\nforwarders = %d\nplanners = %d\ncells = %d\nlease_ms = %g\nbeat_ms = %g\n"+
+		"silence_ms = %g\nwait_ms = %g\nfailsafe_ms = %g\nbase = %q\nstatus = %q\n", number, f.cfg.Forwarders, f.cfg.Planners,
+		p.Cells, p.LeaseS*1e3, p.BeatS*1e3, p.SilenceS*1e3, p.WaitS*1e3, p.FailsafeS*1e3, base, status)
+}
+
+func (f *Fleet) twoLevels() error {
+	f.cfg.Params.Name, f.cfg.Params.Forwarders, f.cfg.Params.Planners = "lab", f.cfg.Forwarders, f.cfg.Planners
+	if err := f.cfg.Params.Check(); err != nil {
+		return err
+	}
+	for i := range f.cfg.Planners {
+		name := "p" + strconv.Itoa(i)
+		listen, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		status, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		base, err := f.base(name, i, listen, nil)
+		if err != nil {
+			return err
+		}
+		file := filepath.Join(f.cfg.Dir, name+".toml")
+		if err := os.WriteFile(file, []byte(f.common(i, base, status)+fmt.Sprintf("listen = %q\n", listen)), 0o600); err != nil {
+			return err
+		}
+		f.Planners = append(f.Planners, f.proc("planner", name, file, listen, status))
+		var links []*Link
+		for range f.cfg.Forwarders {
+			k, err := NewLink(listen)
+			if err != nil {
+				return err
+			}
+			links = append(links, k)
+		}
+		f.Links = append(f.Links, links)
+	}
+	for i := range f.cfg.Forwarders {
+		listen, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		status, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		base, err := f.base(f.Party(i), i, listen, nil)
+		if err != nil {
+			return err
+		}
+		var at []string
+		for p := range f.cfg.Planners {
+			at = append(at, strconv.Quote(f.Links[p][i].Addr()))
+		}
+		file := filepath.Join(f.cfg.Dir, f.Party(i)+".toml")
+		text := f.common(i, base, status) + "planners_at = [" + strings.Join(at, ", ") + "]\n"
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			return err
+		}
+		f.Forwarders = append(f.Forwarders, f.proc("forwarder", f.Party(i), file, listen, status))
+	}
+	return nil
+}
+
+// AddNode starts another node and has the roster tell of it.
+func (f *Fleet) AddNode() (*Node, error) {
+	f.nodeSeq++
+	n, err := StartNode(fmt.Sprintf("z%d", f.nodeSeq), f.cfg.Node, f.keys, f.Hist, f.cfg.Seed+uint64(f.nodeSeq))
+	if err != nil {
+		return nil, err
+	}
+	f.nodes = append(f.nodes, n)
+	f.tell(n, "in_service")
+	return n, nil
+}
+
+func (f *Fleet) tell(n *Node, state string) {
+	f.Roster.Set(roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1})
+}
+
+// Drain has the roster tell that the oldest node drains, and ends it a while later.
+func (f *Fleet) Drain(gone time.Duration) {
+	n := f.nodes[0]
+	f.nodes = f.nodes[1:]
+	f.Hist.fault("drain " + n.ID)
+	f.tell(n, "terminating")
+	time.AfterFunc(gone, func() {
+		f.tell(n, "terminated")
+		n.Stop()
+	})
+}
+
+// Addr is where clients reach a forwarder, "" while it is down.
+func (f *Fleet) Addr(i int) string {
+	if p := f.Forwarders[i]; p.Up() {
+		return p.Listen
+	}
+	return ""
+}
+
+// Stop ends all.
+func (f *Fleet) Stop() {
+	for _, p := range append(append([]*Proc{}, f.Forwarders...), f.Planners...) {
+		p.Kill()
+	}
+	for _, ks := range f.Links {
+		for _, k := range ks {
+			k.Close()
+		}
+	}
+	for _, n := range f.nodes {
+		n.Stop()
+	}
+	f.Roster.Close()
+}
+
+// Rules are those that the fleet's history is judged by.
+func (f *Fleet) Rules() Rules {
+	return Rules{Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25, AnswerS: 0.25, OverlapS: 0.1, CeilingS: 0.15,
+		SlackUnit: 6, PartyOf: f.Party}
+}
+
+// Proc is one program under test.
+type Proc struct {
+	Name, Listen, Status string
+	log                  string
+	cmd                  func() *exec.Cmd
+
+	mu     sync.Mutex
+	run    *exec.Cmd
+	exited chan struct{}
+	paused bool
+	cpu    time.Duration // of runs that have ended
+}
+
+// Start starts the program.
+func (p *Proc) Start() error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	c := p.cmd()
+	c.Stdout, c.Stderr = out, out
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("%s: %w", p.Name, err)
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.run, p.exited, p.paused = c, exited, false
+	p.mu.Unlock()
+	go func() {
+		c.Wait()
+		p.mu.Lock()
+		p.cpu += c.ProcessState.UserTime() + c.ProcessState.SystemTime()
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// Up tells that the program runs and is not paused.
+func (p *Proc) Up() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run == nil || p.paused {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *Proc) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run != nil {
+		p.run.Process.Signal(s)
+	}
+}
+
+// Kill ends the program at once and waits for its end.
+func (p *Proc) Kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+// Term asks the program to end and waits for its end.
+func (p *Proc) Term() {
+	p.signal(syscall.SIGTERM)
+	p.wait()
+}
+
+func (p *Proc) wait() {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
+// Pause stops the program's time, Resume lets it go on.
+func (p *Proc) Pause() {
+	p.mu.Lock()
+	p.paused = true
+	p.mu.Unlock()
+	p.signal(syscall.SIGSTOP)
+}
+
+// Resume ends a pause.
+func (p *Proc) Resume() {
+	p.signal(syscall.SIGCONT)
+	p.mu.Lock()
+	p.paused = false
+	p.mu.Unlock()
+}
+
+// Ready waits until the program answers PING.
+func (p *Proc) Ready(most time.Duration) error {
+	end := time.Now().Add(most)
+	for time.Now().Before(end) {
+		if c, err := net.DialTimeout("tcp", p.Listen, time.Second); err == nil {
+			c.SetDeadline(time.Now().Add(time.Second))
+			io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			c.Close()
+			if strings.HasPrefix(line, "+PONG") {
+				return nil
+			}
+		}
+		if !p.Up() {
+			text, _ := os.ReadFile(p.log)
+			return fmt.Errorf("%s ended: %s", p.Name, text)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("%s is not ready", p.Name)
+}
+
+// CPU is what the program has used, all its runs together.
+func (p *Proc) CPU() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cpu := p.cpu
+	if p.run != nil {
+		if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.run.Process.Pid)); err == nil {
+			f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+			if len(f) > 13 {
+				user, _ := strconv.Atoi(f[11])
+				sys, _ := strconv.Atoi(f[12])
+				cpu += time.Duration(user+sys) * 10 * time.Millisecond
+			}
+		}
+	}
+	return cpu
+}
+
+// ReadStatus reads a program's status into v.
+func (p *Proc) ReadStatus(ctx context.Context, v any) error {
+	if p.Status == "" {
+		return errors.New("no status")
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Status+"/", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
--- /dev/null
+++ b/internal/planner/file.go
@@ -0,0 +1,60 @@
+package planner
+
+import (
+	"fmt"
+	"net/netip"
+
+	"cometpond/internal/fleet"
+	"cometpond/internal/ingress"
+	"cometpond/internal/link"
+)
+
+// File is a planner's operator's file, checked.
+type File struct {
+	fleet.Params
+	Number  int
+	Listen  string
+	Status  string
+	Allowed []string // with TLS: the common name of each forwarder's certificate, by its number
+	TLS     link.Identity
+	Base    ingress.Config
+}
+
+// ReadFile reads deploy/planner.toml and the configuration that it names.
+func ReadFile(path string) (File, error) {
+	var f struct {
+		fleet.File
+		Listen  string
+		Allowed []string
+	}
+	if err := fleet.Decode(path, &f); err != nil {
+		return File{}, err
+	}
+	out, err := check(f.File, f.Listen, f.Allowed)
+	if err != nil {
+		return out, fmt.Errorf("%s: %w", path, err)
+	}
+	return out, nil
+}
+
+func check(f fleet.File, listen string, allowed []string) (File, error) {
+	out := File{Number: f.Number, Listen: listen, Status: f.Status, Allowed: allowed, TLS: f.Identity()}
+	var err error
+	if out.Params, err = f.Params(); err != nil {
+		return out, err
+	}
+	if _, err := netip.ParseAddrPort(listen); err != nil {
+		return out, fmt.Errorf("listen: %w", err)
+	}
+	if f.Number < 0 || f.Number >= f.Planners {
+		return out, fmt.Errorf("number is %d, want 0 to %d", f.Number, f.Planners-1)
+	}
+	if out.TLS != (link.Identity{}) && len(allowed) != f.Forwarders {
+		return out, fmt.Errorf("allowed: %d names given for %d forwarders", len(allowed), f.Forwarders)
+	}
+	if _, err = out.TLS.Config(); err != nil {
+		return out, fmt.Errorf("tls: %w", err)
+	}
+	out.Base, err = ingress.ReadConfig(f.Base)
+	return out, err
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,112 @@
+// Package program runs forwarders and planners as programs: signals, limits, the log. The laboratory's tests run the
+// same code in processes of their own.
+package program
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"cometpond/internal/forward"
+	"cometpond/internal/ingress"
+	"cometpond/internal/planner"
+)
+
+const (
+	processors = 1 // each program is made for one core
+	// From this share of the memory limit on, the collector works as hard as it must.
+	memoryShare = 0.6
+)
+
+// Check reads an operator's file and all that it names; kind is forwarder or planner.
+func Check(kind, path string) error {
+	switch kind {
+	case "forwarder":
+		_, err := forward.ReadFile(path)
+		return err
+	case "planner":
+		_, err := planner.ReadFile(path)
+		return err
+	}
+	return fmt.Errorf("unknown kind %q", kind)
+}
+
+func limit(memoryMB int) {
+	runtime.GOMAXPROCS(processors)
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(memoryMB<<20) * memoryShare))
+	}
+}
+
+func logger(kind string, number int) *slog.Logger {
+	return slog.New(slog.NewTextHandler(os.Stderr, nil)).With(kind, number)
+}
+
+// onHUP calls do at each SIGHUP until ctx ends.
+func onHUP(ctx context.Context, do func()) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hup)
+		for {
+			select {
+			case <-hup:
+				do()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// Run runs a forwarder or a planner to its end.
+func Run(kind, path string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if kind == "planner" {
+		cfg, err := planner.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		limit(cfg.Base.MemoryMB)
+		log := logger(kind, cfg.Number)
+		onHUP(ctx, func() {
+			if err := Check(kind, path); err != nil {
+				log.Error("the file would not be taken", "error", err)
+			} else {
+				log.Info("the file is good; a restart takes it over, and hands the cells on meanwhile")
+			}
+		})
+		return planner.Run(ctx, cfg, log)
+	}
+	if kind != "forwarder" {
+		return fmt.Errorf("unknown kind %q", kind)
+	}
+	cfg, err := forward.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	limit(cfg.Base.MemoryMB)
+	log := logger(kind, cfg.Number)
+	reread := make(chan ingress.Config)
+	onHUP(ctx, func() {
+		next, err := forward.ReadFile(path)
+		if err != nil {
+			log.Error("the file would not be taken", "error", err)
+			return
+		}
+		if next.Base.Differs(cfg.Base) {
+			log.Warn("of the new configuration only the address of discovery is taken over before a restart")
+		}
+		select {
+		case reread <- next.Base:
+		case <-ctx.Done():
+		}
+	})
+	return ingress.RunWith(ctx, cfg.Base, reread, log, forward.Make(cfg))
+}
