A successor knows each window by the latest pass that any forwarder was told of

Cause: tales held what was passed on in slots of time. Each Send now carries the customer's number of passes and its window's debt; forwarders keep the latest, and of all tales the latest pass holds. A lead that ran out is dropped before anything else is heard: a request told in between was never answered.

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -167,14 +167,22 @@
 			outs[o.Customer] += uint32(o.out)
 		}
 	}
-	c.usage.each(c.now, func(customer string, plan int, slots [link.Slots]float64) {
-		if c.cfg.CellOf(customer) != number {
-			return
-		}
+	tell := func(customer string, n used) {
 		c.Stats.Tales++
 		c.out.Link(k.holder, link.Msg{Kind: link.Tale, Cell: uint16(number), Epoch: k.epoch, Name: customer,
-			Plan: uint8(plan), Units: slots, N: outs[customer]})
+			Plan: uint8(n.plan), Handle: n.epoch, Round: n.seq, Value: n.debt, Wait: max(c.now-n.at, 0), N: outs[customer]})
+		delete(outs, customer)
+	}
+	c.usage.each(c.now, func(customer string, n used) {
+		if c.cfg.CellOf(customer) == number {
+			tell(customer, n)
+		}
 	})
+	for _, o := range c.byID { // of plans without a rate, or out for longer than a window
+		if outs[o.Customer] > 0 && o.cell == number {
+			tell(o.Customer, used{plan: o.plan, at: c.now})
+		}
+	}
 	c.out.Link(k.holder, link.Msg{Kind: link.TaleEnd, Cell: uint16(number), Epoch: k.epoch,
 		Flag: c.usage.complete(c.now)})
 }
@@ -321,9 +329,9 @@
 			o.tries = append(o.tries, -1)
 			return
 		}
-		if !o.counted {
-			o.counted = true
-			c.usage.add(c.now, o.Customer, o.plan, o.Units)
+		o.counted = true
+		if m.Round > 0 {
+			c.usage.note(o.Customer, used{o.plan, m.Epoch, m.Round, m.Value, c.now})
 		}
 		o.tries = append(o.tries, len(o.done))
 		o.sentAt, o.done = append(o.sentAt, c.now), append(o.done, false)
--- a/internal/forward/usage.go
+++ b/internal/forward/usage.go
@@ -1,89 +1,66 @@
 package forward
 
-import (
-	"math"
-
-	"cometpond/internal/link"
-)
-
-// usage is what this forwarder passed on of late, by customer: the source of tales. A slot is a (Slots-1)th of the
-// longest window, so that all slots hold the whole window whatever part of the newest has passed. It is bounded
-// by most customers; beyond, what it tells is marked as not complete for as long as that may matter.
+// usage is what leaders last told of the windows of customers that this forwarder passed something on for: the
+// source of tales. A window that nothing was taken from for as long as it takes to fill is full, so older entries
+// are dropped. It is bounded by most customers; while something was left out that may still matter, by that or by
+// this forwarder's start, its tales are marked as not complete.
 type usage struct {
-	slot    float64 // seconds
+	span    float64 // seconds for which an entry may matter
 	most    int
-	by      map[string]*used
+	by      map[string]used
 	lossyAt float64 // when something was last left out
 	swept   float64
 }
 
+// used is a window's state right after a pass, as the leader of an epoch decided it: the seq-th of the epoch.
 type used struct {
-	slots [link.Slots]float64 // newest first, of index at
-	at    int64
 	plan  int
+	epoch uint64
+	seq   uint32
+	debt  float64 // units taken and not yet filled up again
+	at    float64 // when it was told here: no earlier than it was so
 }
 
-func newUsage(windowS, born float64, most int) usage {
-	return usage{slot: windowS / (link.Slots - 1), most: most, by: map[string]*used{}, lossyAt: born}
-}
-
-func (u *usage) span() float64 { return u.slot * link.Slots }
+const spanSlack = 0.5 // seconds more, for clocks and delays
 
-// shift brings the slots up to index.
-func (c *used) shift(index int64) {
-	n := index - c.at
-	if n <= 0 {
-		return
-	}
-	old := c.slots
-	c.slots = [link.Slots]float64{}
-	for i := range old {
-		if to := int64(i) + n; to < link.Slots {
-			c.slots[to] = old[i]
-		}
-	}
-	c.at = index
+func newUsage(windowS, born float64, most int) usage {
+	return usage{span: windowS + spanSlack, most: most, by: map[string]used{}, lossyAt: born}
 }
 
-func (u *usage) index(now float64) int64 { return int64(math.Floor(now / u.slot)) }
-
-func (u *usage) add(now float64, customer string, plan int, units float64) {
-	c := u.by[customer]
-	if c == nil {
-		u.sweep(now)
-		if len(u.by) >= u.most {
-			u.lossyAt = now
+func (u *usage) note(customer string, n used) {
+	old, ok := u.by[customer]
+	if !ok {
+		if u.sweep(n.at); len(u.by) >= u.most {
+			u.lossyAt = n.at
 			return
 		}
-		c = &used{at: u.index(now), plan: plan}
-		u.by[customer] = c
+	} else if old.epoch > n.epoch || old.epoch == n.epoch && old.seq > n.seq {
+		return
 	}
-	c.shift(u.index(now))
-	c.plan = plan
-	c.slots[0] += units
+	u.by[customer] = n
 }
 
-// sweep forgets customers whose slots are all empty by now, a few times a window.
+// sweep forgets what can't matter any more, a few times a span.
 func (u *usage) sweep(now float64) {
-	if now < u.swept+u.slot {
+	if now < u.swept+u.span/4 {
 		return
 	}
 	u.swept = now
-	for name, c := range u.by {
-		if u.index(now)-c.at >= link.Slots {
+	for name, n := range u.by {
+		if now > n.at+u.span {
 			delete(u.by, name)
 		}
 	}
 }
 
 // complete tells that nothing was left out, by a restart or for want of room, that still matters.
-func (u *usage) complete(now float64) bool { return now >= u.lossyAt+u.span() }
+func (u *usage) complete(now float64) bool { return now >= u.lossyAt+u.span }
 
-// each calls f for all that was passed on within the window.
-func (u *usage) each(now float64, f func(customer string, plan int, slots [link.Slots]float64)) {
-	for name, c := range u.by {
-		if c.shift(u.index(now)); c.slots != [link.Slots]float64{} {
-			f(name, c.plan, c.slots)
+// each calls f for all that may matter.
+func (u *usage) each(now float64, f func(customer string, n used)) {
+	for name, n := range u.by {
+		if now <= n.at+u.span {
+			f(name, n)
 		}
 	}
 }
--- a/internal/link/msg.go
+++ b/internal/link/msg.go
@@ -17,7 +17,6 @@
 const (
 	MaxFrame = 64 << 10 // bytes of a frame, its length aside
 	maxText  = 128
-	Slots    = 8 // of a tale: units by age, the newest first
 )
 
 // Kind tells what a record says.
@@ -28,7 +27,7 @@
 	Hello   Kind = 1 + iota // both: Plan (Version), Name (the fleet's), N (own number), Epoch (own life), Cell (how many cells)
 	View                    // F: Cell, Epoch and N of what is promised (N: planner), Wait (left), Want (who asks for it)
 	Grant                   // F: Cell, Epoch, Round
-	Tale                    // F: Cell, Epoch, Name (customer), Plan, Units (by age), N (attempts out)
+	Tale                    // F: Cell, Epoch, Name (customer), Plan, Handle (epoch) and Round of a Send, its Value, Wait (age), N (attempts out)
 	TaleEnd                 // F: Cell, Epoch, Flag (nothing was left out)
 	Request                 // F: Cell, Epoch, Handle, Class, Plan, Name (customer), Wait, Value (units), Flag (retry)
 	Outcome                 // F: Handle, N (attempt), Class (status), Flag (over), Wait (spent), Load, HasLoad
@@ -38,7 +37,7 @@
 	Lead                    // P: Cell, Epoch: the claim is held by a majority
 	Release                 // P: Cell, Epoch
 	Want                    // P: Cell: asks for a cell that another holds
-	Send                    // P: Cell, Epoch, Handle, Name (server), Wait (time-out; 0: none)
+	Send                    // P: Cell, Epoch, Handle, Name (server), Wait (time-out; 0: none), Round (of the customer's passes), Value (its window's debt)
 	Refuse                  // P: Cell, Epoch, Handle, Wait (hint)
 	Fail                    // P: Cell, Epoch, Handle
 	Cancel                  // P: Cell, Epoch, Handle, N (attempt)
@@ -66,7 +65,6 @@
 	Wait    float64
 	Value   float64
 	Name    string
-	Units   [Slots]float64
 	Load    [6]float64
 }
 
@@ -86,7 +84,6 @@
 	fWait
 	fValue
 	fName
-	fUnits
 	fLoad
 )
 
@@ -95,7 +92,7 @@
 	Hello:   {fPlan, fName, fN, fEpoch, fCell},
 	View:    {fCell, fEpoch, fN, fWait, fWant},
 	Grant:   {fCell, fEpoch, fRound},
-	Tale:    {fCell, fEpoch, fName, fPlan, fUnits, fN},
+	Tale:    {fCell, fEpoch, fName, fPlan, fHandle, fRound, fValue, fWait, fN},
 	TaleEnd: {fCell, fEpoch, fFlag},
 	Request: {fCell, fEpoch, fHandle, fClass, fPlan, fName, fWait, fValue, fFlag},
 	Outcome: {fHandle, fN, fClass, fFlag, fWait, fLoad},
@@ -105,7 +102,7 @@
 	Lead:    {fCell, fEpoch},
 	Release: {fCell, fEpoch},
 	Want:    {fCell},
-	Send:    {fCell, fEpoch, fHandle, fName, fWait},
+	Send:    {fCell, fEpoch, fHandle, fName, fWait, fRound, fValue},
 	Refuse:  {fCell, fEpoch, fHandle, fWait},
 	Fail:    {fCell, fEpoch, fHandle},
 	Cancel:  {fCell, fEpoch, fHandle, fN},
@@ -157,10 +154,6 @@
 		case fName:
 			name := m.Name[:min(len(m.Name), maxText)]
 			b = append(append(b, byte(len(name))), name...)
-		case fUnits:
-			for _, u := range m.Units {
-				b = binary.AppendUvarint(b, uint64(clampU32(u*100)))
-			}
 		case fLoad:
 			if b = append(b, bit(m.HasLoad)); m.HasLoad {
 				for _, v := range m.Load {
@@ -263,10 +256,6 @@
 				r.fail(errText)
 			}
 			m.Name = string(r.bytes(n))
-		case fUnits:
-			for i := range m.Units {
-				m.Units[i] = float64(r.uint(math.MaxUint32)) / 100
-			}
 		case fLoad:
 			if m.HasLoad = r.flag(); m.HasLoad {
 				for i := range m.Load {
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -53,9 +53,9 @@
 type cell struct {
 	epoch  uint64
 	gate   *policy.Gateway
-	rec    *recovery // nil when what was before the lead matters no more
-	seq    uint16    // of counts told to the module
-	timers []timer   // of the module, one or two
+	win    *windows
+	seq    uint16  // of counts told to the module
+	timers []timer // of the module, one or two
 }
 
 type timer struct {
@@ -68,7 +68,9 @@
 	forwarder int
 	handle    uint64
 	cell      int
-	id        string   // in the module
+	id        string // in the module
+	customer  string
+	units     float64
 	servers   []string // by attempt
 	done      []bool
 	out       int
@@ -89,7 +91,7 @@
 	h.cells[0] = cell{} // that module was to check the settings only
 	h.leases.send = out.Link
 	h.leases.begins = func(c int, epoch uint64) {
-		h.cells[c] = cell{epoch: epoch, rec: newRecovery(h.now, cfg.Forwarders, cfg.Settings.Plans, h.windowS)}
+		h.cells[c] = cell{epoch: epoch, win: newWindows(cfg.Forwarders, cfg.Settings.Plans, h.windowS)}
 	}
 	h.leases.gained = h.gained
 	h.leases.lost = h.lost
@@ -112,7 +114,7 @@
 		return
 	}
 	c.gate = gate
-	c.rec.lead(now)
+	c.win.lead(now)
 	h.Stats.Leads++
 	list := make([]policy.Server, 0, len(h.servers))
 	for _, s := range h.servers {
@@ -120,7 +122,7 @@
 	}
 	slices.SortFunc(list, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
 	gate.Servers(now, list, true)
-	h.out.Log("leads", "cell", number, "epoch", epoch, "untold", c.rec.missing)
+	h.out.Log("leads", "cell", number, "epoch", epoch, "untold", c.win.missing)
 }
 
 func (h *Host) lost(number int) {
@@ -139,6 +141,13 @@
 	}
 }
 
+// at sets the time, and drops every lead that has run out: nothing may be heard or decided under it any more, also
+// if late promises would make it good again, since what came in between was not heard.
+func (h *Host) at(now float64) {
+	h.now = now
+	h.leases.expire(now)
+}
+
 // leader returns the cell if this planner may decide for it now.
 func (h *Host) leader(number uint16, epoch uint64) *cell {
 	if !h.leases.leads(h.now, int(number), epoch) {
@@ -153,14 +162,14 @@
 
 // LinkUp takes a new link to a forwarder; what one before it had told must have ended by LinkDown.
 func (h *Host) LinkUp(now float64, f int) {
-	h.now = now
+	h.at(now)
 	h.up[f] = true
 	h.leases.linkUp(f)
 }
 
 // LinkDown takes the end of a link. All that the forwarder had told is over: its attempts count as called off.
 func (h *Host) LinkDown(now float64, f int) {
-	h.now = now
+	h.at(now)
 	h.up[f] = false
 	h.leases.linkDown(f)
 	list := make([]*request, 0, len(h.reqs[f]))
@@ -194,7 +203,7 @@
 
 // Msg takes what a forwarder says.
 func (h *Host) Msg(now float64, f int, m *link.Msg) {
-	h.now = now
+	h.at(now)
 	switch m.Kind {
 	case link.View:
 		h.leases.view(now, f, m)
@@ -234,17 +243,17 @@
 		return
 	}
 	c := &h.cells[m.Cell]
-	if c.epoch == 0 || c.epoch != m.Epoch || c.rec == nil {
+	if c.epoch == 0 || c.epoch != m.Epoch || c.win == nil {
 		return
 	}
 	switch m.Kind {
 	case link.Tale:
 		h.Stats.Tales++
-		c.rec.tale(h.now, f, m)
+		c.win.tale(h.now, f, m)
 	case link.TaleEnd:
-		h.count(int(m.Cell), c.rec.end(h.now, f, m.Flag))
+		h.count(int(m.Cell), c.win.end(h.now, f, m.Flag))
 	case link.Settled:
-		h.count(int(m.Cell), c.rec.settled(m.Name))
+		h.count(int(m.Cell), c.win.settled(m.Name))
 	}
 }
 
@@ -269,13 +278,8 @@
 		return
 	}
 	h.Stats.Requests++
-	if c.rec != nil && c.rec.over(h.now) {
-		c.rec = nil
-	}
-	if c.rec != nil {
-		h.count(int(m.Cell), c.rec.first(h.now, m.Name, int(m.Plan)))
-	}
-	r := &request{forwarder: f, handle: m.Handle, cell: int(m.Cell),
+	h.count(int(m.Cell), c.win.first(h.now, m.Name, int(m.Plan)))
+	r := &request{forwarder: f, handle: m.Handle, cell: int(m.Cell), customer: m.Name, units: m.Value,
 		id: strconv.Itoa(f) + "/" + strconv.FormatUint(m.Handle, 36)}
 	h.reqs[f][m.Handle] = r
 	c.gate.Request(h.now, policy.Request{ID: r.id, Class: h.cfg.Settings.Classes[m.Class].Name,
@@ -317,7 +321,7 @@
 
 // Servers takes the list of servers, whole or only what changed.
 func (h *Host) Servers(now float64, list []policy.Server, whole bool) {
-	h.now = now
+	h.at(now)
 	if whole {
 		clear(h.servers)
 	}
@@ -337,7 +341,7 @@
 
 // Tick runs the leases and the modules' timers; call it every TickS.
 func (h *Host) Tick(now float64) {
-	h.now = now
+	h.at(now)
 	h.leases.tick(now)
 	for i := range h.cells {
 		c := &h.cells[i]
@@ -358,7 +362,7 @@
 
 // Leave gives up all cells, for good.
 func (h *Host) Leave(now float64) {
-	h.now = now
+	h.at(now)
 	h.leases.leave(now)
 }
 
@@ -404,6 +408,11 @@
 	r.out++
 	m := a.msg(link.Send, r)
 	m.Name, m.Wait = server, timeoutS
+	units := 0.0
+	if len(r.servers) == 1 {
+		units = r.units
+	}
+	m.Round, m.Value = a.h.cells[a.cell].win.pass(a.h.now, r.customer, units)
 	a.h.out.Link(r.forwarder, m)
 }
 
@@ -479,8 +488,8 @@
 		if k.leads {
 			s.LeftS = max(k.endsAt-h.now, 0)
 		}
-		if c := &h.cells[i]; c.rec != nil && !c.rec.over(h.now) {
-			s.Untold = c.rec.missing
+		if c := &h.cells[i]; c.win != nil && !c.win.over(h.now) {
+			s.Untold = c.win.missing
 		}
 		list = append(list, s)
 	}
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -151,6 +151,15 @@
 	l.lost(cell)
 }
 
+// expire drops the leads that have run out.
+func (l *leases) expire(now float64) {
+	for i := range l.cells {
+		if k := &l.cells[i]; k.leads && now >= k.endsAt && fleet.Fenced {
+			l.drop(now, i)
+		}
+	}
+}
+
 // release gives a lead up: its successor need not wait for the promises to run out.
 func (l *leases) release(now float64, cell int) {
 	k := &l.cells[cell]
@@ -189,8 +198,6 @@
 	for i := range l.cells {
 		k := &l.cells[i]
 		switch {
-		case k.leads && now >= k.endsAt && fleet.Fenced:
-			l.drop(now, i)
 		case k.epoch != 0 && !k.leads && now >= k.since+l.p.LeaseS:
 			l.drop(now, i)
 		case k.leads && now >= k.since+handbackS && l.wanted(i):
