Caps on open attempts outlive a link and a leader; every forwarder is led again

Epochs of planners differ, a leader that a forwarder can't follow claims a higher one, forwarders tell of attempts that no leader decided (Outs), and passes are numbered by lead. Tests: cores, leases, windows, link with fuzzing, auditor with planted breaches, a fleet of processes.

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -56,6 +56,7 @@
 	byID    map[string]*open // bounded by mostOpen, and what is over but out
 	told    map[uint64]*open // by handle: those of byID that a planner knows
 	handles uint64
+	orphans map[string]orphans // by customer: attempts out whose request no leader knows; bounded by byID
 	usage   usage
 	beatAt  float64
 	cutAt   float64 // when the last link ended, if none stands
@@ -82,6 +83,8 @@
 	waiting []*open // in the order in which they came
 }
 
+type orphans struct{ plan, out int }
+
 type planner struct {
 	up   bool
 	life uint64
@@ -107,7 +110,7 @@
 func New(cfg Config, now float64, out Out) *Core {
 	c := &Core{cfg: cfg, out: out, rng: rand.New(rand.NewPCG(cfg.Seed, 0x2545f4914f6cdd1d)), now: now,
 		classes: map[string]int{}, plans: map[string]int{}, cells: make([]cell, cfg.Cells),
-		peers: make([]planner, cfg.Planners), byID: map[string]*open{}, told: map[uint64]*open{}, cutAt: now,
+		peers: make([]planner, cfg.Planners), byID: map[string]*open{}, told: map[uint64]*open{}, cutAt: now, orphans: map[string]orphans{},
 		usage: newUsage(fleet.WindowS(cfg.Plans), now, mostUsers)}
 	for i, k := range cfg.Classes {
 		c.classes[k.Name] = i
@@ -161,32 +164,34 @@
 // tale tells a new holder what was passed on of late in its cell. From the promise on no older epoch is followed.
 func (c *Core) tale(number int) {
 	k := &c.cells[number]
-	outs := map[string]uint32{}
-	for _, o := range c.byID {
-		if o.cell == number && o.out > 0 {
-			outs[o.Customer] += uint32(o.out)
-		}
-	}
-	tell := func(customer string, n used) {
-		c.Stats.Tales++
-		c.out.Link(k.holder, link.Msg{Kind: link.Tale, Cell: uint16(number), Epoch: k.epoch, Name: customer,
-			Plan: uint8(n.plan), Handle: n.epoch, Round: n.seq, Value: n.debt, Wait: max(c.now-n.at, 0), N: outs[customer]})
-		delete(outs, customer)
-	}
 	c.usage.each(c.now, func(customer string, n used) {
 		if c.cfg.CellOf(customer) == number {
-			tell(customer, n)
+			c.Stats.Tales++
+			c.out.Link(k.holder, link.Msg{Kind: link.Tale, Cell: uint16(number), Epoch: k.epoch, Name: customer,
+				Plan: uint8(n.plan), Handle: n.epoch, Round: n.seq, Value: n.debt, Wait: max(c.now-n.at, 0)})
 		}
 	})
-	for _, o := range c.byID { // of plans without a rate, or out for longer than a window
-		if outs[o.Customer] > 0 && o.cell == number {
-			tell(o.Customer, used{plan: o.plan, at: c.now})
-		}
-	}
+	c.outs(number)
 	c.out.Link(k.holder, link.Msg{Kind: link.TaleEnd, Cell: uint16(number), Epoch: k.epoch,
 		Flag: c.usage.complete(c.now)})
 }
 
+// outs tells a cell's holder which attempts are out here that it did not decide.
+func (c *Core) outs(number int) {
+	for customer, n := range c.orphans {
+		if c.cfg.CellOf(customer) == number {
+			c.outsOf(customer, n)
+		}
+	}
+}
+
+func (c *Core) outsOf(customer string, n orphans) {
+	cell := c.cfg.CellOf(customer)
+	k := &c.cells[cell]
+	c.out.Link(k.holder, link.Msg{Kind: link.Outs, Cell: uint16(cell), Epoch: k.epoch, Name: customer, Plan: uint8(n.plan),
+		N: uint32(n.out)})
+}
+
 // views tells planner p, or all with -1, how cells stand here: one cell, or all with -1.
 func (c *Core) views(p, number int) {
 	var msgs []link.Msg
@@ -217,6 +222,7 @@
 		return
 	}
 	k.led = true
+	c.outs(int(m.Cell))
 	waiting := k.waiting
 	k.waiting = nil
 	for _, o := range waiting {
@@ -454,6 +460,9 @@
 // untell forgets what a planner knows of a request: what it still says of it changes nothing.
 func (c *Core) untell(o *open) {
 	delete(c.told, o.handle)
+	if o.handle != 0 && o.out > 0 {
+		c.orphans[o.Customer] = orphans{o.plan, c.orphans[o.Customer].out + o.out}
+	}
 	o.handle = 0
 }
 
@@ -502,8 +511,14 @@
 		m.HasLoad, m.Load = packLoad(r.Load)
 		c.out.Link(k.holder, m)
 	} else {
+		n := c.orphans[o.Customer]
+		if n.out--; n.out > 0 {
+			c.orphans[o.Customer] = n
+		} else {
+			delete(c.orphans, o.Customer)
+		}
 		if k.led {
-			c.out.Link(k.holder, link.Msg{Kind: link.Settled, Cell: uint16(o.cell), Epoch: k.epoch, Name: o.Customer})
+			c.outsOf(o.Customer, n)
 		}
 		if !o.over && o.out == 0 {
 			c.again(o)
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,144 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"cometpond/internal/fleet"
+	"cometpond/internal/forward"
+	"cometpond/internal/planner"
+	"cometpond/internal/program"
+)
+
+// The test binary is also the programs under test, so that they run with the race detector.
+func TestMain(m *testing.M) {
+	if kind := os.Getenv("LAB_KIND"); kind != "" {
+		if err := program.Run(kind, os.Getenv("LAB_FILE")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func spawn(kind, file string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "LAB_KIND="+kind, "LAB_FILE="+file)
+	return c
+}
+
+// testFleet has times that a slow machine keeps: here it is shown what happens, not how fast.
+func testFleet(t *testing.T, forwarders int) FleetConfig {
+	return FleetConfig{Forwarders: forwarders, Planners: 3, Nodes: 4, Classes: LabClasses, Plans: LabPlans, Node: LabNode, Seed: 1,
+		Dir: t.TempDir(), Spawn: spawn, MemoryMB: 256,
+		Params: fleet.Params{LeaseS: 1.2, BeatS: 0.15, SilenceS: 0.9, WaitS: 2, FailsafeS: 0.2}}
+}
+
+// The whole fleet as processes, with planners killed, paused, ended and cut off: the short form of the long run.
+func TestFleetOfProcesses(t *testing.T) {
+	if !fleet.Fenced {
+		t.Skip("a build without fencing")
+	}
+	sc := Scenario{FleetConfig: testFleet(t, 5), Accounts: Accounts(6, 4, 2, 5, 3, 1), Length: 14 * time.Second, Faults: true,
+		Every: 800 * time.Millisecond, Kinds: []string{"kill", "cut", "term", "drain"}}
+	var log strings.Builder
+	f, rep, err := Run(sc, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(rep.Breaches) > 0 {
+		t.Errorf("%+v\n%s", rep.Breaches, log.String())
+	}
+	if rep.Results[Served] < 100 || len(f.Hist.Faults) < 3 {
+		t.Errorf("%+v served under %d faults: the run shows nothing", rep.Results, len(f.Hist.Faults))
+	}
+	for _, o := range rep.Overshoots {
+		if o.Units > 6 { // one of the largest requests
+			t.Errorf("%+v\n%s", o, log.String())
+		}
+	}
+}
+
+// askOne sends one request to a forwarder and returns the first line of the answer.
+func askOne(t *testing.T, f *Fleet, i int, id string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", f.Forwarders[i].Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	list := fmt.Sprintf("c=courier-send,t=resto,d=4000,units=1,spread=%d,first=0", len(f.Forwarders))
+	args := []string{"CALL.POST", "00000000b4d65521", id, list, "body"}
+	fmt.Fprintf(c, "*%d\r\n", len(args))
+	for _, a := range args {
+		fmt.Fprintf(c, "$%d\r\n%s\r\n", len(a), a)
+	}
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil && err != io.EOF {
+		t.Fatal(err)
+	}
+	return strings.TrimSpace(line)
+}
+
+// Guards the operator's promises: a planner that ends hands over, nothing is refused for it; without planners a
+// request is refused with a hint; and a forwarder that is no member is turned away.
+func TestFleetOperations(t *testing.T) {
+	if !fleet.Fenced {
+		t.Skip("a build without fencing")
+	}
+	cfg := testFleet(t, 3)
+	f, err := StartFleet(cfg)
+	defer f.Stop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitLed(30 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if got := askOne(t, f, 0, "a"); got != "$3" {
+		t.Errorf("served with %q", got)
+	}
+	for p := range 2 { // one after the other leaves; what they led is led by the rest
+		f.Planners[p].Term()
+		if got := askOne(t, f, p, fmt.Sprint("b", p)); got != "$4" {
+			t.Errorf("after planner %d left: %q", p, got)
+		}
+	}
+	var st planner.Status
+	if err := f.Planners[2].ReadStatus(context.Background(), &st); err != nil || st.Links != 3 {
+		t.Errorf("status %+v, %v", st, err)
+	}
+	if err := f.WaitLed(30 * time.Second); err != nil {
+		t.Error(err)
+	}
+	f.Planners[2].Kill()
+	got := askOne(t, f, 1, "c")
+	if !strings.HasPrefix(got, "-BUSY ") {
+		t.Errorf("without planners: %q", got)
+	}
+	var fs forward.Status
+	if err := f.Forwarders[1].ReadStatus(context.Background(), &fs); err != nil || !fs.Cells[0].Failsafe || fs.Stats.RefusedUnled == 0 {
+		t.Errorf("status %+v, %v", fs, err)
+	}
+	for _, p := range f.Planners {
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.WaitLed(30 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if got := askOne(t, f, 1, "d"); got != "$3" {
+		t.Errorf("with planners again: %q", got)
+	}
+}
--- a/internal/link/msg.go
+++ b/internal/link/msg.go
@@ -27,7 +27,7 @@
 	Hello   Kind = 1 + iota // both: Plan (Version), Name (the fleet's), N (own number), Epoch (own life), Cell (how many cells)
 	View                    // F: Cell, Epoch and N of what is promised (N: planner), Wait (left), Want (who asks for it)
 	Grant                   // F: Cell, Epoch, Round
-	Tale                    // F: Cell, Epoch, Name (customer), Plan, Handle (epoch) and Round of a Send, its Value, Wait (age), N (attempts out)
+	Tale                    // F: Cell, Epoch, Name (customer), Plan, Handle (epoch) and Round of a Send, its Value, Wait (age), N (as in Outs)
 	TaleEnd                 // F: Cell, Epoch, Flag (nothing was left out)
 	Request                 // F: Cell, Epoch, Handle, Class, Plan, Name (customer), Wait, Value (units), Flag (retry)
 	Outcome                 // F: Handle, N (attempt), Class (status), Flag (over), Wait (spent), Load, HasLoad
@@ -42,7 +42,7 @@
 	Fail                    // P: Cell, Epoch, Handle
 	Cancel                  // P: Cell, Epoch, Handle, N (attempt)
 	Untold                  // F: Handle: nothing more is said of it, it goes to another leader
-	Settled                 // F: Cell, Epoch, Name (customer): an attempt of a tale has ended
+	Outs                    // F: Cell, Epoch, Name (customer), Plan, N: attempts out here that this leader did not decide
 	Probe                   // P: Cell, Epoch, Name (server)
 	Beat                    // both: nothing else to say
 	kinds
@@ -107,7 +107,7 @@
 	Fail:    {fCell, fEpoch, fHandle},
 	Cancel:  {fCell, fEpoch, fHandle, fN},
 	Untold:  {fHandle},
-	Settled: {fCell, fEpoch, fName},
+	Outs:    {fCell, fEpoch, fName, fPlan, fN},
 	Probe:   {fCell, fEpoch, fName},
 	Beat:    {},
 }
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -31,17 +31,18 @@
 
 // Host runs one module for each cell that this planner leads. It is not safe for concurrent use.
 type Host struct {
-	cfg     Config
-	out     Out
-	now     float64
-	windowS float64
-	leases  *leases
-	cells   []cell
-	up      []bool                   // forwarders
-	reqs    []map[uint64]*request    // by forwarder and handle; bounded by what forwarders hold open
-	servers map[string]policy.Server // as last told, for modules to come
-	lives   uint64
-	Stats   Stats
+	cfg      Config
+	out      Out
+	now      float64
+	windowS  float64
+	leases   *leases
+	cells    []cell
+	up       []bool                   // forwarders
+	reqs     []map[uint64]*request    // by forwarder and handle; bounded by what forwarders hold open
+	servers  map[string]policy.Server // as last told, for modules to come
+	lives    uint64
+	fwdLives []uint64 // by forwarder
+	Stats    Stats
 }
 
 // Stats counts, from the start on.
@@ -70,6 +71,7 @@
 	cell      int
 	id        string // in the module
 	customer  string
+	plan      int
 	units     float64
 	servers   []string // by attempt
 	done      []bool
@@ -80,7 +82,7 @@
 // NewHost returns a planner's decisions at its start: it leads nothing.
 func NewHost(cfg Config, now float64, out Out) (*Host, error) {
 	h := &Host{cfg: cfg, out: out, now: now, windowS: fleet.WindowS(cfg.Settings.Plans), cells: make([]cell, cfg.Cells),
-		up: make([]bool, cfg.Forwarders), reqs: make([]map[uint64]*request, cfg.Forwarders),
+		up: make([]bool, cfg.Forwarders), fwdLives: make([]uint64, cfg.Forwarders), reqs: make([]map[uint64]*request, cfg.Forwarders),
 		servers: map[string]policy.Server{}, leases: newLeases(cfg.Params, cfg.Number, cfg.Seed)}
 	for i := range h.reqs {
 		h.reqs[i] = map[uint64]*request{}
@@ -161,13 +163,26 @@
 }
 
 // LinkUp takes a new link to a forwarder; what one before it had told must have ended by LinkDown.
-func (h *Host) LinkUp(now float64, f int) {
+func (h *Host) LinkUp(now float64, f int, life uint64) {
 	h.at(now)
 	h.up[f] = true
+	if h.fwdLives[f] != life { // what an earlier life had out ended with it
+		h.fwdLives[f] = life
+		for i := range h.cells {
+			if c := &h.cells[i]; c.win != nil {
+				for name, w := range c.win.by {
+					if slices.ContainsFunc(w.outs, func(o outs) bool { return o.forwarder == f }) {
+						h.count(i, c.win.setOuts(now, f, name, w.plan, 0))
+					}
+				}
+			}
+		}
+	}
 	h.leases.linkUp(f)
 }
 
-// LinkDown takes the end of a link. All that the forwarder had told is over: its attempts count as called off.
+// LinkDown takes the end of a link. All that the forwarder had told is over in the module. Its attempts may still be
+// out: they count for a while as those of an earlier lead would, until it says better or has begun a new life.
 func (h *Host) LinkDown(now float64, f int) {
 	h.at(now)
 	h.up[f] = false
@@ -177,9 +192,17 @@
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.handle, b.handle) })
+	outs := map[string]int{}
 	for _, r := range list {
+		outs[r.customer] += r.out
 		h.abandon(r)
 	}
+	for _, r := range list {
+		if c := &h.cells[r.cell]; c.gate != nil && outs[r.customer] > 0 {
+			h.count(r.cell, c.win.setOuts(now, f, r.customer, r.plan, outs[r.customer]))
+			outs[r.customer] = 0
+		}
+	}
 }
 
 // abandon ends a request of which nothing more will be told.
@@ -209,7 +232,7 @@
 		h.leases.view(now, f, m)
 	case link.Grant:
 		h.leases.grant(now, f, m)
-	case link.Tale, link.TaleEnd, link.Settled:
+	case link.Tale, link.TaleEnd, link.Outs:
 		h.told(f, m)
 	case link.Request:
 		h.request(f, m)
@@ -252,8 +275,8 @@
 		c.win.tale(h.now, f, m)
 	case link.TaleEnd:
 		h.count(int(m.Cell), c.win.end(h.now, f, m.Flag))
-	case link.Settled:
-		h.count(int(m.Cell), c.win.settled(m.Name))
+	case link.Outs:
+		h.count(int(m.Cell), c.win.setOuts(h.now, f, m.Name, int(m.Plan), int(min(m.N, 1<<15))))
 	}
 }
 
@@ -279,7 +302,7 @@
 	}
 	h.Stats.Requests++
 	h.count(int(m.Cell), c.win.first(h.now, m.Name, int(m.Plan)))
-	r := &request{forwarder: f, handle: m.Handle, cell: int(m.Cell), customer: m.Name, units: m.Value,
+	r := &request{forwarder: f, handle: m.Handle, cell: int(m.Cell), customer: m.Name, plan: int(m.Plan), units: m.Value,
 		id: strconv.Itoa(f) + "/" + strconv.FormatUint(m.Handle, 36)}
 	h.reqs[f][m.Handle] = r
 	c.gate.Request(h.now, policy.Request{ID: r.id, Class: h.cfg.Settings.Classes[m.Class].Name,
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -16,6 +16,7 @@
 	rounds    = 64  // renewals whose time of sending is remembered
 	handbackS = 2.0 // a cell is kept for so long before it is given to a planner that comes before in its order
 	wantEvery = 0.2 // seconds between two wishes
+	epochStep = 64  // epochs of different planners differ: their numbers stand in what is left over
 )
 
 // view is how a forwarder last said that a cell stands with it.
@@ -104,8 +105,15 @@
 
 // view takes a forwarder's word on a cell.
 func (l *leases) view(now float64, f int, m *link.Msg) {
-	if int(m.Cell) < len(l.cells) {
-		l.cells[m.Cell].views[f] = view{true, m.Epoch, int(m.N) - 1, now + m.Wait, int(m.Want) - 1}
+	if int(m.Cell) >= len(l.cells) {
+		return
+	}
+	k := &l.cells[m.Cell]
+	k.views[f] = view{true, m.Epoch, int(m.N) - 1, now + m.Wait, int(m.Want) - 1}
+	if k.leads && m.Epoch > k.epoch && m.Wait == 0 && now >= k.since+l.p.LeaseS {
+		// Another's claim, that failed, is all that this forwarder will ever follow: a higher epoch mends that.
+		l.release(now, int(m.Cell))
+		k.next = now
 	}
 }
 
@@ -248,7 +256,7 @@
 	}
 	switch {
 	case now >= k.next && now >= k.freeSince+float64(rank)*fleet.StaggerS:
-		k.epoch, k.leads, k.since, k.round = epoch+1, false, now, 0
+		k.epoch, k.leads, k.since, k.round = (epoch/epochStep+1)*epochStep+uint64(l.me), false, now, 0
 		for f := range k.granted {
 			k.granted[f] = math.Inf(-1)
 		}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -186,13 +186,14 @@
 	f := -1
 	err := l.Serve(func(msgs []link.Msg) {
 		if f < 0 {
-			n, err := s.greeted(conn, msgs[0])
+			hello := msgs[0]
+			n, err := s.greeted(conn, hello)
 			if err != nil {
 				l.Close(err)
 				return
 			}
 			f, msgs = n, msgs[1:]
-			s.post(func(now float64) { s.linked(now, f, l) })
+			s.post(func(now float64) { s.linked(now, f, hello.Epoch, l) })
 		}
 		s.post(func(now float64) {
 			if s.conns[f] != l {
@@ -234,7 +235,7 @@
 	return int(m.N), nil
 }
 
-func (s *Server) linked(now float64, f int, l *link.Conn) {
+func (s *Server) linked(now float64, f int, life uint64, l *link.Conn) {
 	if s.conns[f] != nil {
 		old := s.conns[f]
 		s.unlinked(now, f)
@@ -243,7 +244,7 @@
 	s.conns[f] = l
 	l.Send(link.Msg{Kind: link.Hello, Plan: link.Version, Name: s.cfg.Name, N: uint32(s.cfg.Number), Epoch: s.life,
 		Cell: uint16(s.cfg.Cells)})
-	s.host.LinkUp(now, f)
+	s.host.LinkUp(now, f, life)
 }
 
 func (s *Server) unlinked(now float64, f int) {
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -409,7 +409,8 @@
 	k.up, k.pUp, k.fUp, k.lost = true, true, true, false
 	k.heardP, k.heardF, k.lastP, k.lastF = k.s.t, k.s.t, k.s.t, k.s.t
 	session := k.session
-	p.do(func() { p.host.LinkUp(p.now(), k.f) })
+	life := uint64(f.life)
+	p.do(func() { p.host.LinkUp(p.now(), k.f, life) })
 	f.core.LinkUp(f.now(), k.p, p.life)
 	var watch func()
 	watch = func() {
@@ -696,6 +697,11 @@
 	for len(s.queue) > 0 {
 		e := heap.Pop(&s.queue).(simEvent)
 		if s.t = e.at; s.t > length+6 {
+			for _, f := range s.fwds { // long after the last fault
+				if led, _ := f.core.Led(); led != s.p.Cells {
+					s.breaks("everybody is led", "forwarder %d follows a leader in %d cells", f.n, led)
+				}
+			}
 			return
 		}
 		e.do()
@@ -821,7 +827,7 @@
 	if n := s.served(); n < 700 || float64(failed) > 0.05*float64(len(s.order)) {
 		t.Errorf("of %d requests %d were served, %d failed", len(s.order), n, failed)
 	}
-	if math.Abs(s.t-26) > 1 {
+	if math.Abs(s.t-26) > 0.1 {
 		t.Errorf("the run ended at %.1f s", s.t)
 	}
 }
--- a/internal/planner/windows.go
+++ b/internal/planner/windows.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"cometpond/internal/link"
 	"cometpond/policy"
@@ -13,6 +14,7 @@
 	mostWindows = 64 << 10
 	firstMost   = 63  // units that the module takes as new in one message; see policy.Count
 	sweepS      = 1.0 // between two looks for windows that are full again
+	outsS       = 3.0 // how long a forwarder's word on attempts out is believed, as in the module
 )
 
 // windows is what the leader of a cell knows of its customers' windows beside its module: what was told of them at the
@@ -27,6 +29,7 @@
 	missing int     // forwarders that have not told all
 	by      map[string]*window
 	swept   float64
+	passes  uint32 // under this lead
 }
 
 // window is one customer's. What earlier leaders had is kept as the latest that was told of it.
@@ -36,12 +39,27 @@
 	epoch    uint64
 	toldSeq  uint32
 	debt, at float64 // as told: units not yet filled up again, at that time
-	outs     int     // attempts that are out under earlier epochs
+	outs     []outs  // attempts that are out and that this lead did not decide
 	seen     bool    // the module knows the customer
 	total    float64 // units that the module was told were used before
 	room     float64 // while seen: no more than is left of the whole window, what is owed by earlier leads included
 	roomAt   float64
-	seq      uint32 // passes under this lead
+}
+
+// outs is what one forwarder last told of attempts out.
+type outs struct {
+	forwarder, n int
+	at           float64
+}
+
+// out sums what is believed of attempts out.
+func (c *window) out(now float64) (n int) {
+	for _, o := range c.outs {
+		if now < o.at+outsS {
+			n += o.n
+		}
+	}
+	return n
 }
 
 // count is what the module is to be told of a customer, in the words of policy.Count.
@@ -78,7 +96,6 @@
 		c = &window{plan: int(m.Plan)}
 		w.by[m.Name] = c
 	}
-	c.outs += int(min(m.N, 1<<16))
 	if !c.known || m.Handle > c.epoch || m.Handle == c.epoch && m.Round > c.toldSeq {
 		c.known, c.plan, c.epoch, c.toldSeq, c.debt, c.at = true, int(m.Plan), m.Handle, m.Round, m.Value, now-m.Wait
 	}
@@ -107,7 +124,7 @@
 			c.total -= credit
 			w.fill(now, c)
 			c.room += credit
-			back = append(back, count{name, c.plan, c.total, 0, c.outs})
+			back = append(back, count{name, c.plan, c.total, 0, c.out(now)})
 		}
 	}
 	return back
@@ -154,13 +171,13 @@
 		}
 		c.total = math.Ceil(max(p.Burst-c.room, 0)*4) / 4
 	}
-	if c.total == 0 && c.outs == 0 {
+	if c.total == 0 && c.out(now) == 0 {
 		return nil
 	}
 	fresh := min(c.total, firstMost)
-	list := []count{{customer, plan, fresh, fresh, c.outs}}
+	list := []count{{customer, plan, fresh, fresh, c.out(now)}}
 	if c.total > fresh {
-		list = append(list, count{customer, plan, c.total, 0, c.outs})
+		list = append(list, count{customer, plan, c.total, 0, c.out(now)})
 	}
 	return list
 }
@@ -173,20 +190,28 @@
 	}
 	w.fill(now, c)
 	c.room -= units
-	c.seq++
-	return c.seq, max(w.plans[c.plan].Burst-c.room, 0)
+	w.passes++
+	return w.passes, max(w.plans[c.plan].Burst-c.room, 0)
 }
 
-// settled takes the end of an attempt that was out under an earlier epoch.
-func (w *windows) settled(customer string) []count {
+// setOuts takes a forwarder's word on its attempts out of a customer that this lead did not decide.
+func (w *windows) setOuts(now float64, f int, customer string, plan, n int) []count {
 	c := w.by[customer]
-	if c == nil || c.outs == 0 {
-		return nil
+	if c == nil {
+		if n == 0 || plan >= len(w.plans) || len(w.by) >= mostWindows {
+			return nil
+		}
+		c = &window{plan: plan}
+		w.by[customer] = c
+	}
+	c.outs = slices.DeleteFunc(c.outs, func(o outs) bool { return o.forwarder == f || now >= o.at+outsS })
+	if n > 0 {
+		c.outs = append(c.outs, outs{f, n, now})
 	}
-	if c.outs--; !c.seen {
+	if !c.seen {
 		return nil
 	}
-	return []count{{customer, c.plan, c.total, 0, c.outs}}
+	return []count{{customer, c.plan, c.total, 0, c.out(now)}}
 }
 
 // sweep forgets windows that are full again, once what was before the lead matters no more.
@@ -196,7 +221,7 @@
 	}
 	w.swept = now
 	for name, c := range w.by {
-		if w.fill(now, c); c.room >= w.plans[c.plan].Burst && now > c.at+w.span {
+		if w.fill(now, c); c.room >= w.plans[c.plan].Burst && c.out(now) == 0 && now > c.at+w.span {
 			delete(w.by, name)
 		}
 	}
