--- a/cmd/eiderfleet/lab.go
+++ b/cmd/eiderfleet/lab.go
@@ -27,6 +27,10 @@
 	scale := set.Float64("scale", 1, "of the number of accounts")
 	spread := set.Int("spread", 4, "forwarders that an account comes through")
 	dir := set.String("dir", "", "where files and logs go (a new folder)")
+	cost := set.Bool("cost", false, "measure what a request costs, without faults, at -sizes")
+	sizes := set.String("sizes", "5/0,5/3", "with -cost: forwarders/planners, by commas; 0 planners for one level")
+	failsafes := set.Int("failsafes", 0, "stop all planners so many times, and measure the time into the fail-safe and back")
+	plan := set.Float64("rate", 1, "of what each account asks")
 	if err := set.Parse(args); err != nil {
 		return err
 	}
@@ -59,6 +63,44 @@
 	if *kinds != "" {
 		sc.Kinds = strings.Split(*kinds, ",")
 	}
+	for i := range sc.Accounts {
+		sc.Accounts[i].Rate *= *plan
+	}
+	if *failsafes > 0 {
+		into, back, err := lab.Failsafes(sc.FleetConfig, *failsafes)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%d cores, %d forwarders, %d planners, %d times: into the fail-safe median %v, worst %v; led again median %v, worst %v\n",
+			runtime.NumCPU(), *forwarders, *planners, len(into), into[len(into)/2].Round(time.Millisecond), into[len(into)-1].Round(time.Millisecond),
+			back[len(back)/2].Round(time.Millisecond), back[len(back)-1].Round(time.Millisecond))
+		return nil
+	}
+	if *cost {
+		fmt.Printf("%d cores, %d nodes, %d accounts, %v, seed %d\n%s\n", runtime.NumCPU(), *nodes, len(sc.Accounts), *length, *seed, lab.CostHeader)
+		for _, size := range strings.Split(*sizes, ",") {
+			if _, err := fmt.Sscanf(size, "%d/%d", &sc.Forwarders, &sc.Planners); err != nil {
+				return fmt.Errorf("size %q: %w", size, err)
+			}
+			sc.Accounts = lab.Accounts(n(20), n(10), n(3), sc.Forwarders, *spread, *seed)
+			for i := range sc.Accounts {
+				sc.Accounts[i].Rate *= *plan
+			}
+			sc.Dir = filepath.Join(*dir, strings.ReplaceAll(size, "/", "-"))
+			if err := os.MkdirAll(sc.Dir, 0o700); err != nil {
+				return err
+			}
+			c, rep, err := lab.MeasureCost(sc, 3*time.Second)
+			if err != nil {
+				return err
+			}
+			c.Print(os.Stdout, size)
+			if len(rep.Breaches) > 0 {
+				rep.Print(os.Stdout)
+			}
+		}
+		return nil
+	}
 	fmt.Printf("%d cores, %d forwarders, %d planners, %d nodes, %d accounts, %v, seed %d, faults %v; logs in %s\n",
 		runtime.NumCPU(), *forwarders, *planners, *nodes, len(sc.Accounts), *length, *seed, *faults, *dir)
 	f, rep, err := lab.Run(sc, os.Stdout)
--- /dev/null
+++ b/internal/lab/measure.go
@@ -0,0 +1,186 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cometpond/internal/forward"
+	"cometpond/internal/planner"
+)
+
+// Cost is what a run used, for a request of a client.
+type Cost struct {
+	Tries                        int
+	ForwarderCPU, PlannerCPU     time.Duration // for a try, all programs of a kind together
+	IdleForwarder, IdlePlanner   float64       // cores that one program uses while nobody asks
+	LinkBytes                    float64       // for a try, both directions, liveness included
+	IdleLinkBytes                float64       // a second, of the whole fleet
+	Datagrams                    float64       // for a try
+	OverheadP50, OverheadP99     time.Duration // between client and node, beside the node's own time, of tries with one attempt
+	Service, Rate                float64       // Rate: tries a second
+	ForwarderShare, PlannerShare float64       // of a core, one program's mean
+}
+
+// snapshot is what counters stood at.
+type snapshot struct {
+	fwd, plan time.Duration
+	bytes     uint64
+	datagrams float64
+	at        time.Time
+}
+
+func (f *Fleet) snapshot() (s snapshot) {
+	s.at = time.Now()
+	for _, p := range f.Forwarders {
+		s.fwd += p.CPU()
+		var st forward.Status
+		if p.ReadStatus(context.Background(), &st) == nil {
+			s.bytes += st.BytesIn + st.BytesOut
+		}
+	}
+	for _, p := range f.Planners {
+		s.plan += p.CPU()
+	}
+	s.datagrams = datagrams()
+	return s
+}
+
+// datagrams is the machine's count of UDP datagrams sent; nothing else here sends any.
+func datagrams() float64 {
+	text, _ := os.ReadFile("/proc/net/snmp")
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if f := strings.Fields(line); len(f) > 4 && f[0] == "Udp:" && f[1] != "InDatagrams" {
+			n, _ := strconv.ParseFloat(f[4], 64)
+			return n
+		}
+	}
+	return 0
+}
+
+// MeasureCost runs a fleet without faults, first idle and then under load.
+func MeasureCost(sc Scenario, idle time.Duration) (Cost, *Report, error) {
+	f, err := StartFleet(sc.FleetConfig)
+	defer f.Stop()
+	if err != nil {
+		return Cost{}, nil, err
+	}
+	if err := f.WaitLed(20 * time.Second); err != nil {
+		return Cost{}, nil, err
+	}
+	a := f.snapshot()
+	time.Sleep(idle)
+	b := f.snapshot()
+	ctx, end := context.WithTimeout(context.Background(), sc.Length)
+	defer end()
+	f.Hist.start = time.Now()
+	NewClients(Traffic{Accounts: sc.Accounts, Classes: sc.Classes, Shares: labShares, Units: labUnits, Retries: 2, Seed: sc.Seed},
+		f.Hist, f.Addr).Run(ctx)
+	c := f.snapshot()
+	rep := Audit(f.Hist, f.Rules())
+	n := float64(max(rep.Tries, 1))
+	span, rest := c.at.Sub(b.at).Seconds(), b.at.Sub(a.at).Seconds()
+	share := func(d time.Duration, programs int, of float64) float64 {
+		return d.Seconds() / of / float64(max(programs, 1))
+	}
+	cost := Cost{Tries: rep.Tries, ForwarderCPU: time.Duration(float64(c.fwd-b.fwd) / n), PlannerCPU: time.Duration(float64(c.plan-b.plan) / n),
+		IdleForwarder: share(b.fwd-a.fwd, len(f.Forwarders), rest), IdlePlanner: share(b.plan-a.plan, len(f.Planners), rest),
+		LinkBytes: float64(c.bytes-b.bytes) / n, IdleLinkBytes: float64(b.bytes-a.bytes) / rest, Datagrams: (c.datagrams - b.datagrams) / n,
+		Service: rep.Service, Rate: n / sc.Length.Seconds(), ForwarderShare: share(c.fwd-b.fwd, len(f.Forwarders), span),
+		PlannerShare: share(c.plan-b.plan, len(f.Planners), span)}
+	cost.OverheadP50, cost.OverheadP99 = overheads(f.Hist)
+	return cost, rep, nil
+}
+
+func overheads(h *History) (p50, p99 time.Duration) {
+	defer h.Lock()()
+	one := map[string]*Attempt{}
+	for _, a := range h.Attempts {
+		if one[a.ID] != nil {
+			a = &Attempt{}
+		}
+		one[a.ID] = a
+	}
+	var list []time.Duration
+	for _, t := range h.Tries {
+		if a := one[t.ID]; t.Result == Served && a != nil && a.How == "ok" {
+			list = append(list, t.Answered-t.Sent-(a.End-a.At))
+		}
+	}
+	if len(list) == 0 {
+		return 0, 0
+	}
+	slices.Sort(list)
+	return list[len(list)/2], list[len(list)*99/100]
+}
+
+// Print writes one row of a table.
+func (c Cost) Print(w io.Writer, name string) {
+	fmt.Fprintf(w, "| %s | %.0f | %d | %d | %.1f%% | %.1f%% | %.0f | %.1f | %.2f | %.2f | %.2f | %.3f |\n", name, c.Rate, c.ForwarderCPU.Microseconds(),
+		c.PlannerCPU.Microseconds(), 100*c.IdleForwarder, 100*c.IdlePlanner, c.LinkBytes, c.IdleLinkBytes/1e3, c.Datagrams,
+		float64(c.OverheadP50.Microseconds())/1e3, float64(c.OverheadP99.Microseconds())/1e3, c.Service)
+}
+
+// CostHeader is the head of the table.
+const CostHeader = "| fleet | tries/s | forwarder us/try | planner us/try | idle forwarder | idle planner | link B/try | idle link kB/s | datagrams/try | overhead p50 ms | p99 ms | service |\n|---|---|---|---|---|---|---|---|---|---|---|---|"
+
+// Failsafes stops all planners (without a word, as SIGSTOP does) and lets them go on, n times. It returns how long it took
+// until every forwarder was in the fail-safe in all cells, and until all cells were led everywhere again, in order.
+func Failsafes(cfg FleetConfig, n int) (into, back []time.Duration, err error) {
+	f, err := StartFleet(cfg)
+	defer f.Stop()
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := f.WaitLed(20 * time.Second); err != nil {
+		return nil, nil, err
+	}
+	failsafe := func() bool {
+		for _, p := range f.Forwarders {
+			var st forward.Status
+			if p.ReadStatus(context.Background(), &st) != nil {
+				return false
+			}
+			for _, c := range st.Cells {
+				if !c.Failsafe {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	for range n {
+		at := time.Now()
+		for _, p := range f.Planners {
+			p.Pause()
+		}
+		for !failsafe() {
+			if time.Since(at) > 10*time.Second {
+				return into, back, fmt.Errorf("no fail-safe after 10 s")
+			}
+			time.Sleep(time.Millisecond)
+		}
+		into = append(into, time.Since(at))
+		at = time.Now()
+		for _, p := range f.Planners {
+			p.Resume()
+		}
+		if err := f.WaitLed(10 * time.Second); err != nil {
+			return into, back, err
+		}
+		back = append(back, time.Since(at))
+		var st planner.Status
+		if err := f.Planners[0].ReadStatus(context.Background(), &st); err != nil {
+			return into, back, err
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	slices.Sort(into)
+	slices.Sort(back)
+	return into, back, nil
+}
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -389,17 +389,17 @@
 	h.leases.leave(now)
 }
 
-// actions takes what one cell's module asks for, and hands it to the request's forwarder while the lead holds.
+// actions takes what one cell's module asks for, and hands it to the request's forwarder. Host.at has seen to it
+// that the lead holds.
 type actions struct {
 	h     *Host
 	cell  int
 	epoch uint64
 }
 
-// find returns the request, nil if there is none of this id or if nothing may be decided any more.
 func (a *actions) find(id string) *request {
 	f, handle, ok := splitID(id)
-	if !ok || f >= len(a.h.reqs) || !a.h.leases.leads(a.h.now, a.cell, a.epoch) {
+	if !ok || f >= len(a.h.reqs) {
 		return nil
 	}
 	return a.h.reqs[f][handle]
--- /dev/null
+++ b/internal/planner/server_test.go
@@ -0,0 +1,219 @@
+package planner
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cometpond/internal/fleet"
+	"cometpond/internal/ingress"
+	"cometpond/internal/link"
+	"cometpond/internal/settings"
+	"cometpond/policy"
+)
+
+const patience = 20 * time.Second
+
+// authority issues certificates into a folder.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func (a *authority) write(name, kind string, der []byte) string {
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &authority{t: t, dir: t.TempDir(), key: key}
+	a.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.write("ca.crt", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) issue(name string) link.Identity {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	c := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	text, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return link.Identity{Cert: a.write(name+".crt", "CERTIFICATE", der), Key: a.write(name+".key", "PRIVATE KEY", text),
+		CA: filepath.Join(a.dir, "ca.crt")}
+}
+
+func serve(t *testing.T, id link.Identity) *Server {
+	t.Helper()
+	cfg := File{Number: 1, Listen: "127.0.0.1:0", TLS: id, Allowed: []string{"f-0", "f-1"}, Base: ingress.Config{Discovery: "127.0.0.1:1",
+		Settings: settings.Settings{Settings: policy.Settings{Gateways: 1, Classes: simClasses, Plans: simPlans, MaxAttempts: 5}}}}
+	cfg.Params = fleet.Params{Name: "t", Forwarders: 2, Planners: 2, SilenceS: 5}
+	if err := cfg.Params.Check(); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Open(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s
+}
+
+// greet says hello and tells whether the planner answers it.
+func greet(t *testing.T, conn net.Conn, hello link.Msg) bool {
+	t.Helper()
+	l := link.NewConn(conn, patience)
+	l.Send(hello)
+	ok := false
+	l.Serve(func(m []link.Msg) {
+		ok = m[0].Kind == link.Hello && m[0].N == 1
+		l.Close(io.EOF)
+	})
+	return ok
+}
+
+func hello(number uint32) link.Msg {
+	return link.Msg{Kind: link.Hello, Plan: link.Version, Name: "t", N: number, Epoch: 5, Cell: 6}
+}
+
+// Guards against links of another version, fleet, size or number, and peers that do not say who they are.
+func TestStrangersAreTurnedAway(t *testing.T) {
+	s := serve(t, link.Identity{})
+	for name, change := range map[string]func(*link.Msg){
+		"a member":        func(*link.Msg) {},
+		"another version": func(m *link.Msg) { m.Plan++ },
+		"another fleet":   func(m *link.Msg) { m.Name = "u" },
+		"another number":  func(m *link.Msg) { m.N = 2 },
+		"other cells":     func(m *link.Msg) { m.Cell = 5 },
+		"no hello":        func(m *link.Msg) { m.Kind = link.Beat },
+	} {
+		conn, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := hello(0)
+		change(&m)
+		if got := greet(t, conn, m); got != (name == "a member") {
+			t.Errorf("%s: greeted %v", name, got)
+		}
+	}
+}
+
+// Guards the list of forwarders: a certificate of the right authority is not enough.
+func TestMutualTLS(t *testing.T) {
+	good, other := newAuthority(t, "ca"), newAuthority(t, "other")
+	s := serve(t, good.issue("p-1"))
+	for name, tc := range map[string]struct {
+		id     link.Identity
+		number uint32
+		want   bool
+	}{
+		"on the list":          {good.issue("f-0"), 0, true},
+		"as another":           {good.issue("f-0"), 1, false},
+		"not on the list":      {good.issue("f-9"), 0, false},
+		"of another authority": {other.issue("f-0"), 0, false},
+		"without one":          {link.Identity{}, 0, false},
+	} {
+		cfg := &tls.Config{MinVersion: tls.VersionTLS13}
+		if tc.id != (link.Identity{}) {
+			var err error
+			if cfg, err = tc.id.Config(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		mine, err := good.issue("f-0").Config()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.RootCAs, cfg.ServerName = mine.RootCAs, "p-1"
+		conn, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := greet(t, tls.Client(conn, cfg), hello(tc.number)); got != tc.want {
+			t.Errorf("%s: greeted %v", name, got)
+		}
+	}
+}
+
+// Guards the operator's file: one clear line for each fault, before anything is served.
+func TestFile(t *testing.T) {
+	dir := t.TempDir()
+	base := filepath.Join(dir, "base.json")
+	if err := os.WriteFile(base, []byte(`{"name":"p","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1",
+		"settings":{"balancers":2,"limits":{"dialTimeoutS":1,"connIdleS":1}}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	good := "fleet = \"t\"\nnumber = 1\nforwarders = 2\nplanners = 2\nlisten = \"127.0.0.1:3\"\nbase = \"" + base + "\"\n"
+	read := func(text string) error {
+		path := filepath.Join(dir, "planner.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := ReadFile(path)
+		return err
+	}
+	if err := read(good); err != nil {
+		t.Fatal(err)
+	}
+	for want, text := range map[string]string{
+		"unknown key leases":       good + "leases = 3\n",
+		"number is 2":              strings.Replace(good, "number = 1", "number = 2", 1),
+		"fleet must be":            strings.Replace(good, `"t"`, `""`, 1),
+		"forwarders must be":       strings.Replace(good, "forwarders = 2", "forwarders = 0", 1),
+		"listen: ":                 strings.Replace(good, "127.0.0.1:3", "nowhere", 1),
+		"base names no":            strings.Replace(good, base, "", 1),
+		"no such file":             strings.Replace(good, base, base+"x", 1),
+		"lease_ms must be three":   good + "lease_ms = 100\n",
+		"silence_ms must be above": good + "silence_ms = -1\n",
+		"is no loopback":           good + "status = \"192.0.2.1:80\"\n",
+		"cert, key and ca":         good + "[tls]\ncert = \"x\"\n",
+		"allowed: 0 names":         good + "[tls]\ncert = \"x\"\nkey = \"x\"\nca = \"x\"\n",
+		"cells must be":            good + "cells = 1\n",
+		"expected":                 good + "cells = = 1\n",
+	} {
+		if err := read(text); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -795,7 +795,7 @@
 		if over > simSlack {
 			t.Errorf("seed %d: %s is %.1f units over its window; faults %v", seed+1, account, over, s.faults)
 		}
-		if s.mostOut > simPlans[1].Parallel+1 {
+		if s.mostOut > simPlans[1].Parallel+1 { // one that was on its way when its leader or link went
 			t.Errorf("seed %d: a customer with a cap of %d had %d attempts out", seed+1, simPlans[1].Parallel, s.mostOut)
 		}
 		most = max(most, over)
