--- /dev/null
+++ b/cmd/eiderfleet/main_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Guards the command line: a wrong call is an error, and what is in the repository as an example is good.
+func TestRun(t *testing.T) {
+	t.Chdir("../..")
+	for want, args := range map[string][]string{
+		"no command given":        nil,
+		"unknown command":         {"plan"},
+		"forwarder wants one":     {"forwarder"},
+		"planner wants one":       {"planner", "-check", "a", "b"},
+		"no such file":            {"planner", "-check", "nowhere.toml"},
+		"flag provided but":       {"forwarder", "-quick", "x"},
+		"size \"x\"":              {"lab", "-cost", "-sizes", "x", "-dir", t.TempDir()},
+		"deploy/forwarder.toml: ": {"planner", "-check", "deploy/forwarder.toml"},
+	} {
+		if err := run(args); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %q", args, err, want)
+		}
+	}
+	for _, kind := range []string{"forwarder", "planner"} {
+		if err := run([]string{kind, "-check", "deploy/" + kind + ".toml"}); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards the status command: what answers is printed, what does not is an error.
+func TestStatus(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte(`{"kind":"planner"}`)) }))
+	defer srv.Close()
+	var out strings.Builder
+	if err := status([]string{"127.0.0.1:1", strings.TrimPrefix(srv.URL, "http://")}, &out); err == nil || !strings.Contains(out.String(), "planner") {
+		t.Errorf("got %q, %v", out.String(), err)
+	}
+}
