--- /dev/null
+++ b/cmd/eiderwatch/main.go
@@ -0,0 +1,191 @@
+// Command eiderwatch joins roster and etcd into one list of zone nodes and serves it in the roster's protocol; its
+// nodes commands write to etcd.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	clientv3 "go.etcd.io/etcd/client/v3"
+
+	"cometpond/internal/agent"
+)
+
+const usage = `usage: eiderwatch COMMAND ...
+  run [-check] FILE                  the agent, by its operator's file (deploy/etcd.toml)
+  nodes FILE list                    the nodes in etcd, with their marks
+  nodes FILE drain [-hold] [-why W] ID   mark a node as draining; with -hold only while this command runs
+  nodes FILE undrain ID              take the mark back
+  nodes FILE watch                   what changes, as it does
+`
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx, os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "eiderwatch:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, args []string, out io.Writer) error {
+	if len(args) == 0 {
+		fmt.Fprint(os.Stderr, usage)
+		return fmt.Errorf("no command given")
+	}
+	switch name, rest := args[0], args[1:]; name {
+	case "run":
+		set := flag.NewFlagSet(name, flag.ContinueOnError)
+		check := set.Bool("check", false, "check the file and all that it names, and end")
+		if err := set.Parse(rest); err != nil {
+			return err
+		}
+		if set.NArg() != 1 {
+			return fmt.Errorf("run wants one file")
+		}
+		cfg, err := agent.ReadFile(set.Arg(0))
+		if err != nil || *check {
+			return err
+		}
+		a, err := agent.Open(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		if err != nil {
+			return err
+		}
+		return a.Run(ctx)
+	case "nodes":
+		if len(rest) < 2 {
+			return fmt.Errorf("nodes wants a file and a command")
+		}
+		return nodes(ctx, rest[0], rest[1], rest[2:], out)
+	case "help", "-h", "--help":
+		fmt.Fprint(out, usage)
+		return nil
+	default:
+		fmt.Fprint(os.Stderr, usage)
+		return fmt.Errorf("unknown command %q", name)
+	}
+}
+
+// holdTTL is how long a held mark outlives the command that holds it.
+const holdTTL = 5
+
+func nodes(ctx context.Context, file, what string, args []string, out io.Writer) error {
+	cfg, err := agent.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	set := flag.NewFlagSet(what, flag.ContinueOnError)
+	hold := set.Bool("hold", false, "keep the mark only while this command runs")
+	why := set.String("why", "", "told to whoever lists the nodes")
+	if err := set.Parse(args); err != nil {
+		return err
+	}
+	client, err := cfg.Etcd.Client(ctx)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	if what == "list" || what == "watch" {
+		return list(ctx, cfg, client, what == "watch", out)
+	}
+	if set.NArg() != 1 || set.Arg(0) == "" || strings.ContainsAny(set.Arg(0), "/ ") {
+		return fmt.Errorf("%s wants the id of one node", what)
+	}
+	id := set.Arg(0)
+	key := cfg.Etcd.Prefix + "drain/" + id
+	short, cancel := context.WithTimeout(ctx, cfg.Etcd.Timeout)
+	defer cancel()
+	switch what {
+	case "drain":
+		mark, err := json.Marshal(map[string]any{"at": time.Now().UTC().Format(time.RFC3339), "why": *why, "held": *hold})
+		if err != nil {
+			return err
+		}
+		var opts []clientv3.OpOption
+		var lease *clientv3.LeaseGrantResponse
+		if *hold {
+			if lease, err = client.Grant(short, holdTTL); err != nil {
+				return err
+			}
+			opts = append(opts, clientv3.WithLease(lease.ID))
+		}
+		// Only if there is no mark yet: two tools must not take each other's back.
+		r, err := client.Txn(short).If(clientv3.Compare(clientv3.CreateRevision(key), "=", 0)).
+			Then(clientv3.OpPut(key, string(mark), opts...)).Else(clientv3.OpGet(key)).Commit()
+		if err != nil {
+			return err
+		}
+		if !r.Succeeded {
+			return fmt.Errorf("%s is marked already: %s", id, r.Responses[0].GetResponseRange().Kvs[0].Value)
+		}
+		fmt.Fprintf(out, "%s drains from revision %d on\n", id, r.Header.Revision)
+		if !*hold {
+			return nil
+		}
+		alive, err := client.KeepAlive(ctx, lease.ID)
+		if err != nil {
+			return err
+		}
+		for range alive {
+		}
+		if ctx.Err() == nil {
+			return fmt.Errorf("the lease of the mark is lost")
+		}
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.Etcd.Timeout)
+		defer cancel()
+		_, err = client.Revoke(end, lease.ID)
+		return err
+	case "undrain":
+		g, err := client.Get(short, key)
+		if err != nil {
+			return err
+		}
+		if len(g.Kvs) == 0 {
+			return fmt.Errorf("%s is not marked", id)
+		}
+		r, err := client.Txn(short).If(clientv3.Compare(clientv3.ModRevision(key), "=", g.Kvs[0].ModRevision)).Then(clientv3.OpDelete(key)).Commit()
+		if err != nil {
+			return err
+		}
+		if !r.Succeeded {
+			return fmt.Errorf("the mark on %s has changed meanwhile", id)
+		}
+		fmt.Fprintf(out, "%s drains no more from revision %d on\n", id, r.Header.Revision)
+		return nil
+	}
+	return fmt.Errorf("unknown command %q", what)
+}
+
+// list prints what stands under the prefix, and with follow what changes.
+func list(ctx context.Context, cfg agent.Config, client *clientv3.Client, follow bool, out io.Writer) error {
+	short, cancel := context.WithTimeout(ctx, cfg.Etcd.Timeout)
+	defer cancel()
+	g, err := client.Get(short, cfg.Etcd.Prefix, clientv3.WithPrefix(), clientv3.WithSort(clientv3.SortByKey, clientv3.SortAscend))
+	if err != nil {
+		return err
+	}
+	for _, kv := range g.Kvs {
+		fmt.Fprintf(out, "%s %s (revision %d)\n", strings.TrimPrefix(string(kv.Key), cfg.Etcd.Prefix), kv.Value, kv.ModRevision)
+	}
+	if !follow {
+		return nil
+	}
+	for r := range client.Watch(clientv3.WithRequireLeader(ctx), cfg.Etcd.Prefix, clientv3.WithPrefix(), clientv3.WithRev(g.Header.Revision+1)) {
+		if r.Err() != nil {
+			return r.Err()
+		}
+		for _, e := range r.Events {
+			fmt.Fprintf(out, "%s %s %s (revision %d)\n", e.Type, strings.TrimPrefix(string(e.Kv.Key), cfg.Etcd.Prefix), e.Kv.Value, e.Kv.ModRevision)
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,275 @@
+// Package agent is the program on a machine that joins roster and etcd into one list of zone nodes and serves it, in
+// the roster's own protocol, to the ingress, forwarder or planner beside it. Those link no etcd client.
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"net/netip"
+
+	"cometpond/internal/etcdsource"
+	"cometpond/internal/fleet"
+	"cometpond/internal/link"
+	"cometpond/internal/member"
+	"cometpond/internal/mono"
+	"cometpond/internal/roster"
+)
+
+const (
+	eventQueue = 256
+	tick       = 100 * time.Millisecond
+	etcdName   = "etcd"
+	rosterName = "roster"
+)
+
+// File is the operator's file, deploy/etcd.toml.
+type File struct {
+	Listen       string
+	Status       string
+	Roster       string // empty: etcd alone
+	Endpoints    []string
+	Prefix       string
+	User         string
+	PasswordFile string `toml:"password_file"`
+	TLS          struct{ Cert, Key, CA string }
+	ProgressMS   float64 `toml:"progress_ms"`
+	StaleMS      float64 `toml:"stale_ms"`
+	RosterMS     float64 `toml:"roster_stale_ms"`
+	OrphanMS     float64 `toml:"orphan_ms"`
+	TimeoutMS    float64 `toml:"timeout_ms"`
+	RetryMS      float64 `toml:"retry_ms"`
+	FlapMS       float64 `toml:"flap_ms"`
+	FlapMostMS   float64 `toml:"flap_most_ms"`
+}
+
+// Config is the file, checked.
+type Config struct {
+	Listen, Status, Roster string
+	Etcd                   etcdsource.Config
+	Member                 member.Config
+}
+
+// ReadFile reads and checks the operator's file and all that it names.
+func ReadFile(path string) (Config, error) {
+	f := File{ProgressMS: 500, StaleMS: 2000, RosterMS: 5000, OrphanMS: 10000, TimeoutMS: 2000, RetryMS: 2000, FlapMS: 60000, FlapMostMS: 30000}
+	if err := fleet.Decode(path, &f); err != nil {
+		return Config{}, err
+	}
+	c, err := f.check()
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (f File) check() (Config, error) {
+	ms := func(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
+	c := Config{Listen: f.Listen, Status: f.Status, Roster: f.Roster,
+		Etcd: etcdsource.Config{Endpoints: f.Endpoints, Prefix: f.Prefix, User: f.User, Progress: ms(f.ProgressMS), Timeout: ms(f.TimeoutMS),
+			RetryMost: ms(f.RetryMS)},
+		Member: member.Config{StaleS: map[string]float64{etcdName: f.StaleMS / 1e3}, OrphanS: f.OrphanMS / 1e3, FlapS: f.FlapMS / 1e3,
+			FlapMost: f.FlapMostMS / 1e3}}
+	for name, a := range map[string]string{"listen": f.Listen, "status": f.Status, "roster": f.Roster} {
+		if _, err := netip.ParseAddrPort(a); err != nil && (a != "" || name == "listen") {
+			return c, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	for name, x := range map[string]float64{"progress_ms": f.ProgressMS, "stale_ms": f.StaleMS, "roster_stale_ms": f.RosterMS, "orphan_ms": f.OrphanMS,
+		"timeout_ms": f.TimeoutMS, "retry_ms": f.RetryMS, "flap_ms": f.FlapMS, "flap_most_ms": f.FlapMostMS} {
+		if !(x >= 1 && x <= 3.6e6) {
+			return c, fmt.Errorf("%s must be 1 to 3600000", name)
+		}
+	}
+	switch {
+	case len(f.Endpoints) == 0:
+		return c, errors.New("endpoints are missing")
+	case !strings.HasSuffix(f.Prefix, "/"):
+		return c, errors.New("prefix must end with /")
+	case f.StaleMS < 3*f.ProgressMS:
+		return c, errors.New("stale_ms must be three times progress_ms at least")
+	}
+	if f.Roster != "" {
+		c.Member.StaleS[rosterName] = f.RosterMS / 1e3
+	}
+	if f.PasswordFile != "" {
+		text, err := os.ReadFile(f.PasswordFile)
+		if err != nil {
+			return c, fmt.Errorf("password_file: %w", err)
+		}
+		c.Etcd.Password = strings.TrimSpace(string(text))
+	}
+	var err error
+	if c.Etcd.TLS, err = link.Identity(f.TLS).Config(); err != nil {
+		return c, fmt.Errorf("tls: %w", err)
+	}
+	return c, nil
+}
+
+// Agent is one agent. Its loop alone owns the core.
+type Agent struct {
+	cfg    Config
+	log    *slog.Logger
+	clock  mono.Clock
+	core   *member.Core
+	pub    *publisher
+	events chan func(now float64)
+	done   chan struct{}
+	source *etcdsource.Source
+	listen net.Listener
+}
+
+// Open makes an agent and its listener.
+func Open(cfg Config, log *slog.Logger) (*Agent, error) {
+	a := &Agent{cfg: cfg, log: log, clock: mono.New(), events: make(chan func(float64), eventQueue), done: make(chan struct{})}
+	a.core = member.New(cfg.Member, a.clock.Now(), nil)
+	a.pub = newPublisher(time.Now().UnixMilli())
+	a.source = etcdsource.New(cfg.Etcd, sink{a})
+	var err error
+	if a.listen, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return a, nil
+}
+
+// Addr is where the list is served.
+func (a *Agent) Addr() string { return a.listen.Addr().String() }
+
+// Source tells how etcd's part stands.
+func (a *Agent) Source() etcdsource.Status { return a.source.Status() }
+
+// List is the joined list as it is served.
+func (a *Agent) List() roster.List { return a.pub.whole() }
+
+func (a *Agent) post(do func(now float64)) {
+	select {
+	case a.events <- do:
+	case <-a.done:
+	}
+}
+
+// Run serves until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer close(a.done)
+	srv := &http.Server{Handler: a.pub, ReadHeaderTimeout: time.Second, BaseContext: func(net.Listener) context.Context { return ctx }}
+	defer srv.Close()
+	go srv.Serve(a.listen)
+	if a.cfg.Status != "" {
+		l, err := net.Listen("tcp", a.cfg.Status)
+		if err != nil {
+			return fmt.Errorf("status: %w", err)
+		}
+		st := &http.Server{Handler: http.HandlerFunc(a.status), ReadHeaderTimeout: time.Second}
+		defer st.Close()
+		go st.Serve(l)
+	}
+	go a.source.Run(ctx)
+	if a.cfg.Roster != "" {
+		w := roster.New(a.cfg.Roster, -1, func(l roster.List) { a.post(func(now float64) { a.roster(now, l) }) },
+			func(what string, args ...any) { a.log.Warn("roster: "+what, args...) })
+		w.Alive = func() { a.post(func(now float64) { a.pub.publish(a.core.Resumed(now, rosterName)) }) }
+		go w.Run(ctx, nil)
+	}
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	current := map[string]bool{}
+	for {
+		select {
+		case do := <-a.events:
+			do(a.clock.Now())
+		case <-t.C:
+			a.pub.publish(a.core.Tick(a.clock.Now()))
+		case <-ctx.Done():
+			return nil
+		}
+		for _, s := range a.core.Sources() { // loudly, both ways
+			if was, known := current[s.Name]; !known || was != s.Current {
+				current[s.Name] = s.Current
+				level := slog.LevelInfo
+				if !s.Current {
+					level = slog.LevelError
+				}
+				a.log.Log(ctx, level, "source", "name", s.Name, "current", s.Current, "age_s", min(s.AgeS, 1e9))
+			}
+		}
+	}
+}
+
+func (a *Agent) roster(now float64, l roster.List) {
+	var nodes []member.Node
+	for _, t := range l.Servers {
+		n := member.Node{Identity: member.Identity{ID: t.ID, Addr: t.Addr, StartedMS: t.StartedMS}, Zone: t.Zone, Cell: t.Cell, Weight: t.Weight}
+		for state, word := range words {
+			if word == t.State {
+				n.State = state
+			}
+		}
+		nodes = append(nodes, n)
+	}
+	if l.Full {
+		a.pub.publish(a.core.Whole(now, rosterName, nodes))
+	} else {
+		a.pub.publish(a.core.Change(now, rosterName, nodes))
+	}
+}
+
+// sink hands what etcd's source learns to the loop.
+type sink struct{ a *Agent }
+
+func (s sink) Whole(nodes []member.Node, why string) {
+	s.a.log.Info("etcd read whole", "nodes", len(nodes), "why", why)
+	s.a.post(func(now float64) { s.a.pub.publish(s.a.core.Whole(now, etcdName, nodes)) })
+}
+func (s sink) Change(nodes []member.Node) {
+	s.a.post(func(now float64) { s.a.pub.publish(s.a.core.Change(now, etcdName, nodes)) })
+}
+func (s sink) Alive() {
+	s.a.post(func(now float64) { s.a.pub.publish(s.a.core.Resumed(now, etcdName)) })
+}
+func (s sink) Broken(why error) {
+	s.a.log.Warn("etcd watch broken", "error", why)
+}
+func (s sink) Bad(key, why string) { s.a.log.Error("value refused", "key", key, "why", why) }
+
+// Status is what an agent tells people.
+type Status struct {
+	Etcd    etcdsource.Status     `json:"etcd"`
+	Sources []member.SourceStatus `json:"sources"`
+	Nodes   []NodeStatus          `json:"nodes"`
+}
+
+// NodeStatus is one node, and why it stands as it does.
+type NodeStatus struct {
+	ID, Addr, State, Why string
+}
+
+func (a *Agent) status(w http.ResponseWriter, r *http.Request) {
+	got := make(chan Status, 1)
+	a.post(func(now float64) {
+		st := Status{Etcd: a.source.Status(), Sources: a.core.Sources()}
+		for i := range st.Sources {
+			st.Sources[i].AgeS = min(st.Sources[i].AgeS, 1e9)
+		}
+		for _, e := range a.core.List() {
+			st.Nodes = append(st.Nodes, NodeStatus{e.ID, e.Addr, e.State.String(), e.Why})
+		}
+		got <- st
+	})
+	select {
+	case st := <-got:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(st)
+	case <-a.done:
+	case <-r.Context().Done():
+	}
+}
--- /dev/null
+++ b/internal/agent/publish.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cometpond/internal/member"
+	"cometpond/internal/roster"
+)
+
+const (
+	kept   = 4096            // changes that a watch may be behind; one further behind gets the whole list
+	blanks = 2 * time.Second // an empty line comes so often while nothing changes
+)
+
+var words = map[member.State]string{member.Up: "in_service", member.Draining: "terminating", member.Gone: "terminated"}
+
+// publisher serves the joined list in the roster's protocol (PROTOCOL, "Discovery"). It is safe for concurrent use.
+type publisher struct {
+	mu      sync.Mutex
+	version int64 // begins with the time, so that it goes on across restarts
+	list    map[string]roster.Target
+	changes []roster.List // the last kept
+	changed chan struct{} // closed and replaced with each change
+}
+
+func newPublisher(start int64) *publisher {
+	return &publisher{version: start, list: map[string]roster.Target{}, changed: make(chan struct{})}
+}
+
+func target(e member.Entry) roster.Target {
+	return roster.Target{ID: e.ID, Addr: e.Addr, Zone: e.Zone, Cell: e.Cell, State: words[e.State], Weight: e.Weight, StartedMS: e.StartedMS}
+}
+
+// publish tells of changes, all in one line.
+func (p *publisher) publish(entries []member.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	l := roster.List{Version: p.version}
+	for _, e := range entries {
+		t := target(e)
+		l.Servers = append(l.Servers, t)
+		if e.State == member.Gone {
+			delete(p.list, e.ID)
+		} else {
+			p.list[e.ID] = t
+		}
+	}
+	if p.changes = append(p.changes, l); len(p.changes) > kept {
+		p.changes = append(p.changes[:0], p.changes[len(p.changes)-kept/2:]...)
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *publisher) whole() roster.List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wholeLocked()
+}
+
+func (p *publisher) wholeLocked() roster.List {
+	l := roster.List{Version: p.version, Full: true, Servers: []roster.Target{}}
+	for _, t := range p.list {
+		l.Servers = append(l.Servers, t)
+	}
+	return l
+}
+
+// behind returns what changed after a version, or the whole where that is not kept, and what tells of the next change.
+func (p *publisher) behind(after int64) ([]roster.List, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case after == p.version:
+		return nil, p.changed
+	case after > p.version || len(p.changes) == 0 || after < p.changes[0].Version-1:
+		return []roster.List{p.wholeLocked()}, p.changed
+	}
+	return append([]roster.List(nil), p.changes[after+1-p.changes[0].Version:]...), p.changed
+}
+
+// ServeHTTP answers /api/targets.
+func (p *publisher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != "/api/targets" {
+		http.NotFound(w, r)
+		return
+	}
+	out := json.NewEncoder(w)
+	if r.URL.Query().Get("watch") == "" {
+		out.Encode(p.whole())
+		return
+	}
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = -1
+	}
+	flush := http.NewResponseController(w)
+	for {
+		due, changed := p.behind(after)
+		for _, l := range due {
+			if out.Encode(l) != nil {
+				return
+			}
+			after = l.Version
+		}
+		if len(due) > 0 && flush.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(blanks):
+			if _, err := w.Write([]byte("\n")); err != nil || flush.Flush() != nil {
+				return
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/real_test.go
@@ -0,0 +1,356 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	clientv3 "go.etcd.io/etcd/client/v3"
+	"go.uber.org/zap"
+
+	"cometpond/internal/etcdsource"
+	"cometpond/internal/lab"
+	"cometpond/internal/member"
+	"cometpond/internal/roster"
+)
+
+const patience = 60 * time.Second
+
+var (
+	realFor  = flag.Duration("real-for", 12*time.Second, "how long a real etcd is compacted, cut and restarted")
+	realSeed = flag.Uint64("real-seed", 1, "of what goes wrong")
+)
+
+// etcd is a real server in a process of its own; see test/etcd.
+type etcd struct {
+	t            *testing.T
+	dir          string
+	client, peer string
+	cmd          *exec.Cmd
+	cli          *clientv3.Client
+}
+
+func startEtcd(t *testing.T) *etcd {
+	if os.Getenv("ETCD_SERVER") == "" {
+		t.Skip("ETCD_SERVER names no server; ./test.sh builds one")
+	}
+	free := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	e := &etcd{t: t, dir: t.TempDir(), client: free(), peer: free()}
+	e.start()
+	t.Cleanup(e.stop)
+	var err error
+	if e.cli, err = clientv3.New(clientv3.Config{Endpoints: []string{"http://" + e.client}, DialTimeout: 5 * time.Second, Logger: zap.NewNop()}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.cli.Close() })
+	return e
+}
+
+func (e *etcd) start() {
+	e.cmd = exec.Command(os.Getenv("ETCD_SERVER"), "-dir", filepath.Join(e.dir, "data"), "-client", "http://"+e.client, "-peer", "http://"+e.peer)
+	out, err := e.cmd.StdoutPipe()
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.cmd.Stderr = io.Discard
+	if err := e.cmd.Start(); err != nil {
+		e.t.Fatal(err)
+	}
+	if line, err := bufio.NewReader(out).ReadString('\n'); err != nil || line != "ready\n" {
+		e.t.Fatalf("etcd does not start: %q, %v", line, err)
+	}
+}
+
+func (e *etcd) stop() {
+	if e.cmd != nil {
+		e.cmd.Process.Kill()
+		e.cmd.Wait()
+		e.cmd = nil
+	}
+}
+
+const prefix = "/t/"
+
+func (e *etcd) do(f func(ctx context.Context) error) {
+	e.t.Helper()
+	end := time.Now().Add(patience)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		err := f(ctx)
+		cancel()
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			e.t.Fatal(err)
+		}
+	}
+}
+
+func (e *etcd) put(key, value string) {
+	e.t.Helper()
+	e.do(func(ctx context.Context) error { _, err := e.cli.Put(ctx, prefix+key, value); return err })
+}
+
+func (e *etcd) del(key string) {
+	e.t.Helper()
+	e.do(func(ctx context.Context) error { _, err := e.cli.Delete(ctx, prefix+key); return err })
+}
+
+func nodeValue(i int) string { return fmt.Sprintf(`{"addr":"127.0.0.1:%d","weight":1}`, 1000+i) }
+
+// truth reads etcd itself, in another way than the agent does.
+func (e *etcd) truth() (string, int64) {
+	var list []string
+	var rev int64
+	e.do(func(ctx context.Context) error {
+		r, err := e.cli.Get(ctx, prefix, clientv3.WithPrefix())
+		if err != nil {
+			return err
+		}
+		nodes, marks := map[string]string{}, map[string]bool{}
+		for _, kv := range r.Kvs {
+			key := strings.TrimPrefix(string(kv.Key), prefix)
+			if id, ok := strings.CutPrefix(key, "drain/"); ok {
+				marks[id] = true
+			} else {
+				var v struct{ Addr string }
+				json.Unmarshal(kv.Value, &v)
+				nodes[strings.TrimPrefix(key, "nodes/")] = v.Addr
+			}
+		}
+		list = nil
+		for id, addr := range nodes {
+			state := "in_service"
+			if marks[id] {
+				state = "terminating"
+			}
+			list = append(list, id+" "+addr+" "+state)
+		}
+		rev = r.Header.Revision
+		return nil
+	})
+	sort.Strings(list)
+	return strings.Join(list, "\n"), rev
+}
+
+func served(l roster.List) string {
+	var list []string
+	for _, t := range l.Servers {
+		list = append(list, t.ID+" "+t.Addr+" "+t.State)
+	}
+	sort.Strings(list)
+	return strings.Join(list, "\n")
+}
+
+func startAgent(t *testing.T, endpoint, rosterAddr string) *Agent {
+	t.Helper()
+	cfg := Config{Listen: "127.0.0.1:0", Roster: rosterAddr,
+		Etcd: etcdsource.Config{Endpoints: []string{"http://" + endpoint}, Prefix: prefix, Progress: 150 * time.Millisecond, Timeout: 2 * time.Second,
+			RetryMost: 300 * time.Millisecond},
+		Member: member.Config{StaleS: map[string]float64{etcdName: 0.8}, OrphanS: 3600, FlapS: 0.001, FlapMost: 0.001}}
+	if rosterAddr != "" {
+		cfg.Member.StaleS[rosterName] = 5
+	}
+	a, err := Open(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); a.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return a
+}
+
+// same waits until the agent's view is etcd's, and returns how long that took.
+func (e *etcd) same(a *Agent, what string) time.Duration {
+	e.t.Helper()
+	began := time.Now()
+	want, rev := e.truth()
+	for time.Since(began) < patience {
+		if st := a.Source(); st.Revision >= rev && served(a.List()) == want {
+			return time.Since(began)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	e.t.Fatalf("%s: the view is\n%s\nand etcd's at %d is\n%s\nstatus %+v", what, served(a.List()), rev, want, a.Source())
+	return 0
+}
+
+// The whole source against a real etcd that is compacted, cut off, restarted, and replaced by an empty one, while states
+// flip: after each recovery the view equals etcd's.
+func TestRealEtcd(t *testing.T) {
+	e := startEtcd(t)
+	link, err := lab.NewLink(e.client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	rng := rand.New(rand.NewPCG(*realSeed, 1))
+	flip := func() {
+		i := rng.IntN(12)
+		switch rng.IntN(4) {
+		case 0:
+			e.put(fmt.Sprintf("drain/n%d", i), "{}")
+		case 1:
+			e.del(fmt.Sprintf("drain/n%d", i))
+		case 2:
+			e.del(fmt.Sprintf("nodes/n%d", i))
+		case 3:
+			e.put(fmt.Sprintf("nodes/n%d", i), nodeValue(i))
+		}
+	}
+	for range 20 {
+		flip()
+	}
+	a := startAgent(t, link.Addr(), "")
+	e.same(a, "start")
+	var took []time.Duration
+	compacted := 0
+	for end := time.Now().Add(*realFor); time.Now().Before(end); {
+		for range rng.IntN(10) {
+			flip()
+		}
+		what := []string{"calm", "cut", "cut and compacted", "restarted", "emptied"}[rng.IntN(5)]
+		switch what {
+		case "cut":
+			link.Cut()
+			for range 10 {
+				flip()
+			}
+			link.Heal()
+		case "cut and compacted":
+			link.Cut()
+			for range 10 {
+				flip()
+			}
+			_, rev := e.truth()
+			e.do(func(ctx context.Context) error {
+				_, err := e.cli.Compact(ctx, rev)
+				if err != nil && strings.Contains(err.Error(), "compacted") {
+					return nil
+				}
+				return err
+			})
+			link.Heal()
+			compacted++
+		case "restarted":
+			e.stop()
+			e.start()
+			flip()
+		case "emptied":
+			e.stop()
+			if err := os.RemoveAll(filepath.Join(e.dir, "data")); err != nil {
+				t.Fatal(err)
+			}
+			e.start()
+			for range 5 {
+				flip()
+			}
+		}
+		took = append(took, e.same(a, what))
+	}
+	st := a.Source()
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	t.Logf("%d recoveries, %d compactions, %d of them met; equal again after %v in the median, %v at worst; %+v", len(took), compacted, st.Compacted,
+		took[len(took)/2], took[len(took)-1], st)
+	if st.Compacted == 0 || st.Replaced == 0 {
+		t.Logf("this seed met no compaction or no replaced cluster")
+	}
+}
+
+// Guards the join on real sources: roster and etcd, each alone, stale and against each other.
+func TestRealEtcdBesideTheRoster(t *testing.T) {
+	e := startEtcd(t)
+	link, err := lab.NewLink(e.client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	hist := lab.NewHistory()
+	ros := lab.NewRoster(hist)
+	defer ros.Close()
+	addr, err := ros.For("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := func(id, state string) {
+		ros.Set(roster.Target{ID: id, Addr: "127.0.0.1:1" + strings.TrimPrefix(id, "n"), State: state, Weight: 1})
+	}
+	set("n01", "in_service")
+	set("n02", "in_service")
+	a := startAgent(t, link.Addr(), addr)
+	state := func(id, want string) {
+		t.Helper()
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			got := ""
+			for _, s := range a.List().Servers {
+				if s.ID == id {
+					got = s.State
+				}
+			}
+			if got == want {
+				return
+			}
+		}
+		t.Fatalf("%s does not become %q: %v", id, want, served(a.List()))
+	}
+	state("n01", "in_service")
+	e.put("drain/n01", "{}") // etcd does not list the node: a mark on its id alone
+	state("n01", "terminating")
+	set("n01", "in_service")
+	set("n02", "terminating")
+	state("n02", "terminating")
+	state("n01", "terminating")
+	e.del("drain/n01")
+	state("n01", "in_service")
+	link.Cut() // etcd is out of reach: the roster goes on
+	set("n03", "in_service")
+	state("n03", "in_service")
+	e.put("drain/n03", "{}")
+	set("n02", "in_service")
+	state("n02", "in_service")
+	link.Heal()
+	state("n03", "terminating")
+	e.stop() // what etcd has said stays said
+	set("n03", "in_service")
+	set("n04", "in_service")
+	state("n04", "in_service")
+	state("n03", "terminating")
+	// As an ingress reads it.
+	r, err := http.Get("http://" + a.Addr() + "/api/targets?watch=1&after=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	line, err := bufio.NewReader(r.Body).ReadBytes('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := roster.Parse(line)
+	if err != nil || !l.Full || len(l.Servers) != 4 {
+		t.Errorf("%+v, %v", l, err)
+	}
+}
--- /dev/null
+++ b/internal/etcdsource/follow_test.go
@@ -0,0 +1,98 @@
+package etcdsource
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"cometpond/internal/member"
+)
+
+func kv(rev int64, key, v string) KV { return KV{Key: key, Value: []byte(v), Revision: rev} }
+
+func put(rev int64, id string, port int) KV {
+	return kv(rev, "nodes/"+id, fmt.Sprintf(`{"addr":"127.0.0.1:%d","weight":1}`, port))
+}
+
+func gone(rev int64, key string) KV { return KV{Key: key, Revision: rev, Deleted: true} }
+
+func says(list []member.Node) string {
+	var s []string
+	for _, n := range list {
+		s = append(s, fmt.Sprintf("%s %s %s", n.ID, n.Addr, n.State))
+	}
+	return strings.Join(s, ", ")
+}
+
+// Guards the reading of values: one bad one takes no node away, and is named.
+func TestBadValuesKeepTheLastGoodOne(t *testing.T) {
+	f := newFollower()
+	f.read(Header{1, 10, 1}, []KV{put(5, "a", 1), kv(6, "nodes/b", "{"), kv(7, "nodes/c d", "{}"), kv(8, "other/x", "y")})
+	if got := says(f.whole()); got != "a 127.0.0.1:1 up" || len(f.bad) != 2 {
+		t.Fatalf("%q, bad %v", got, f.bad)
+	}
+	for i, bad := range []string{"", "7", `{"addr":"nowhere"}`, `{"addr":"127.0.0.1:1","state":"up"}`, `{"addr":"127.0.0.1:1"} {}`,
+		`{"addr":"127.0.0.1:1","weight":-1}`, `{"addr":"127.0.0.1:1","weight":1e9}`, `{"addr":"127.0.0.1:1","started_ms":-5}`, `{"addr":"127.0.0.1:1","cell":"x"}`} {
+		b, err := f.events(Header{1, 11 + int64(i), 1}, []KV{kv(11+int64(i), "nodes/a", bad)})
+		if err != nil || len(b) != 1 || says(b[0]) != "a 127.0.0.1:1 up" || f.bad["nodes/a"] == "" {
+			t.Errorf("%q: %v, %v, bad %v", bad, b, err, f.bad)
+		}
+	}
+	f.read(Header{1, 50, 1}, []KV{kv(20, "nodes/a", "{")}) // a read of the whole does not forget it either
+	if got := says(f.whole()); got != "a 127.0.0.1:1 up" {
+		t.Errorf("after a read: %q", got)
+	}
+	if f.events(Header{1, 51, 1}, []KV{put(51, "a", 2)}); len(f.bad) != 0 || says(f.whole()) != "a 127.0.0.1:2 up" {
+		t.Errorf("after a good value: bad %v, %q", f.bad, says(f.whole()))
+	}
+}
+
+// Guards the order of events: none twice, each transaction as one, and marks on nodes that etcd does not list.
+func TestEvents(t *testing.T) {
+	f := newFollower()
+	f.read(Header{1, 10, 1}, []KV{put(5, "a", 1), put(6, "b", 2)})
+	b, err := f.events(Header{1, 13, 1}, []KV{put(9, "a", 9), kv(11, "drain/a", "{}"), gone(11, "nodes/b"), kv(12, "drain/z", "{}"), gone(13, "drain/z"), gone(13, "drain/a")})
+	if err != nil || len(b) != 3 || f.Repeats != 1 {
+		t.Fatalf("%v, %v, repeats %d", b, err, f.Repeats)
+	}
+	for i, want := range []string{"a 127.0.0.1:1 draining, b  gone", "z  draining", "z  up, a 127.0.0.1:1 up"} {
+		if got := says(b[i]); got != want {
+			t.Errorf("batch %d: %q, want %q", i, got, want)
+		}
+	}
+	if b, _ := f.events(Header{1, 13, 1}, []KV{gone(13, "drain/a")}); len(b) != 0 || f.Repeats != 2 {
+		t.Errorf("taken in twice: %v", b)
+	}
+	if b, _ := f.events(Header{1, 14, 1}, []KV{kv(14, "nodes/c", "{"), gone(14, "nodes/nobody")}); len(b) != 1 || says(b[0]) != "nobody  up" {
+		t.Errorf("%v", b)
+	}
+}
+
+// Guards the view against what is old: a member that lags, and the reverse, a cluster that really was put back.
+func TestOldAndReplaced(t *testing.T) {
+	f := newFollower()
+	f.read(Header{1, 100, 5}, []KV{put(5, "a", 1)})
+	if _, err := f.events(Header{1, 101, 4}, []KV{gone(101, "nodes/a")}); err == nil {
+		t.Error("an event of an older term is taken")
+	}
+	if _, err := f.events(Header{2, 101, 5}, []KV{gone(101, "nodes/a")}); err == nil {
+		t.Error("an event of another cluster is taken")
+	}
+	for _, h := range []Header{{1, 99, 5}, {1, 100, 4}, {2, 200, 5}} {
+		if f.progress(h) == nil {
+			t.Errorf("progress of %+v is taken", h)
+		}
+	}
+	for i, tc := range []struct {
+		h    Header
+		want Verdict
+	}{{Header{1, 99, 5}, Refused}, {Header{1, 50, 3}, Refused}, {Header{1, 101, 5}, Taken}, {Header{1, 50, 5}, Refused}, {Header{1, 51, 5}, Refused},
+		{Header{1, 52, 5}, Replaced}, {Header{1, 52, 5}, Taken}, {Header{9, 3, 1}, Replaced}} {
+		if got := f.read(tc.h, nil); got != tc.want {
+			t.Errorf("read %d: %v, want %v", i, got, tc.want)
+		}
+		if (tc.want == Refused) != (f.head != tc.h) {
+			t.Errorf("read %d: at %+v", i, f.head)
+		}
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,14 +55,23 @@
 	nodeSeq    int
 }
 
+// nextPort is where freeAddr looks next: below what the system gives to connections and to listeners without a port,
+// so that nobody takes an address before its program has started, and again after it was killed.
+var nextPort atomic.Uint32
+
+const portsFrom, ports = 20000, 12000
+
 // freeAddr finds an address that nobody listens on.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	nextPort.CompareAndSwap(0, uint32(os.Getpid())*37+1)
+	for range ports {
+		addr := fmt.Sprintf("127.0.0.1:%d", portsFrom+nextPort.Add(1)%ports)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free address")
 }
 
 // settingsOf words classes and plans as the platform does.
--- /dev/null
+++ b/internal/member/core_test.go
@@ -0,0 +1,282 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+func newCore(known ...Node) *Core {
+	return New(Config{StaleS: map[string]float64{"etcd": 1, "roster": 5}, OrphanS: 10, FlapS: 60, FlapMost: 30}, 100, known)
+}
+
+func node(id string, started int64, state State) Node {
+	return Node{Identity: Identity{id, "127.0.0.1:" + id, started}, State: state}
+}
+
+// says words the list as "id state start", by id.
+func says(c *Core) string {
+	var list []string
+	for _, e := range c.List() {
+		list = append(list, fmt.Sprintf("%s %s %d", e.ID, e.State, e.StartedMS))
+	}
+	return strings.Join(list, ", ")
+}
+
+// Guards the rules one by one: each line takes a step and says what stands then.
+func TestRules(t *testing.T) {
+	mark := func(id string, s State) Node { return Node{Identity: Identity{ID: id}, State: s} }
+	one := func(s State) []Node { return []Node{node("1", 0, s)} }
+	type step struct {
+		do   func(c *Core)
+		want string
+	}
+	whole := func(at float64, src string, n ...Node) func(*Core) { return func(c *Core) { c.Whole(at, src, n) } }
+	change := func(at float64, src string, n ...Node) func(*Core) { return func(c *Core) { c.Change(at, src, n) } }
+	tick := func(at float64) func(*Core) { return func(c *Core) { c.Tick(at) } }
+	resumed := func(at float64, src string) func(*Core) { return func(c *Core) { c.Resumed(at, src) } }
+	broken := func(at float64, src string) func(*Core) { return func(c *Core) { c.Broken(at, src) } }
+	for name, steps := range map[string][]step{
+		"the stricter word wins": {
+			{whole(100, "etcd", one(Up)...), "1 up 0"},
+			{whole(100, "roster", one(Draining)...), "1 draining 0"},
+			{change(101, "etcd", one(Up)...), "1 draining 0"},
+			{change(101, "roster", one(Up)...), "1 up 0"},
+			{change(102, "etcd", Node{Identity: Identity{ID: "1"}, State: Gone}), ""},
+			{change(103, "roster", one(Up)...), ""},
+		},
+		"a stale source takes out, and brings nothing in or back": {
+			{whole(100, "roster", one(Up)...), "1 up 0"},
+			{whole(100, "etcd", one(Up)...), "1 up 0"},
+			{broken(100.5, "etcd"), "1 up 0"},
+			{change(101, "etcd", node("2", 0, Up)), "1 up 0"},
+			{change(101, "etcd", one(Draining)...), "1 draining 0"},
+			{change(101, "etcd", one(Up)...), "1 draining 0"},
+			{resumed(101, "etcd"), "1 up 0, 2 up 0"}, // it had no gap after all
+			{broken(101.1, "etcd"), "1 up 0, 2 up 0"},
+			{change(101.2, "etcd", one(Draining)...), "1 draining 0, 2 up 0"},
+			{whole(102, "etcd", node("1", 0, Up), node("2", 0, Up)), "1 draining 0, 2 up 0"}, // its second return waits
+			{tick(102.3), "1 up 0, 2 up 0"},
+		},
+		"marks on an id alone": {
+			{whole(100, "roster", one(Up)...), "1 up 0"},
+			{whole(100, "etcd", mark("1", Draining)), "1 draining 0"},
+			{whole(100.1, "etcd"), "1 up 0"}, // taken back, which is not gone
+			{change(100.2, "etcd", one(Up)...), "1 up 0"},
+			{change(100.3, "etcd", one(Draining)...), "1 draining 0"},
+			{change(100.4, "etcd", mark("1", Gone)), ""}, // the node is deleted, the mark stands
+			{change(100.5, "etcd", mark("1", Up)), ""},   // the mark is taken back, the node is deleted still
+			{whole(100.6, "etcd", mark("1", Draining)), ""},
+			{whole(100.7, "etcd"), ""},
+			{change(100.8, "etcd", Node{Identity: Identity{"1", "127.0.0.1:1", 9}, State: Up}), "1 up 9"},
+			{change(100.9, "etcd", mark("1", Draining)), "1 draining 9"},
+			{change(101, "etcd", Node{Identity: Identity{"1", "127.0.0.1:1", 10}, State: Up}), "1 up 10"},
+		},
+		"a stale source's marks": {
+			{whole(100, "roster", node("1", 0, Up), node("2", 0, Up)), "1 up 0, 2 up 0"},
+			{whole(100, "etcd", mark("1", Draining)), "1 draining 0, 2 up 0"},
+			{broken(100.1, "etcd"), "1 draining 0, 2 up 0"},
+			{change(100.2, "etcd", mark("1", Up), mark("2", Draining)), "1 draining 0, 2 draining 0"},
+			{resumed(100.3, "etcd"), "1 up 0, 2 draining 0"},
+		},
+		"silence makes stale": {
+			{whole(100, "etcd", one(Up)...), "1 up 0"},
+			{tick(100.9), "1 up 0"},
+			{tick(101.1), "1 up 0"},
+			{change(101.2, "etcd", node("2", 0, Up)), "1 up 0"},
+			{resumed(101.3, "etcd"), "1 up 0, 2 up 0"},
+			{broken(101.35, "etcd"), "1 up 0, 2 up 0"},
+			{whole(101.4, "etcd", node("2", 0, Up)), "2 up 0"}, // what vanished in the gap goes
+		},
+		"progress keeps current": {
+			{whole(100, "etcd", one(Up)...), "1 up 0"},
+			{func(c *Core) { c.Resumed(100.9, "etcd") }, "1 up 0"},
+			{tick(101.8), "1 up 0"},
+			{change(101.85, "etcd", node("2", 0, Up)), "1 up 0, 2 up 0"},
+		},
+		"starts and addresses tell nodes apart": {
+			{whole(100, "etcd", node("1", 50, Draining)), "1 draining 50"},
+			{whole(100, "roster", node("1", 60, Up)), "1 up 60"}, // started anew: the old word is not on it
+			{change(100.1, "etcd", node("1", 50, Draining)), "1 up 60"},
+			{change(100.2, "etcd", node("1", 60, Draining)), "1 draining 60"},
+			{change(100.3, "roster", Node{Identity: Identity{"1", "127.0.0.1:9", 70}, State: Up}), "1 up 70"},
+		},
+		"a node that no current source knows": {
+			{whole(100, "roster", one(Up)...), "1 up 0"},
+			{tick(120), "1 up 0"}, // all are stale: what is known stays
+			{whole(120, "etcd", node("2", 0, Up)), "1 up 0, 2 up 0"},
+			{func(c *Core) {
+				for at := 120.5; at < 131; at += 0.5 {
+					c.Resumed(at, "etcd")
+					c.Tick(at)
+				}
+			}, "1 draining 0, 2 up 0"},
+			{whole(132, "roster", one(Up)...), "1 up 0, 2 up 0"},
+		},
+		"flapping": {
+			{whole(100, "etcd", one(Up)...), "1 up 0"},
+			{change(100.1, "etcd", one(Draining)...), "1 draining 0"},
+			{change(100.2, "etcd", one(Up)...), "1 up 0"}, // once is none
+			{change(100.3, "etcd", one(Draining)...), "1 draining 0"},
+			{change(100.4, "etcd", one(Up)...), "1 draining 0"},
+			{tick(101.2), "1 draining 0"},
+			{func(c *Core) { c.Resumed(101.25, "etcd"); c.Tick(101.4) }, "1 up 0"},
+			{change(101.5, "etcd", one(Draining)...), "1 draining 0"},
+			{func(c *Core) { c.Change(101.6, "etcd", one(Up)); c.Resumed(102.5, "etcd"); c.Tick(103.4) }, "1 draining 0"},
+			{func(c *Core) { c.Resumed(103.45, "etcd"); c.Tick(103.6) }, "1 up 0"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCore()
+			if strings.Contains(name, "marks") {
+				c.cfg.FlapS = 0 // not what these are about
+			}
+			for i, s := range steps {
+				s.do(c)
+				if got := says(c); got != s.want {
+					t.Fatalf("step %d: %q, want %q", i, got, s.want)
+				}
+			}
+		})
+	}
+	c := newCore(node("k", 0, Up))
+	if c.Tick(1000); says(c) != "k up 0" {
+		t.Errorf("what is known stays while no source is current: %q", says(c))
+	}
+}
+
+// Guards the invariant at each step of random sequences: no node is up against any source's strict word, and none comes
+// in or back but by a current source's word.
+func TestNoNewWorkOnAStaleOrStrictWord(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := newCore(node("0", 0, Up))
+		now := 100.0
+		type oracle struct {
+			current bool
+			heard   float64
+			words   map[string]Node
+			pending map[string]Node
+			read    bool
+		}
+		src := map[string]*oracle{"etcd": {words: map[string]Node{}, pending: map[string]Node{}}, "roster": {words: map[string]Node{}, pending: map[string]Node{}}}
+		stale := map[string]float64{"etcd": 1, "roster": 5}
+		was := map[string]Entry{"0": {Node: node("0", 0, Up)}}
+		for step := range 300 {
+			now += rng.ExpFloat64() * 0.3
+			name := []string{"etcd", "roster"}[rng.IntN(2)]
+			o := src[name]
+			draw := func() Node {
+				n := node(fmt.Sprint(rng.IntN(4)), int64(rng.IntN(3))*10, State(rng.IntN(3)))
+				if rng.IntN(8) == 0 {
+					n.Addr = "127.0.0.1:99"
+				}
+				return n
+			}
+			switch rng.IntN(7) {
+			case 0:
+				var list []Node
+				seen := map[string]bool{}
+				for range rng.IntN(5) {
+					if n := draw(); !seen[n.ID] && n.State != Gone {
+						seen[n.ID] = true
+						list = append(list, n)
+					}
+				}
+				for id, w := range o.words {
+					if !seen[id] {
+						w.State = Gone
+						o.words[id] = w
+					}
+				}
+				for _, n := range list {
+					o.words[n.ID] = n
+				}
+				o.current, o.read, o.heard = true, true, now
+				clear(o.pending)
+				c.Whole(now, name, list)
+			case 1, 2, 3:
+				n := draw()
+				if w, ok := o.words[n.ID]; !ok || o.current || n.State >= w.State || !covers(w.Identity, n.Identity) {
+					o.words[n.ID] = n
+					delete(o.pending, n.ID)
+				} else {
+					o.pending[n.ID] = n
+				}
+				if o.current {
+					o.heard = now
+				}
+				c.Change(now, name, []Node{n})
+			case 4:
+				o.current = false
+				c.Broken(now, name)
+			case 6:
+				if o.read {
+					o.current, o.heard = true, now
+					for id, n := range o.pending {
+						o.words[id] = n
+					}
+					clear(o.pending)
+				}
+				c.Resumed(now, name)
+			case 5:
+				for name, o := range src {
+					if o.current && now > o.heard+stale[name] {
+						o.current = false
+					}
+				}
+				c.Tick(now)
+				for id := range 4 { // what went everywhere is forgotten
+					id := fmt.Sprint(id)
+					listed := c.list[id] != nil
+					for _, o := range src {
+						w, ok := o.words[id]
+						listed = listed || ok && w.State != Gone
+					}
+					for _, o := range src {
+						if !listed {
+							delete(o.words, id)
+						}
+					}
+				}
+			}
+			next := map[string]Entry{}
+			for _, e := range c.List() {
+				next[e.ID] = e
+				if e.State != Up {
+					continue
+				}
+				byCurrent := false
+				for name, o := range src {
+					w, ok := o.words[e.ID]
+					if !ok || !covers(w.Identity, e.Identity) {
+						continue
+					}
+					if w.State != Up {
+						t.Fatalf("seed %d step %d: %s is up, but %s by %s (%s)", seed, step, e.ID, w.State, name, e.Why)
+					}
+					byCurrent = byCurrent || o.current
+				}
+				if old, ok := was[e.ID]; (!ok || old.State != Up || old.Identity != e.Identity) && !byCurrent {
+					t.Fatalf("seed %d step %d: %s came in by no current source (%s)", seed, step, e.ID, e.Why)
+				}
+			}
+			was = next
+		}
+	}
+}
+
+// Guards against lists that grow for ever under ids that are ever new.
+func TestForgetsWhatWent(t *testing.T) {
+	c := newCore()
+	now := 100.0
+	for i := range 2000 {
+		now += 0.2
+		c.Whole(now, "etcd", []Node{node(fmt.Sprint(i), 0, Up)})
+		c.Tick(now)
+	}
+	if n, w := len(c.list), len(c.sources["etcd"].words); n > 400 || w > 400 {
+		t.Errorf("%d nodes, %d words are kept", n, w)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -94,15 +94,16 @@
 type Watcher struct {
 	take    func(List)                     // gets each list and change, in order
 	note    func(what string, args ...any) // gets faults worth logging
+	Alive   func()                         // if set before Run: told of each line of a watch, empty ones too
 	http    *http.Client
 	addr    string
 	version int64 // the last that was taken in
 	whole   bool  // changes may be missing: only the whole list tells
 }
 
-// New makes a watcher of discovery at addr that goes on behind a version.
+// New makes a watcher of discovery at addr that goes on behind a version, or with one below 0 from the whole list on.
 func New(addr string, version int64, take func(List), note func(string, ...any)) *Watcher {
-	return &Watcher{take: take, note: note, addr: addr, version: version,
+	return &Watcher{take: take, note: note, addr: addr, version: version, whole: version < 0,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
 }
@@ -182,6 +183,9 @@
 	lines.Buffer(nil, maxListLine)
 	for lines.Scan() {
 		silence.Reset(watchSilence)
+		if w.Alive != nil {
+			w.Alive()
+		}
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
