--- /dev/null
+++ b/internal/agent/cutoff_test.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"cometpond/internal/lab"
+	"cometpond/internal/roster"
+	"cometpond/policy"
+)
+
+var (
+	cutoffs    = flag.Int("cutoffs", 0, "measure so many drains, from the write in etcd to the last new work")
+	cutoffRate = flag.Float64("cutoff-rate", 100, "requests a second meanwhile")
+	ingressBin = flag.String("ingress", "", "the program of an ingress, for -cutoffs")
+)
+
+// TestCutoff is a measurement: how long after the write of a drain in etcd, and beside it in the roster, a node gets its
+// last new work. Run it with -cutoffs N -ingress bin/eiderspread.
+func TestCutoff(t *testing.T) {
+	if *cutoffs == 0 {
+		t.Skip("-cutoffs is 0")
+	}
+	for _, by := range []string{"roster", "etcd"} {
+		t.Run(by, func(t *testing.T) { measureCutoff(t, by) })
+	}
+}
+
+func measureCutoff(t *testing.T, by string) {
+	cfg := lab.FleetConfig{Forwarders: 1, Nodes: 6, Classes: lab.LabClasses, Plans: []policy.Plan{{Name: "wide", Rate: 1e5, Burst: 1e5, Price: 1}},
+		Node: lab.NodeConfig{Cores: 64, Queue: 500, Speed: 1, KeyedS: 4, Work: map[string]time.Duration{"zone-check": 5 * time.Millisecond,
+			"slot-hold": 5 * time.Millisecond, "courier-send": 5 * time.Millisecond}},
+		Seed: 1, Dir: t.TempDir(), MemoryMB: 256, Sockets: 1024,
+		Spawn: func(_, file string) *exec.Cmd {
+			c := exec.Command(*ingressBin)
+			c.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+			return c
+		}}
+	var e *etcd
+	if by == "etcd" {
+		e = startEtcd(t)
+		cfg.Discovery = func(f *lab.Fleet, _ string) (string, error) {
+			for _, n := range f.Nodes() {
+				e.put("nodes/"+n.ID, `{"addr":"`+n.Addr()+`","zone":"a","weight":1}`)
+			}
+			a := startAgent(t, e.client, "")
+			e.same(a, "start")
+			return a.Addr(), nil
+		}
+	}
+	f, err := lab.StartFleet(cfg)
+	defer f.Stop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	var accounts []lab.Account
+	for i := range 20 {
+		accounts = append(accounts, lab.Account{Name: "00000000b4d6552" + string("0123456789abcdefghij"[i%16]), Plan: "wide", Rate: *cutoffRate / 20, Spread: 1})
+	}
+	go func() {
+		defer close(done)
+		lab.NewClients(lab.Traffic{Accounts: accounts, Classes: cfg.Classes, Shares: map[string]float64{"zone-check": 0.4, "slot-hold": 0.3, "courier-send": 0.3},
+			Units: map[string]int{"zone-check": 1, "slot-hold": 1, "courier-send": 1}, Seed: 1}, f.Hist, f.Addr).Run(ctx)
+	}()
+	time.Sleep(2 * time.Second)
+	set := func(n *lab.Node, state string) {
+		switch {
+		case e == nil:
+			f.Roster.Set(roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1})
+		case state == "in_service":
+			e.del("drain/" + n.ID)
+		default:
+			e.put("drain/"+n.ID, "{}")
+		}
+	}
+	var delays []time.Duration
+	for i := range *cutoffs {
+		n := f.Nodes()[i%len(f.Nodes())]
+		at := f.Hist.Now() // the write begins
+		set(n, "terminating")
+		time.Sleep(350 * time.Millisecond)
+		unlock := f.Hist.Lock()
+		last := time.Duration(0)
+		for k := len(f.Hist.Attempts) - 1; k >= 0 && f.Hist.Attempts[k].At > at; k-- {
+			if a := f.Hist.Attempts[k]; a.Node == n.ID {
+				last = max(last, a.At-at)
+			}
+		}
+		unlock()
+		delays = append(delays, last)
+		set(n, "in_service")
+		time.Sleep(150 * time.Millisecond)
+	}
+	cancel()
+	<-done
+	slices.Sort(delays)
+	tries := len(f.Hist.Tries)
+	t.Logf("%s: %d drains at %.0f requests a second (%d in all): last new work after %v in the median, %v at p99, %v at worst", by, len(delays),
+		*cutoffRate, tries, delays[len(delays)/2], delays[len(delays)*99/100], delays[len(delays)-1])
+	if strings.Contains(by, "etcd") && delays[len(delays)-1] > 300*time.Millisecond {
+		t.Errorf("beyond the cutoff")
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -39,6 +39,8 @@
 	Dir                  string
 	Spawn                Spawn
 	MemoryMB, Sockets    int
+	// Discovery, if set, gives the address at which a party asks, in place of the stand-in roster.
+	Discovery func(f *Fleet, party string) (string, error)
 }
 
 // Fleet is a running fleet with its stand-ins.
@@ -128,7 +130,11 @@
 
 // base writes a configuration as the platform gives it.
 func (f *Fleet) base(name string, number int, listen string, peers []string) (string, error) {
-	discovery, err := f.Roster.For(name)
+	ask := f.Roster.For
+	if f.cfg.Discovery != nil {
+		ask = func(party string) (string, error) { return f.cfg.Discovery(f, party) }
+	}
+	discovery, err := ask(name)
 	if err != nil {
 		return "", err
 	}
@@ -266,6 +272,9 @@
 	return n, nil
 }
 
+// Nodes are those that run and do not drain.
+func (f *Fleet) Nodes() []*Node { return f.nodes }
+
 func (f *Fleet) tell(n *Node, state string) {
 	f.Roster.Set(roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1})
 }
