The membership core looks at what changed alone; no identity gives way to a vaguer one

Cause: each change went through all nodes (10,000 nodes: a third of a core at 100 changes a second on paper), and the property test found a node that came in under a word without a start while both sources became stale. Changes touch their nodes, time has a due date, all sources become stale at once.

--- a/internal/agent/real_test.go
+++ b/internal/agent/real_test.go
@@ -233,7 +233,7 @@
 		for range rng.IntN(10) {
 			flip()
 		}
-		what := []string{"calm", "cut", "cut and compacted", "restarted", "emptied"}[rng.IntN(5)]
+		what := []string{"calm", "cut", "cut and compacted", "restarted", "emptied", "storm"}[rng.IntN(6)]
 		switch what {
 		case "cut":
 			link.Cut()
@@ -256,6 +256,20 @@
 			})
 			link.Heal()
 			compacted++
+		case "storm": // a thousand changes in a few transactions
+			for k := range 8 {
+				var ops []clientv3.Op
+				for i := range 125 {
+					ops = append(ops, clientv3.OpPut(fmt.Sprintf("%snodes/s%d", prefix, k*125+i), nodeValue(i)))
+				}
+				e.do(func(ctx context.Context) error { _, err := e.cli.Txn(ctx).Then(ops...).Commit(); return err })
+			}
+			for k := range 8 {
+				e.do(func(ctx context.Context) error {
+					_, err := e.cli.Delete(ctx, fmt.Sprintf("%snodes/s%d", prefix, k), clientv3.WithPrefix())
+					return err
+				})
+			}
 		case "restarted":
 			e.stop()
 			e.start()
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -52,6 +52,8 @@
 	Why string
 }
 
+const dueSlack = 1e-6 // seconds: what is over after a time is looked at right behind it
+
 const flapFirst = 1.0 // seconds that the second return within FlapS waits; each further one twice as long
 
 // Core joins sources. It is not safe for concurrent use; times are Unix seconds that never go back.
@@ -60,6 +62,8 @@
 	now     float64
 	sources map[string]*source
 	list    map[string]*entry // by id
+	due     float64           // when time alone may change a node
+	sweepAt float64
 }
 
 type source struct {
@@ -148,6 +152,7 @@
 func (c *Core) Change(now float64, name string, nodes []Node) []Entry {
 	c.now = max(c.now, now)
 	s := c.sources[name]
+	var ids []string
 	for _, n := range nodes {
 		if !s.current && s.milder(n) {
 			s.pending[n.ID] = n // rule 3
@@ -155,11 +160,13 @@
 		}
 		delete(s.pending, n.ID)
 		s.set(n)
+		ids = append(ids, n.ID)
 	}
 	if s.current {
 		s.heardAt = c.now
 	}
-	return c.join()
+	slices.Sort(ids)
+	return c.joinOf(slices.Compact(ids))
 }
 
 // Resumed takes a source's word that it has told all up to now, without a gap.
@@ -184,28 +191,51 @@
 // Broken notes that a source may have gaps from now on: it is stale until it has told the whole.
 func (c *Core) Broken(now float64, name string) []Entry {
 	c.now = max(c.now, now)
-	c.sources[name].current = false
+	c.stale(c.sources[name])
 	return c.join()
 }
 
 // Tick looks after silence and waits; call it a few times a second.
 func (c *Core) Tick(now float64) []Entry {
 	c.now = max(c.now, now)
-	for name, s := range c.sources {
-		if s.current && c.now > s.heardAt+c.cfg.StaleS[name] {
-			s.current = false
+	flipped := false
+	for _, s := range c.sources {
+		if s.current && c.now > s.heardAt+c.cfg.StaleS[s.name] {
+			c.stale(s)
+			flipped = true
 		}
 	}
-	changed := c.join()
-	c.sweep()
+	var changed []Entry
+	if flipped || c.now >= c.due {
+		changed = c.join()
+	}
+	if c.now >= c.sweepAt {
+		c.sweepAt = c.now + 1
+		c.sweep()
+	}
 	return changed
 }
 
+// stale takes a source's word from now on for what it is: what only it knows begins to age.
+func (c *Core) stale(s *source) {
+	if !s.current {
+		return
+	}
+	for id, e := range c.list {
+		if w, ok := s.words[id]; ok && covers(w.Identity, e.Identity) {
+			e.knownAt = c.now
+		}
+	}
+	s.current = false
+}
+
 // sweep forgets nodes that went long ago, and words on them once no source lists them.
 func (c *Core) sweep() {
 	listed := func(id string) bool {
 		for _, s := range c.sources {
-			if w, ok := s.words[id]; ok && w.State != Gone {
+			w, ok := s.words[id]
+			p, waits := s.pending[id]
+			if ok && w.State != Gone || waits && p.State != Gone {
 				return true
 			}
 		}
@@ -256,21 +286,29 @@
 }
 
 // join applies the rules to every node and returns what changed, nodes that went included.
-func (c *Core) join() (changed []Entry) {
+func (c *Core) join() []Entry {
 	ids := map[string]bool{}
 	for id := range c.list {
 		ids[id] = true
 	}
-	anyCurrent := false
 	for _, s := range c.sources {
-		anyCurrent = anyCurrent || s.current
 		for id, w := range s.words {
 			if w.State != Gone {
 				ids[id] = true
 			}
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(ids)) {
+	c.due = math.Inf(1)
+	return c.joinOf(slices.Sorted(maps.Keys(ids)))
+}
+
+// joinOf applies the rules to some nodes, in their order.
+func (c *Core) joinOf(ids []string) (changed []Entry) {
+	anyCurrent := false
+	for _, s := range c.sources {
+		anyCurrent = anyCurrent || s.current
+	}
+	for _, id := range ids {
 		if e, ok := c.one(id, anyCurrent); ok {
 			changed = append(changed, e)
 		}
@@ -289,6 +327,8 @@
 		n = e.Node
 	} else if e != nil && !covers(n.Identity, e.Identity) && n.StartedMS < e.StartedMS {
 		n = e.Node // old news of an earlier start
+	} else if e != nil && n.StartedMS == 0 && covers(n.Identity, e.Identity) {
+		n.Identity = e.Identity // a word without a start is no other identity
 	}
 	state, why, current := Up, "", false
 	for _, name := range slices.Sorted(maps.Keys(c.sources)) {
@@ -316,14 +356,19 @@
 	if e != nil && (current || !anyCurrent) {
 		e.knownAt = c.now
 	}
-	if e != nil && !current && anyCurrent && state == Up && c.now > e.knownAt+c.cfg.OrphanS {
-		state, why = Draining, "no current source knows it"
+	if e != nil && !current && anyCurrent && state == Up {
+		if c.now > e.knownAt+c.cfg.OrphanS {
+			state, why = Draining, "no current source knows it"
+		} else {
+			c.due = min(c.due, e.knownAt+c.cfg.OrphanS+dueSlack)
+		}
 	}
 	if e != nil && e.State != Up && state == Up && covers(n.Identity, e.Identity) {
 		switch {
 		case !current:
 			return Entry{}, false // rule 3
 		case c.now < e.holdTo:
+			c.due = min(c.due, e.holdTo)
 			return Entry{}, false // rule 5
 		}
 	}
--- a/internal/member/core_test.go
+++ b/internal/member/core_test.go
@@ -149,7 +149,7 @@
 // Guards the invariant at each step of random sequences: no node is up against any source's strict word, and none comes
 // in or back but by a current source's word.
 func TestNoNewWorkOnAStaleOrStrictWord(t *testing.T) {
-	for seed := range uint64(300) {
+	for seed := range uint64(400) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		c := newCore(node("0", 0, Up))
 		now := 100.0
@@ -227,17 +227,17 @@
 					}
 				}
 				c.Tick(now)
-				for id := range 4 { // what went everywhere is forgotten
-					id := fmt.Sprint(id)
-					listed := c.list[id] != nil
-					for _, o := range src {
-						w, ok := o.words[id]
-						listed = listed || ok && w.State != Gone
-					}
-					for _, o := range src {
-						if !listed {
-							delete(o.words, id)
+				for name, o := range src { // what went everywhere is forgotten, and nothing else
+					for id, w := range o.words {
+						if _, kept := c.sources[name].words[id]; kept {
+							continue
+						}
+						for other, p := range src {
+							if v, ok := p.words[id]; ok && v.State != Gone {
+								t.Fatalf("seed %d step %d: %s forgets %v of %s while %s lists it", seed, step, name, w, id, other)
+							}
 						}
+						delete(o.words, id)
 					}
 				}
 			}
