--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -18,6 +18,7 @@
 	OverlapS  float64            // for which two attempts may seem to overlap, since nodes notice an end late
 	CeilingS  float64            // of a ceiling's rate, that its slack is wider by
 	SlackUnit float64            // the largest request
+	Quota     float64            // units beyond a quota that are a breach; 0: none are
 	PartyOf   func(f int) string // the roster's name of a forwarder
 }
 
@@ -188,7 +189,7 @@
 		store          *bucket // takes only what is inside the quota
 		worst          float64
 		at             time.Duration
-		broken         bool
+		broken, over   bool
 	}
 	accounts := map[string]*account{}
 	seen := map[string]bool{}
@@ -210,6 +211,10 @@
 			if -x.quota.room > x.worst+1e-6 {
 				x.worst, x.at = -x.quota.room, a.At
 			}
+			if rules.Quota > 0 && x.worst > rules.Quota && !x.over {
+				x.over = true
+				rep.breach("quotas kept", a.At, "%s is %.1f units over its quota, slack %.1f", a.Account, x.worst, rules.Quota)
+			}
 		}
 		if x.store.to(a.At); x.plan.Rate == 0 || x.store.room >= a.Units {
 			inside[a.ID] = true
--- a/internal/lab/audit_test.go
+++ b/internal/lab/audit_test.go
@@ -66,6 +66,13 @@
 			h.Told = append(h.Told, Told{"f0", "z1", "terminating", 5*time.Second - ms(320)})
 			h.Attempts = h.Attempts[:6]
 		}},
+		"over the quota": {"quotas kept", func(h *History) {
+			for i := range 90 { // of 76 that fit
+				a := &Attempt{ID: fmt.Sprint("x", i), Account: "b", Class: "zone-check", Plan: "chaine", Units: 1, At: ms(i), End: ms(i + 9),
+					Began: true, How: "ok", Node: "z1"}
+				h.Attempts = append(h.Attempts, a)
+			}
+		}},
 		"over the ceiling": {"ceilings kept", func(h *History) {
 			for i := range 200 {
 				a := &Attempt{ID: fmt.Sprint("x", i), Account: "b", Class: "zone-check", Plan: "chaine", Units: 1, At: ms(i), End: ms(i + 9),
@@ -77,7 +84,11 @@
 		t.Run(name, func(t *testing.T) {
 			h := clean(6)
 			tc.plant(h)
-			rep := Audit(h, testRules())
+			rules := testRules()
+			if name == "over the quota" {
+				rules.Quota = QuotaSlack
+			}
+			rep := Audit(h, rules)
 			if rep.Counts[tc.rule] == 0 {
 				t.Errorf("not found: %+v", rep.Counts)
 			}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -318,9 +318,16 @@
 	f.Roster.Close()
 }
 
+// QuotaSlack is the stated slack of two levels, in units; docs/two-levels.md. One level states none.
+const QuotaSlack = 6.0
+
 // Rules are those that the fleet's history is judged by.
 func (f *Fleet) Rules() Rules {
-	return Rules{Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25, AnswerS: 0.25, OverlapS: 0.1, CeilingS: 0.15,
+	quota := 0.0
+	if len(f.Planners) > 0 {
+		quota = QuotaSlack
+	}
+	return Rules{Quota: quota, Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25, AnswerS: 0.25, OverlapS: 0.1, CeilingS: 0.15,
 		SlackUnit: 6, PartyOf: f.Party}
 }
 
