Two tests of the laboratory no longer depend on timing

Cause: a request right after a fleet's start met a window that starts empty; a connection that was dialled in a cut and closed could come first after it.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"cometpond/internal/forward"
 	"cometpond/internal/planner"
 	"cometpond/internal/program"
+	"cometpond/policy"
 )
 
 // The test binary is also the programs under test, so that they run with the race detector.
@@ -77,7 +79,7 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(30 * time.Second))
-	list := fmt.Sprintf("c=courier-send,t=resto,d=4000,units=1,spread=%d,first=0", len(f.Forwarders))
+	list := fmt.Sprintf("c=courier-send,t=free,d=4000,units=1,spread=%d,first=0", len(f.Forwarders))
 	args := []string{"CALL.POST", "00000000b4d65521", id, list, "body"}
 	fmt.Fprintf(c, "*%d\r\n", len(args))
 	for _, a := range args {
@@ -97,6 +99,8 @@
 		t.Skip("a build without fencing")
 	}
 	cfg := testFleet(t, 3)
+	// A plan without a window: those start empty where a leader can't know better, as at a fleet's start.
+	cfg.Plans = append(slices.Clone(cfg.Plans), policy.Plan{Name: "free", Price: 1})
 	f, err := StartFleet(cfg)
 	defer f.Stop()
 	if err != nil {
--- a/internal/lab/net_test.go
+++ b/internal/lab/net_test.go
@@ -61,9 +61,17 @@
 	c := dial()
 	defer c.Close()
 	io.WriteString(c, "new")
-	b = <-far
-	if _, err := io.ReadFull(b, buf); err != nil || string(buf) != "new" {
-		t.Errorf("after the cut: %q, %v", buf, err)
+	for {
+		b = <-far
+		b.SetDeadline(time.Now().Add(patience))
+		n, err := io.ReadFull(b, buf)
+		if n == 0 && err == io.EOF {
+			continue // the one that was dialled in the cut, and closed
+		}
+		if err != nil || string(buf) != "new" {
+			t.Errorf("after the cut: %q, %v", buf, err)
+		}
+		break
 	}
 }
 
