The lying member's test counts its reads in place of racing them

Cause: the stand-in lied until the test said otherwise; on a slow machine a third lie would have been taken. It lies twice now.

--- a/internal/etcdsource/standin_test.go
+++ b/internal/etcdsource/standin_test.go
@@ -22,13 +22,14 @@
 	etcdserverpb.UnimplementedKVServer
 	etcdserverpb.UnimplementedWatchServer
 
-	mu      sync.Mutex
-	head    Header
-	kvs     []*mvccpb.KeyValue
-	onWatch func(w etcdserverpb.Watch_WatchServer, from int64) // what a new watch brings after its creation
-	silent  bool                                               // no progress is told
-	reads   int
-	watches chan int64 // from which revision
+	mu        sync.Mutex
+	head      Header
+	kvs       []*mvccpb.KeyValue
+	onWatch   func(w etcdserverpb.Watch_WatchServer, from int64) // what a new watch brings after its creation
+	silent    bool                                               // no progress is told
+	afterRead func()                                             // with mu held, after each read of the whole
+	reads     int
+	watches   chan int64 // from which revision
 }
 
 func (s *standIn) header() *etcdserverpb.ResponseHeader {
@@ -42,6 +43,9 @@
 	if !r.CountOnly {
 		s.reads++
 		out.Kvs = s.kvs
+		if s.afterRead != nil {
+			s.afterRead()
+		}
 	}
 	return out, nil
 }
@@ -196,16 +200,20 @@
 			return
 		}
 		first = false // the connection breaks, and the next member is behind
-		s.set(func() { s.head, s.kvs = Header{1, 55, 4}, []*mvccpb.KeyValue{pbKV(50, "nodes/a", a1)} })
+		s.set(func() {
+			s.head, s.kvs = Header{1, 55, 4}, []*mvccpb.KeyValue{pbKV(50, "nodes/a", a1)}
+			left := confirmMost - 1 // so often it lies, then a member that is up to date answers
+			s.afterRead = func() {
+				if left--; left == 0 {
+					s.head, s.kvs = Header{1, 101, 5}, []*mvccpb.KeyValue{pbKV(50, "nodes/a", a1), pbKV(60, "drain/a", "{}")}
+				}
+			}
+		})
 		w.Send(&etcdserverpb.WatchResponse{Header: s.header(), Canceled: true, CancelReason: "gone"})
 	}
 	src, r := follow(t, s)
 	get(t, r.whole)
 	get(t, r.broken)
-	get(t, r.broken) // it has answered once, and was refused
-	s.set(func() {
-		s.head, s.kvs = Header{1, 101, 5}, []*mvccpb.KeyValue{pbKV(50, "nodes/a", a1), pbKV(60, "drain/a", "{}")}
-	})
 	get(t, r.alive)
 	for len(r.whole) > 0 {
 		if got := <-r.whole; got != "a 127.0.0.1:1 draining" {
