--- a/cmd/eiderfleet/lab.go
+++ b/cmd/eiderfleet/lab.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/lab"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/lab"
 )
 
 func runLab(args []string) error {
--- a/cmd/eiderfleet/main.go
+++ b/cmd/eiderfleet/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"time"
 
-	"cometpond/internal/program"
+	"eiderspread/internal/program"
 )
 
 const usage = `usage: eiderfleet COMMAND ...
--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -11,7 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"cometpond/internal/ingress"
+	"eiderspread/internal/ingress"
 )
 
 const (
--- a/cmd/eiderwatch/main.go
+++ b/cmd/eiderwatch/main.go
@@ -17,7 +17,7 @@
 
 	clientv3 "go.etcd.io/etcd/client/v3"
 
-	"cometpond/internal/agent"
+	"eiderspread/internal/agent"
 )
 
 const usage = `usage: eiderwatch COMMAND ...
--- a/cmd/eiderwatch/main_test.go
+++ b/cmd/eiderwatch/main_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cometpond/internal/standin/etcd"
+	"eiderspread/internal/standin/etcd"
 )
 
 // Guards the command line: a wrong call is one clear error.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -7,9 +7,9 @@
 	"io"
 	"os"
 
-	"cometpond/internal/settings"
-	"cometpond/internal/wire"
-	"cometpond/policy"
+	"eiderspread/internal/settings"
+	"eiderspread/internal/wire"
+	"eiderspread/policy"
 )
 
 func main() {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 const settingsText = `{"balancers":2,"me":%d,"limits":{"maxAttempts":3,"peerMessages":true},"familyInfo":{"peerIntake":40},` +
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,12 +16,12 @@
 
 	"net/netip"
 
-	"cometpond/internal/etcdsource"
-	"cometpond/internal/fleet"
-	"cometpond/internal/link"
-	"cometpond/internal/member"
-	"cometpond/internal/mono"
-	"cometpond/internal/roster"
+	"eiderspread/internal/etcdsource"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/link"
+	"eiderspread/internal/member"
+	"eiderspread/internal/mono"
+	"eiderspread/internal/roster"
 )
 
 const (
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,8 +10,8 @@
 	"strings"
 	"testing"
 
-	"cometpond/internal/member"
-	"cometpond/internal/roster"
+	"eiderspread/internal/member"
+	"eiderspread/internal/roster"
 )
 
 // Guards the operator's file: one clear line for each fault, before anything is served; the example is good.
--- a/internal/agent/cutoff_test.go
+++ b/internal/agent/cutoff_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"cometpond/internal/lab"
-	"cometpond/internal/roster"
-	"cometpond/policy"
+	"eiderspread/internal/lab"
+	"eiderspread/internal/roster"
+	"eiderspread/policy"
 )
 
 var (
--- a/internal/agent/etcd_test.go
+++ b/internal/agent/etcd_test.go
@@ -18,11 +18,11 @@
 	clientv3 "go.etcd.io/etcd/client/v3"
 	"go.uber.org/zap"
 
-	"cometpond/internal/etcdsource"
-	"cometpond/internal/lab"
-	"cometpond/internal/member"
-	"cometpond/internal/roster"
-	standin "cometpond/internal/standin/etcd"
+	"eiderspread/internal/etcdsource"
+	"eiderspread/internal/lab"
+	"eiderspread/internal/member"
+	"eiderspread/internal/roster"
+	standin "eiderspread/internal/standin/etcd"
 )
 
 const patience = 60 * time.Second
--- a/internal/agent/publish.go
+++ b/internal/agent/publish.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"cometpond/internal/member"
-	"cometpond/internal/roster"
+	"eiderspread/internal/member"
+	"eiderspread/internal/roster"
 )
 
 const (
--- a/internal/etcdsource/follow.go
+++ b/internal/etcdsource/follow.go
@@ -13,7 +13,7 @@
 	"slices"
 	"strings"
 
-	"cometpond/internal/member"
+	"eiderspread/internal/member"
 )
 
 const (
--- a/internal/etcdsource/follow_test.go
+++ b/internal/etcdsource/follow_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"cometpond/internal/member"
+	"eiderspread/internal/member"
 )
 
 func kv(rev int64, key, v string) KV { return KV{Key: key, Value: []byte(v), Revision: rev} }
--- a/internal/etcdsource/source.go
+++ b/internal/etcdsource/source.go
@@ -15,7 +15,7 @@
 	clientv3 "go.etcd.io/etcd/client/v3"
 	"go.uber.org/zap"
 
-	"cometpond/internal/member"
+	"eiderspread/internal/member"
 )
 
 // Config says where etcd is and how it is followed.
--- a/internal/etcdsource/standin_test.go
+++ b/internal/etcdsource/standin_test.go
@@ -9,8 +9,8 @@
 	"go.etcd.io/etcd/api/v3/etcdserverpb"
 	"go.etcd.io/etcd/api/v3/mvccpb"
 
-	"cometpond/internal/member"
-	"cometpond/internal/standin/etcd"
+	"eiderspread/internal/member"
+	"eiderspread/internal/standin/etcd"
 )
 
 const patience = 20 * time.Second
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -6,7 +6,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"cometpond/internal/link"
+	"eiderspread/internal/link"
 )
 
 // File is what the operator's files of forwarders and planners have in common; docs/operating-two-levels.md
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"hash/fnv"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 // Params are the same at every forwarder and planner. Times are in seconds. A field of 0 gets its default.
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -10,9 +10,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 const (
--- a/internal/forward/core_test.go
+++ b/internal/forward/core_test.go
@@ -5,9 +5,9 @@
 	"strings"
 	"testing"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 var classes = []policy.Class{
--- a/internal/forward/file.go
+++ b/internal/forward/file.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"net/netip"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/ingress"
-	"cometpond/internal/link"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/ingress"
+	"eiderspread/internal/link"
 )
 
 // File is a forwarder's operator's file, checked.
--- a/internal/forward/remote.go
+++ b/internal/forward/remote.go
@@ -11,9 +11,9 @@
 	"net/http"
 	"time"
 
-	"cometpond/internal/ingress"
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/ingress"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 const (
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -5,7 +5,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 const probeS = 0.25 // how long a probe's answer is waited for
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -12,7 +12,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 // call is a client's request as it was read: what the module has to know of it, and the command
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -8,7 +8,7 @@
 	"reflect"
 	"strconv"
 
-	"cometpond/internal/settings"
+	"eiderspread/internal/settings"
 )
 
 // Config is what an ingress is told at its start.
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"cometpond/internal/roster"
+	"eiderspread/internal/roster"
 )
 
 type (
--- a/internal/ingress/fuzz_test.go
+++ b/internal/ingress/fuzz_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 // FuzzCommand guards the readers of clients, in which a panic would end the process: whatever comes,
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -20,8 +20,8 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/internal/settings"
-	"cometpond/policy"
+	"eiderspread/internal/settings"
+	"eiderspread/policy"
 )
 
 // patience bounds how long a test waits for what must come. It decides nothing but when to give up.
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -12,8 +12,8 @@
 	"runtime/debug"
 	"time"
 
-	"cometpond/internal/mono"
-	"cometpond/policy"
+	"eiderspread/internal/mono"
+	"eiderspread/policy"
 )
 
 const (
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/netip"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 const (
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"cometpond/internal/roster"
-	"cometpond/policy"
+	"eiderspread/internal/roster"
+	"eiderspread/policy"
 )
 
 const (
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -5,7 +5,7 @@
 	"net"
 	"testing"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 const value = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
--- a/internal/ingress/reply.go
+++ b/internal/ingress/reply.go
@@ -7,8 +7,8 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/internal/settings"
-	"cometpond/policy"
+	"eiderspread/internal/settings"
+	"eiderspread/policy"
 )
 
 // result is how an attempt ended.
--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 // Rules are the figures by which an Audit judges.
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 // Account is one customer and how it asks.
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -19,9 +19,9 @@
 	"syscall"
 	"time"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/roster"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/roster"
+	"eiderspread/policy"
 )
 
 // Spawn makes the command of one program: kind is forwarder, planner or ingress, file its configuration.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -13,11 +13,11 @@
 	"testing"
 	"time"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/forward"
-	"cometpond/internal/planner"
-	"cometpond/internal/program"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/forward"
+	"eiderspread/internal/planner"
+	"eiderspread/internal/program"
+	"eiderspread/policy"
 )
 
 // The test binary is also the programs under test, so that they run with the race detector.
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"cometpond/internal/forward"
-	"cometpond/internal/planner"
+	"eiderspread/internal/forward"
+	"eiderspread/internal/planner"
 )
 
 // Cost is what a run used, for a request of a client.
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"cometpond/internal/roster"
+	"eiderspread/internal/roster"
 )
 
 // Roster is a stand-in discovery. Each party asks at an address of its own, so that it is known who was told what
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"cometpond/internal/forward"
-	"cometpond/policy"
+	"eiderspread/internal/forward"
+	"eiderspread/policy"
 )
 
 // Classes and plans of the laboratory: the middle of what the operators state for rayon-quebec.
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"testing"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 // discard answers every Send at once on the next turn, through the codec as a link would.
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -7,9 +7,9 @@
 	"slices"
 	"strconv"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 // TickS is how often a Host wants to be ticked.
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -8,8 +8,8 @@
 	"math/rand/v2"
 	"slices"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/link"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/link"
 )
 
 const (
--- a/internal/planner/leases_test.go
+++ b/internal/planner/leases_test.go
@@ -6,9 +6,9 @@
 	"strings"
 	"testing"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 func params(t *testing.T, forwarders, planners int) fleet.Params {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -14,9 +14,9 @@
 	"sync/atomic"
 	"time"
 
-	"cometpond/internal/link"
-	"cometpond/internal/mono"
-	"cometpond/internal/roster"
+	"eiderspread/internal/link"
+	"eiderspread/internal/mono"
+	"eiderspread/internal/roster"
 )
 
 const (
--- a/internal/planner/server_test.go
+++ b/internal/planner/server_test.go
@@ -19,11 +19,11 @@
 	"testing"
 	"time"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/ingress"
-	"cometpond/internal/link"
-	"cometpond/internal/settings"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/ingress"
+	"eiderspread/internal/link"
+	"eiderspread/internal/settings"
+	"eiderspread/policy"
 )
 
 const patience = 20 * time.Second
--- a/internal/planner/sim_test.go
+++ b/internal/planner/sim_test.go
@@ -9,10 +9,10 @@
 	"strings"
 	"testing"
 
-	"cometpond/internal/fleet"
-	"cometpond/internal/forward"
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/forward"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 // The whole fleet in one goroutine under a seeded schedule: forwarders' cores and planners' hosts as they are, with
--- a/internal/planner/windows.go
+++ b/internal/planner/windows.go
@@ -5,8 +5,8 @@
 	"math"
 	"slices"
 
-	"cometpond/internal/link"
-	"cometpond/policy"
+	"eiderspread/internal/link"
+	"eiderspread/policy"
 )
 
 const (
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -12,9 +12,9 @@
 	"runtime/debug"
 	"syscall"
 
-	"cometpond/internal/forward"
-	"cometpond/internal/ingress"
-	"cometpond/internal/planner"
+	"eiderspread/internal/forward"
+	"eiderspread/internal/ingress"
+	"eiderspread/internal/planner"
 )
 
 const (
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,7 +16,7 @@
 	"slices"
 	"time"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 // wireSettings is the settings object as the wire words it; unknown keys are skipped.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 func TestParse(t *testing.T) {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"cometpond/policy"
+	"eiderspread/policy"
 )
 
 // ingress is the least that an ingress has to do: carry out what the gateway asks.
