--- a/cmd/eiderfleet/lab.go
+++ b/cmd/eiderfleet/lab.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,19 +13,40 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
 )
 
 func runLab(args []string) error {
+	rep, err := labRun(args, os.Stdout)
+	if err != nil || rep == nil {
+		return err
+	}
+	return rep.Verdict()
+}
+
+// playKept runs what a kept run's arguments say and returns its breaches by rule.
+func playKept(args []string) (map[string]int, error) {
+	rep, err := labRun(args, io.Discard)
+	if err != nil || rep == nil || rep.Void != "" {
+		return nil, err
+	}
+	return rep.Counts, nil
+}
+
+// labRun does what eiderfleet lab is asked for. Its report is nil where that was a measurement.
+func labRun(args []string, w io.Writer) (*audit.Report, error) {
 	set := flag.NewFlagSet("lab", flag.ContinueOnError)
 	forwarders := set.Int("forwarders", 20, "forwarders, or one-program ingresses with -planners 0")
 	planners := set.Int("planners", 3, "planners; 0 for a fleet of one level")
 	nodes := set.Int("nodes", 10, "zone nodes")
 	length := set.Duration("for", time.Minute, "how long clients ask")
-	faults := set.Bool("faults", true, "have things go wrong")
-	every := set.Duration("every", 2*time.Second, "mean time between two faults")
-	kinds := set.String("kinds", "", "faults to choose from: kill, term, pause, cut, split, lone, all, forwarder, drain")
+	scenario := set.String("scenario", "storm", "what goes wrong, one of:\n"+strings.Join(lab.ScenarioNames(), "\n"))
+	every := set.Duration("every", 0, "mean time between two faults, in place of the scenario's")
+	kinds := set.String("kinds", "", "faults to choose from, by commas, in place of the scenario's:\n"+strings.Join(lab.KindNames(), "\n"))
+	record := set.String("record", "", "keep the run in this file, for eiderfleet judge, replay and shrink")
+	replay := set.String("replay", "", "play the faults that this file of -record holds")
 	seed := set.Uint64("seed", 1, "of accounts, traffic and faults")
-	scale := set.Float64("scale", 1, "of the number of accounts")
+	scale := set.Float64("scale", 2, "of the number of accounts")
 	spread := set.Int("spread", 4, "forwarders that an account comes through")
 	dir := set.String("dir", "", "where files and logs go (a new folder)")
 	cost := set.Bool("cost", false, "measure what a request costs, without faults, at -sizes")
@@ -33,64 +55,54 @@
 	deaths := set.Int("deaths", 0, "kill a planner so many times, and measure the time until all cells are led again")
 	plan := set.Float64("rate", 1, "of what each account asks")
 	if err := set.Parse(args); err != nil {
-		return err
+		return nil, err
 	}
 	if *dir == "" {
 		var err error
 		if *dir, err = os.MkdirTemp("", "eiderfleet"); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	if err := os.MkdirAll(*dir, 0o700); err != nil {
-		return err
+		return nil, err
 	}
 	self, err := os.Executable()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	n := func(x int) int { return max(1, int(float64(x)**scale)) }
-	sc := lab.Scenario{Length: *length, Faults: *faults, Every: *every,
+	sc := lab.Scenario{Length: *length,
 		Accounts: lab.Accounts(n(20), n(10), n(3), *forwarders, *spread, *seed),
 		FleetConfig: lab.FleetConfig{Forwarders: *forwarders, Planners: *planners, Nodes: *nodes, Classes: lab.LabClasses,
 			Plans: lab.LabPlans, Node: lab.LabNode, Seed: *seed, Dir: *dir, Params: fleet.Params{},
-			Spawn: func(kind, file string) *exec.Cmd {
-				if kind == "ingress" {
-					c := exec.Command(filepath.Join(filepath.Dir(self), "eiderspread"))
-					c.Env = append(os.Environ(), "EDGE_CONFIG="+file)
-					return c
-				}
-				return exec.Command(self, kind, file)
-			}}}
-	if *kinds != "" {
-		sc.Kinds = strings.Split(*kinds, ",")
-	}
+			Spawn: spawner(self)}}
 	for i := range sc.Accounts {
 		sc.Accounts[i].Rate *= *plan
 	}
 	if *failsafes > 0 {
 		into, back, err := lab.Failsafes(sc.FleetConfig, *failsafes)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		fmt.Printf("%d cores, %d forwarders, %d planners, %d times: into the fail-safe median %v, worst %v; led again median %v, worst %v\n",
+		fmt.Fprintf(w, "%d cores, %d forwarders, %d planners, %d times: into the fail-safe median %v, worst %v; led again median %v, worst %v\n",
 			runtime.NumCPU(), *forwarders, *planners, len(into), into[len(into)/2].Round(time.Millisecond), into[len(into)-1].Round(time.Millisecond),
 			back[len(back)/2].Round(time.Millisecond), back[len(back)-1].Round(time.Millisecond))
-		return nil
+		return nil, nil
 	}
 	if *deaths > 0 {
 		back, err := lab.Deaths(sc.FleetConfig, *deaths)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		fmt.Printf("%d cores, %d forwarders, %d planners, %d deaths: led again median %v, worst %v\n", runtime.NumCPU(), *forwarders, *planners,
+		fmt.Fprintf(w, "%d cores, %d forwarders, %d planners, %d deaths: led again median %v, worst %v\n", runtime.NumCPU(), *forwarders, *planners,
 			len(back), back[len(back)/2].Round(time.Millisecond), back[len(back)-1].Round(time.Millisecond))
-		return nil
+		return nil, nil
 	}
 	if *cost {
-		fmt.Printf("%d cores, %d nodes, %d accounts, %v, seed %d\n%s\n", runtime.NumCPU(), *nodes, len(sc.Accounts), *length, *seed, lab.CostHeader)
+		fmt.Fprintf(w, "%d cores, %d nodes, %d accounts, %v, seed %d\n%s\n", runtime.NumCPU(), *nodes, len(sc.Accounts), *length, *seed, lab.CostHeader)
 		for _, size := range strings.Split(*sizes, ",") {
 			if _, err := fmt.Sscanf(size, "%d/%d", &sc.Forwarders, &sc.Planners); err != nil {
-				return fmt.Errorf("size %q: %w", size, err)
+				return nil, fmt.Errorf("size %q: %w", size, err)
 			}
 			sc.Accounts = lab.Accounts(n(20), n(10), n(3), sc.Forwarders, *spread, *seed)
 			for i := range sc.Accounts {
@@ -98,26 +110,48 @@
 			}
 			sc.Dir = filepath.Join(*dir, strings.ReplaceAll(size, "/", "-"))
 			if err := os.MkdirAll(sc.Dir, 0o700); err != nil {
-				return err
+				return nil, err
 			}
 			c, rep, err := lab.MeasureCost(sc, 3*time.Second)
 			if err != nil {
-				return err
+				return nil, err
 			}
-			c.Print(os.Stdout, size)
+			c.Print(w, size)
 			if len(rep.Breaches) > 0 {
-				rep.Print(os.Stdout)
+				rep.Print(w)
 			}
 		}
-		return nil
+		return nil, nil
 	}
-	fmt.Printf("%d cores, %d forwarders, %d planners, %d nodes, %d accounts, %v, seed %d, faults %v; logs in %s\n",
-		runtime.NumCPU(), *forwarders, *planners, *nodes, len(sc.Accounts), *length, *seed, *faults, *dir)
-	f, rep, err := lab.Run(sc, os.Stdout)
+	var chosen []string
+	if *kinds != "" {
+		chosen = strings.Split(*kinds, ",")
+		if err := lab.CheckKinds(chosen); err != nil {
+			return nil, err
+		}
+	}
+	if err := lab.Make(*scenario, &sc, chosen, *every); err != nil {
+		return nil, err
+	}
+	if *replay != "" {
+		was, err := readRun(*replay)
+		if err != nil {
+			return nil, err
+		}
+		sc.Faults = was.Faults
+	}
+	fmt.Fprintf(w, "%s: %d cores, %d forwarders, %d planners, %d nodes, %d accounts, %v, seed %d, %d faults; logs in %s\n", *scenario,
+		runtime.NumCPU(), *forwarders, *planners, sc.Nodes, len(sc.Accounts), *length, *seed, len(sc.Faults), *dir)
+	f, rep, err := lab.Run(sc, w)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if *record != "" {
+		if err := writeRun(*record, set, sc, f); err != nil {
+			return nil, err
+		}
 	}
-	rep.Print(os.Stdout)
+	rep.Print(w)
 	var fc, pc time.Duration
 	for _, p := range f.Forwarders {
 		fc += p.CPU()
@@ -125,10 +159,19 @@
 	for _, p := range f.Planners {
 		pc += p.CPU()
 	}
-	fmt.Printf("CPU a try: forwarders %.0f us, planners %.0f us\n", fc.Seconds()*1e6/float64(max(rep.Tries, 1)),
-		pc.Seconds()*1e6/float64(max(rep.Tries, 1)))
-	if len(rep.Breaches) > 0 {
-		return fmt.Errorf("%d breaches", len(rep.Breaches))
+	fmt.Fprintf(w, "CPU a try: forwarders %.0f us, planners %.0f us; the laboratory was %v late at worst\n", fc.Seconds()*1e6/float64(max(rep.Tries, 1)),
+		pc.Seconds()*1e6/float64(max(rep.Tries, 1)), f.Hist.Late.Round(time.Millisecond))
+	return rep, nil
+}
+
+// spawner starts the programs under test: this one, and the ingress that lies beside it.
+func spawner(self string) lab.Spawn {
+	return func(kind, file string) *exec.Cmd {
+		if kind == "ingress" {
+			c := exec.Command(filepath.Join(filepath.Dir(self), "eiderspread"))
+			c.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+			return c
+		}
+		return exec.Command(self, kind, file)
 	}
-	return nil
 }
--- a/cmd/eiderfleet/main.go
+++ b/cmd/eiderfleet/main.go
@@ -18,6 +18,10 @@
   planner [-check] FILE     a planner by its operator's file (deploy/planner.toml)
   status ADDR [ADDR ...]    who leads what, by the status addresses of forwarders and planners
   lab [flags]               a fleet with stand-ins on loopback, with faults and an audit; lab -h lists the flags
+  judge FILE                judges a run that lab -record kept, without running it again
+  shrink FILE [-runs N]     cuts the faults of a run that lab -record kept down to those that its breach needs
+  sim [flags]               the decision parts alone in virtual time, many schedules; sim -h lists the flags
+  mutants [flags]           takes guards out one by one and has the laboratory find out; mutants -h lists the flags
 `
 
 func main() {
@@ -50,6 +54,14 @@
 		return status(rest, os.Stdout)
 	case "lab":
 		return runLab(rest)
+	case "judge":
+		return judge(rest)
+	case "shrink":
+		return shrink(rest)
+	case "sim":
+		return runSim(rest)
+	case "mutants":
+		return runMutants(rest)
 	case "help", "-h", "--help":
 		fmt.Print(usage)
 		return nil
--- /dev/null
+++ b/cmd/eiderfleet/runs.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/sim"
+)
+
+// kept is what lab -record keeps: the call, the faults, and beside it, in FILE.history, what nodes and clients saw.
+type kept struct {
+	Args   []string    `json:"args"` // of eiderfleet lab
+	Faults []lab.Fault `json:"faults"`
+}
+
+func writeRun(path string, set *flag.FlagSet, sc lab.Scenario, f *lab.Fleet) error {
+	k := kept{Faults: sc.Faults}
+	set.Visit(func(x *flag.Flag) {
+		if x.Name != "record" && x.Name != "dir" && x.Name != "replay" {
+			k.Args = append(k.Args, "-"+x.Name+"="+x.Value.String())
+		}
+	})
+	text, err := json.MarshalIndent(k, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	out, err := os.Create(path + ".history")
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	rules := f.Rules()
+	rules.Floors = sc.Floors
+	return audit.Write(out, f.Hist, rules)
+}
+
+func readRun(path string) (k kept, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return k, err
+	}
+	if err := json.Unmarshal(text, &k); err != nil {
+		return k, fmt.Errorf("%s: %w", path, err)
+	}
+	return k, nil
+}
+
+// judge judges a kept run again.
+func judge(args []string) error {
+	if len(args) != 1 {
+		return fmt.Errorf("judge wants one file of lab -record")
+	}
+	in, err := os.Open(args[0] + ".history")
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	h, rules, err := audit.Read(in)
+	if err != nil {
+		return err
+	}
+	rep := audit.Audit(h, rules)
+	rep.Print(os.Stdout)
+	return rep.Verdict()
+}
+
+// shrink plays a kept run with ever fewer of its faults, each choice a few times since sockets don't repeat to the letter,
+// and prints those without which its breach is not seen.
+func shrink(args []string) error {
+	set := flag.NewFlagSet("shrink", flag.ContinueOnError)
+	runs := set.Int("runs", 2, "how often a choice of faults is played before it counts as without the breach")
+	if len(args) == 0 || strings.HasPrefix(args[0], "-") {
+		return fmt.Errorf("shrink wants a file of lab -record")
+	}
+	if err := set.Parse(args[1:]); err != nil {
+		return err
+	}
+	k, err := readRun(args[0])
+	if err != nil {
+		return err
+	}
+	in, err := os.Open(args[0] + ".history")
+	if err != nil {
+		return err
+	}
+	h, rules, err := audit.Read(in)
+	in.Close()
+	if err != nil {
+		return err
+	}
+	rep := audit.Audit(h, rules)
+	if len(rep.Breaches) == 0 {
+		return fmt.Errorf("%s holds no breach", args[0])
+	}
+	rule := rep.Breaches[0].Rule
+	dir, err := os.MkdirTemp("", "eidershrink")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	file := filepath.Join(dir, "run")
+	left := sim.Shrink(k.Faults, func(list []lab.Fault) bool {
+		text, _ := json.Marshal(kept{Faults: list})
+		if os.WriteFile(file, text, 0o600) != nil {
+			return false
+		}
+		for range *runs {
+			if counts, err := playKept(append(k.Args, "-replay="+file)); err == nil && counts[rule] > 0 {
+				fmt.Printf("%d faults: %s\n", len(list), rule)
+				return true
+			}
+		}
+		return false
+	})
+	fmt.Printf("%q needs %d of %d faults:\n", rule, len(left), len(k.Faults))
+	for _, x := range left {
+		fmt.Printf("%8.3f %v\n", x.At.Seconds(), x)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/eiderfleet/sim.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/sim"
+)
+
+// runSim plays schedules of a scenario in virtual time, and cuts the first that fails down to the faults that matter.
+func runSim(args []string) error {
+	set := flag.NewFlagSet("sim", flag.ContinueOnError)
+	scenario := set.String("scenario", "storm", "one of: "+strings.Join(names(lab.ScenarioNames()), ", "))
+	planners := set.Int("planners", 3, "3 for two levels, 0 for one")
+	schedules := set.Int("schedules", 20, "how many")
+	first := set.Uint64("seed", 1, "of the first schedule; the others follow")
+	length := set.Duration("for", 30*time.Second, "virtual time of each")
+	jobs := set.Int("jobs", runtime.NumCPU(), "schedules at a time")
+	shrink := set.Bool("shrink", true, "cut a schedule that fails down to the faults that matter")
+	rule := set.String("rule", "", "with this, only a breach of this rule fails a schedule")
+	if err := set.Parse(args); err != nil {
+		return err
+	}
+	play := func(cfg sim.Config) *audit.Report { return sim.New(cfg).Run() }
+	fails := func(r *audit.Report) bool {
+		return *rule == "" && len(r.Counts) > 0 || *rule != "" && r.Counts[*rule] > 0
+	}
+	began := time.Now()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var next atomic.Uint64
+	var failed []sim.Config
+	seen, counts, nearest := map[string]int{}, map[string]int{}, map[string]float64{}
+	tries, attempts := 0, 0
+	for range *jobs {
+		all.Go(func() {
+			for n := next.Add(1) - 1; n < uint64(*schedules); n = next.Add(1) - 1 {
+				cfg, err := sim.Make(*scenario, *planners > 0, *first+n, length.Seconds())
+				if err != nil {
+					mu.Lock()
+					fmt.Fprintln(os.Stderr, err)
+					failed = append(failed, cfg)
+					mu.Unlock()
+					return
+				}
+				r := play(cfg)
+				mu.Lock()
+				tries, attempts = tries+r.Tries, attempts+r.Attempts
+				for k, v := range r.Seen {
+					seen[k] += v
+				}
+				for k, v := range r.Counts {
+					counts[k] += v
+				}
+				for k, v := range r.Nearest {
+					nearest[k] = max(nearest[k], v)
+				}
+				if fails(r) {
+					failed = append(failed, cfg)
+					if len(failed) == 1 {
+						fmt.Printf("seed %d after %v: %v\n", cfg.Seed, time.Since(began).Round(time.Millisecond), r.Verdict())
+					}
+				}
+				stop := len(failed) > 0 && *shrink
+				mu.Unlock()
+				if stop {
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("%s, planners %d: %d schedules of %v from seed %d in %v on %d cores: %d tries, %d attempts, %d schedules failed\n", *scenario, *planners,
+		min(int(next.Load()), *schedules), *length, *first, time.Since(began).Round(time.Millisecond), runtime.NumCPU(), tries, attempts, len(failed))
+	for _, r := range append(slices.Clone(audit.RuleNames), "one leader", "everybody is led") {
+		if seen[r]+counts[r] > 0 {
+			fmt.Printf("  %-18s breaches %d, occasions %d\n", r, counts[r], seen[r])
+		}
+	}
+	for _, what := range slices.Sorted(maps.Keys(nearest)) {
+		fmt.Printf("  nearest to %s: %.2f\n", what, nearest[what])
+	}
+	if len(failed) == 0 {
+		return nil
+	}
+	if cfg := failed[0]; *shrink && cfg.Forwarders > 0 {
+		began := time.Now()
+		faults := sim.Shrink(cfg.Faults, func(list []lab.Fault) bool {
+			if time.Since(began) > time.Minute {
+				return false
+			}
+			c := cfg
+			c.Faults = list
+			return fails(play(c))
+		})
+		cfg.Faults = faults
+		fmt.Printf("seed %d: %d faults matter:\n", cfg.Seed, len(faults))
+		for _, x := range faults {
+			fmt.Printf("  %8.3f %v\n", x.At.Seconds(), x)
+		}
+		for _, b := range play(cfg).Breaches {
+			fmt.Printf("  %8.3f %s: %s\n", b.At.Seconds(), b.Rule, b.What)
+			break
+		}
+	}
+	return fmt.Errorf("%d schedules failed", len(failed))
+}
+
+// names are the first words of a list of names with what they stand for.
+func names(list []string) (out []string) {
+	for _, x := range list {
+		out = append(out, strings.Fields(x)[0])
+	}
+	return out
+}
--- a/internal/agent/cutoff_test.go
+++ b/internal/agent/cutoff_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/node"
 	"eiderspread/internal/roster"
 	"eiderspread/policy"
 )
@@ -34,9 +35,9 @@
 
 func measureCutoff(t *testing.T, by string) {
 	cfg := lab.FleetConfig{Forwarders: 1, Nodes: 6, Classes: lab.LabClasses, Plans: []policy.Plan{{Name: "wide", Rate: 1e5, Burst: 1e5, Price: 1}},
-		Node: lab.NodeConfig{Cores: 64, Queue: 500, Speed: 1, KeyedS: 4, Work: map[string]time.Duration{"zone-check": 5 * time.Millisecond,
-			"slot-hold": 5 * time.Millisecond, "courier-send": 5 * time.Millisecond}},
-		Seed: 1, Dir: t.TempDir(), MemoryMB: 256, Sockets: 1024,
+		Node: node.Config{Cores: 64, Queue: 500, Speed: 1, KeyedS: 4, Work: map[string]float64{"zone-check": 0.005, "slot-hold": 0.005,
+			"courier-send": 0.005}},
+		Seed: 1, Direct: true, Dir: t.TempDir(), MemoryMB: 256, Sockets: 1024,
 		Spawn: func(_, file string) *exec.Cmd {
 			c := exec.Command(*ingressBin)
 			c.Env = append(os.Environ(), "EDGE_CONFIG="+file)
@@ -68,7 +69,7 @@
 	go func() {
 		defer close(done)
 		lab.NewClients(lab.Traffic{Accounts: accounts, Classes: cfg.Classes, Shares: map[string]float64{"zone-check": 0.4, "slot-hold": 0.3, "courier-send": 0.3},
-			Units: map[string]int{"zone-check": 1, "slot-hold": 1, "courier-send": 1}, Seed: 1}, f.Hist, f.Addr).Run(ctx)
+			Units: map[string]int{"zone-check": 1, "slot-hold": 1, "courier-send": 1}, Seed: 1}, f.Hist, f.Front).Run(ctx)
 	}()
 	time.Sleep(2 * time.Second)
 	set := func(n *lab.Node, state string) {
--- a/internal/agent/etcd_test.go
+++ b/internal/agent/etcd_test.go
@@ -20,6 +20,7 @@
 
 	"eiderspread/internal/etcdsource"
 	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/member"
 	"eiderspread/internal/roster"
 	standin "eiderspread/internal/standin/etcd"
@@ -271,7 +272,7 @@
 		t.Fatal(err)
 	}
 	defer link.Close()
-	hist := lab.NewHistory()
+	hist := audit.New()
 	ros := lab.NewRoster(hist)
 	defer ros.Close()
 	addr, err := ros.For("a")
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -588,6 +588,7 @@
 		}
 		k.waiting = keep
 	}
+	c.overdue()
 	c.usage.sweep(now)
 	if now >= c.beatAt {
 		c.beatAt = now + c.cfg.BeatS
@@ -595,6 +596,22 @@
 	}
 }
 
+// overdue ends what a planner was told and has not answered by the last moment at which its client still listens: one that
+// has lost its lead, or stands still, says nothing more.
+func (c *Core) overdue() {
+	var list []*open
+	for _, o := range c.told {
+		if !o.over && c.now >= o.DeadlineS-TickS {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b *open) int { return cmp.Compare(a.handle, b.handle) })
+	for _, o := range list {
+		c.out.Link(c.cells[o.cell].holder, link.Msg{Kind: link.Gone, Handle: o.handle})
+		c.end(o)
+	}
+}
+
 // Led tells how many cells are led, and Failsafe for how many no new request is taken.
 func (c *Core) Led() (led, failsafe int) {
 	for i := range c.cells {
--- a/internal/forward/core_test.go
+++ b/internal/forward/core_test.go
@@ -378,3 +378,38 @@
 		t.Error("what was left out is not told, or for too long")
 	}
 }
+
+// Guards against a leader that says nothing more, as one whose lead has run out: what it was told is ended while its client
+// still listens, once, and nothing that comes later changes that.
+func TestToldAndNeverAnswered(t *testing.T) {
+	r := newRig(t)
+	r.lead(0, 64)
+	r.ask("a", "look")
+	r.ask("b", "bill")
+	r.sent(0, 64, "z1", 2)
+	r.said = nil
+	for ; r.now < 1000+1+2-2*TickS; r.now += TickS { // the leader's promise is renewed all the time
+		r.msg(0, link.Msg{Kind: link.Claim, Cell: r.cell(), Epoch: 64, Round: 1})
+		r.core.Tick(r.now)
+	}
+	for _, x := range r.said {
+		if strings.HasPrefix(x, "refuse") || strings.HasPrefix(x, "fail") {
+			t.Fatalf("ended too early: %v", r.said)
+		}
+	}
+	for ; r.now < 1000+1+5; r.now += TickS {
+		r.msg(0, link.Msg{Kind: link.Claim, Cell: r.cell(), Epoch: 64, Round: 1})
+		r.core.Tick(r.now)
+	}
+	answers := 0
+	for _, x := range r.said {
+		if strings.HasPrefix(x, "refuse a") || strings.HasPrefix(x, "fail b") {
+			answers++
+		} else if strings.HasPrefix(x, "refuse") || strings.HasPrefix(x, "fail") {
+			t.Errorf("%s", x)
+		}
+	}
+	if answers != 2 {
+		t.Errorf("%d answers: %v", answers, r.said)
+	}
+}
--- /dev/null
+++ b/internal/lab/audit/audit.go
@@ -0,0 +1,595 @@
+package audit
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"eiderspread/policy"
+)
+
+// The rules, as a Report names them.
+const (
+	Lost     = "no request lost"
+	Answer   = "one answer"
+	Order    = "answers in order"
+	Out      = "one attempt out"
+	Twice    = "no effect twice"
+	Drains   = "drains kept"
+	Cold     = "cold nodes stand"
+	Quotas   = "quotas kept"
+	Caps     = "caps kept"
+	Ceilings = "ceilings kept"
+)
+
+// RuleNames are all rules, in the order of a report.
+var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings}
+
+// Rules are the figures by which an Audit judges.
+type Rules struct {
+	Classes             []policy.Class
+	Plans               []policy.Plan
+	DrainS              float64        // grace after a drain was told; the network's 50 ms come on top
+	AnswerS             float64        // time past a try's deadline in which its answer still counts
+	OverlapS            float64        // for which two attempts may seem to overlap, since nodes notice an end late
+	CeilingS            float64        // of a ceiling's rate, that its slack is wider by
+	SlackUnit           float64        // the largest request
+	Quota               float64        // units beyond a quota that are a breach; 0: none are
+	CapX                float64        // times a cap on open attempts that may be out; 0: no bound is stated
+	Drift               float64        // what the fastest of the clocks makes of a second; 0 stands for 1
+	FallMultiple, FallS float64        // of the rule on cold nodes
+	ColdSlack           float64        // share of the budget that chance and the network's delays may add
+	Floors              map[string]int // by rule: occasions under which a run shows nothing
+	LateMost            time.Duration  // lateness of the laboratory from which on a run is void; 0: no bound
+}
+
+// Breach is one break of a rule.
+type Breach struct {
+	Rule, What string
+	At         time.Duration
+}
+
+// Overshoot is how far an account went beyond its bucket in any window.
+type Overshoot struct {
+	Account, Plan string
+	Units         float64 // that were passed on beyond rate and burst, at the worst moment
+	Percent       float64 // of the burst
+	At            time.Duration
+}
+
+// Report is what an Audit found.
+type Report struct {
+	Breaches   []Breach
+	Counts     map[string]int     // of breaches, by rule
+	Seen       map[string]int     // occasions, by rule: times at which it could have been broken
+	Occasions  map[string]int     // the same in detail
+	Nearest    map[string]float64 // how near a run came to what a rule allows, 1: at it
+	Void       string             // why the run can't be judged, "" if it can
+	Tries      int
+	Results    map[Result]int
+	Attempts   int
+	Overshoots []Overshoot // of accounts that went beyond, the worst first
+	Service    float64     // in-quota worth answered in time over worth asked for inside the quotas
+	Windows    []float64   // service by second of asking, of accounts that stay inside their quotas; -1: nothing asked
+	ByPlan     map[string]float64
+	ByClass    map[string]float64
+	Retries    map[string]int // further attempts, by class and by how the one before ended
+	floors     map[string]int
+}
+
+// Verdict is nil for a run that shows that the rules hold: no breach, and occasions enough.
+func (r *Report) Verdict() error {
+	if r.Void != "" {
+		return fmt.Errorf("void: %s", r.Void)
+	}
+	if len(r.Breaches) > 0 {
+		return fmt.Errorf("%d breaches, first of %q: %s", r.total(), r.Breaches[0].Rule, r.Breaches[0].What)
+	}
+	for _, rule := range RuleNames {
+		if r.Seen[rule] < r.floors[rule] {
+			return fmt.Errorf("%q was not seen: %d occasions, %d wanted", rule, r.Seen[rule], r.floors[rule])
+		}
+	}
+	return nil
+}
+
+func (r *Report) total() (n int) {
+	for _, c := range r.Counts {
+		n += c
+	}
+	return n
+}
+
+// saw counts an occasion to break a rule.
+func (r *Report) saw(rule, what string) {
+	r.Seen[rule]++
+	r.Occasions[rule+": "+what]++
+}
+
+func (r *Report) near(what string, x float64) { r.Nearest[what] = max(r.Nearest[what], x) }
+
+const breachesKept = 50
+
+func (r *Report) breach(rule string, at time.Duration, format string, args ...any) {
+	r.Counts[rule]++
+	if len(r.Breaches) < breachesKept {
+		r.Breaches = append(r.Breaches, Breach{rule, fmt.Sprintf(format, args...), at})
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// bucket is a store of units that starts full.
+type bucket struct {
+	rate, most, room float64
+	at               time.Duration
+}
+
+func newBucket(rate, most float64) *bucket { return &bucket{rate: rate, most: most, room: most} }
+
+func (b *bucket) to(at time.Duration) {
+	b.room = min(b.most, b.room+b.rate*(at-b.at).Seconds())
+	b.at = at
+}
+
+// Audit judges a history.
+func Audit(h *History, rules Rules) *Report {
+	defer h.Lock()()
+	rep := &Report{Counts: map[string]int{}, Seen: map[string]int{}, Occasions: map[string]int{}, Nearest: map[string]float64{},
+		Results: map[Result]int{}, ByPlan: map[string]float64{}, ByClass: map[string]float64{}, Retries: map[string]int{}, floors: rules.Floors}
+	if rules.LateMost > 0 && h.Late > rules.LateMost {
+		rep.Void = fmt.Sprintf("the laboratory was %v late, %v at most", h.Late.Round(time.Millisecond), rules.LateMost)
+	}
+	classes, plans := map[string]policy.Class{}, map[string]policy.Plan{}
+	for _, c := range rules.Classes {
+		classes[c.Name] = c
+	}
+	for _, p := range rules.Plans {
+		if rules.Drift > 0 {
+			p.Rate, p.CeilingRate = p.Rate*rules.Drift, p.CeilingRate*rules.Drift
+		}
+		plans[p.Name] = p
+	}
+	byID := map[string][]*Attempt{}
+	for _, a := range h.Attempts {
+		key := a.ID + "/" + a.Account
+		byID[key] = append(byID[key], a)
+	}
+	tries := map[string]*Try{}
+	for _, t := range h.Tries {
+		tries[t.key()] = t
+	}
+	rep.Tries, rep.Attempts = len(h.Tries), len(h.Attempts)
+	rep.answers(h, rules, classes, byID)
+	for _, key := range slices.Sorted(maps.Keys(byID)) {
+		rep.attempts(h, rules, classes[byID[key][0].Class], byID[key], tries[key])
+	}
+	rep.drains(h, rules, tries)
+	rep.cold(h, rules)
+	rep.caps(h, rules, plans)
+	inside := rep.quotas(h, rules, plans)
+	rep.asked(h, plans)
+	rep.service(h, classes, plans, inside)
+	sort.SliceStable(rep.Breaches, func(i, j int) bool { return rep.Breaches[i].At < rep.Breaches[j].At })
+	return rep
+}
+
+// answers judges what clients got: each one answer, in time, of its own; and no refusal of what may have run.
+func (rep *Report) answers(h *History, rules Rules, classes map[string]policy.Class, byID map[string][]*Attempt) {
+	now := h.Now()
+	out := func(t *Try, until time.Duration) bool {
+		return slices.ContainsFunc(h.Outages, func(o Outage) bool {
+			return o.Forwarder == t.Forwarder && o.From <= until && o.To >= t.Sent
+		})
+	}
+	for _, t := range h.Tries {
+		rep.Results[t.Result]++
+		due := t.Deadline + seconds(rules.AnswerS)
+		attempts := byID[t.key()]
+		if slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.How != "served" }) {
+			rep.saw(Lost, "tries that met trouble")
+		}
+		if len(attempts) > 1 {
+			rep.saw(Answer, "tries with several attempts")
+		}
+		if slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.How == "copy" || a.How == "late" }) {
+			rep.saw(Answer, "late answers and copies")
+		}
+		if t.Batch > 1 && t.Answers > 0 {
+			rep.saw(Order, "answers behind others on a connection")
+		}
+		switch {
+		case t.Answers > 1:
+			rep.breach(Answer, t.Answered, "%s has %d answers", t.ID, t.Answers)
+		case t.Result == Alien && t.Batch > 0:
+			rep.breach(Order, t.Answered, "%s, number %d of its connection, was served with another's value", t.ID, t.Batch)
+		case t.Result == Alien:
+			rep.breach(Answer, t.Answered, "%s was served with another's value", t.ID)
+		case t.Result == Left, t.Untaken:
+		case (t.Result == Open || t.Result == Broken) && due < now && !out(t, due):
+			rep.breach(Lost, t.Sent, "%s at forwarder %d has no answer", t.ID, t.Forwarder)
+		case t.Answers == 1 && t.Answered > due && t.Batch < 2 && !out(t, due): // behind others it may have to wait for them
+			rep.breach(Lost, t.Answered, "%s was answered %v late", t.ID, t.Answered-t.Deadline)
+		}
+		if t.Result == Served && !slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.Answered > 0 }) {
+			rep.breach(Answer, t.Answered, "%s was served though no node has", t.ID)
+		}
+		if len(attempts) == 0 || classes[t.Class].Effect != policy.Unsafe || t.Result == Served || t.Result == Left {
+			continue
+		}
+		if mayHave := slices.IndexFunc(attempts, (*Attempt).MayHaveRun); mayHave >= 0 {
+			rep.saw(Twice, "final answers of unsafe tries that may have run, unserved")
+			if t.Result == Refused {
+				rep.breach(Twice, t.Answered, "%s was refused though it may have run: %s at %s", t.ID, attempts[mayHave].How, attempts[mayHave].Node)
+			}
+		}
+	}
+}
+
+// end is when an attempt was over for whoever sent it, by the node or by the end of its connection; 0: it never was.
+func (h *History) end(a *Attempt) time.Duration {
+	end := a.End
+	if a.Answered > 0 && a.Answered < end { // answered whole; what the node does after that is its own matter
+		end = a.Answered
+	}
+	for _, at := range h.ConnEnds[a.Conn] {
+		if at >= a.At {
+			if end == 0 || at < end {
+				end = at
+			}
+			break
+		}
+	}
+	return end
+}
+
+// attempts judges the attempts of one try, in the order of their coming.
+func (rep *Report) attempts(h *History, rules Rules, c policy.Class, list []*Attempt, t *Try) {
+	effects, began := 0, 0
+	for i, a := range list {
+		if a.Began {
+			if began++; !a.Repeat {
+				effects++
+			}
+		}
+		if a.MayHaveRun() && a.How != "served" && c.Effect != policy.Safe && (t == nil || t.Left == 0) {
+			rep.saw(Twice, c.Name+" that may have run, unserved")
+		}
+		if i == 0 {
+			continue
+		}
+		before := list[i-1]
+		rep.saw(Out, "further attempts")
+		rep.Retries[c.Name+" after "+before.How]++
+		if end := h.end(before); end == 0 || end > a.At+seconds(rules.OverlapS) {
+			rep.breach(Out, a.At, "%s came to %s while out at %s (%s)", a.ID, a.Node, before.Node, before.How)
+		}
+		if c.Effect == policy.Unsafe && before.MayHaveRun() {
+			rep.breach(Twice, a.At, "%s came to %s though it may have run: %s at %s", a.ID, a.Node, before.How, before.Node)
+		}
+		if t != nil && t.Answered > 0 && t.Result != Left && a.At > t.Answered+seconds(rules.OverlapS) {
+			rep.breach(Answer, a.At, "%s came to %s %v after its final answer", a.ID, a.Node, a.At-t.Answered)
+		}
+	}
+	if c.Effect == policy.Unsafe && began > 1 {
+		rep.breach(Twice, list[0].At, "%s ran %d times", list[0].ID, began)
+	}
+	if c.Effect == policy.Keyed && effects > 1 {
+		rep.breach(Twice, list[0].At, "%s had %d effects", list[0].ID, effects)
+	}
+}
+
+// cold holds what was sent to each node that had just started against its budget, all senders together.
+func (rep *Report) cold(h *History, rules Rules) {
+	if rules.FallMultiple <= 0 {
+		return
+	}
+	lives := make([][]*Attempt, len(h.Lives))
+	for _, a := range h.Attempts {
+		if l := h.Lives[a.Life]; (a.At - l.Started).Seconds() < l.ColdS {
+			lives[a.Life] = append(lives[a.Life], a)
+			rep.saw(Cold, "sends to cold nodes")
+		}
+	}
+	span := seconds(rules.FallS)
+	for n, list := range lives {
+		l, from, sum := h.Lives[n], 0, 0.0
+		for _, a := range list {
+			sum += a.Work
+			for list[from].At < a.At-span {
+				sum -= list[from].Work
+				from++
+			}
+			share := l.ColdFrom + (1-l.ColdFrom)*(a.At-l.Started).Seconds()/l.ColdS
+			budget := rules.FallMultiple * l.Capacity * share * rules.FallS
+			rep.near("budget of a cold node", sum/budget)
+			if sum > budget*(1+rules.ColdSlack) {
+				rep.breach(Cold, a.At, "%s, %v old, was sent %.2f s of work within %v, %.2f at most", l.Node, (a.At - l.Started).Round(time.Millisecond), sum, span, budget)
+				break
+			}
+		}
+	}
+}
+
+// caps measures how many attempts accounts had out at once, against their plans' caps.
+func (rep *Report) caps(h *History, rules Rules, plans map[string]policy.Plan) {
+	type edge struct {
+		at time.Duration
+		by int
+	}
+	edges := map[string][]edge{}
+	plan := map[string]policy.Plan{}
+	for _, a := range h.Attempts {
+		if p := plans[a.Plan]; p.Parallel > 0 {
+			end := h.end(a)
+			if end == 0 {
+				end = h.Now()
+			}
+			plan[a.Account] = p
+			edges[a.Account] = append(edges[a.Account], edge{a.At, 1}, edge{end, -1})
+		}
+	}
+	for account, list := range edges {
+		sort.Slice(list, func(i, j int) bool {
+			return list[i].at < list[j].at || list[i].at == list[j].at && list[i].by < list[j].by
+		})
+		out, most := 0, 0
+		for _, e := range list {
+			out += e.by
+			most = max(most, out)
+		}
+		cap := plan[account].Parallel
+		rep.near("cap on open attempts", float64(most)/float64(cap))
+		if most >= cap {
+			rep.saw(Caps, "accounts at their cap")
+		}
+		if rules.CapX > 0 && float64(most) > rules.CapX*float64(cap) {
+			rep.breach(Caps, list[0].at, "%s had %d attempts out, its cap is %d", account, most, cap)
+		}
+	}
+}
+
+// asked counts what clients asked for beyond quotas and ceilings: the occasions to go beyond them.
+func (rep *Report) asked(h *History, plans map[string]policy.Plan) {
+	type stores struct{ quota, ceiling *bucket }
+	accounts := map[string]*stores{}
+	for _, t := range h.Tries { // in the order of their sending, nearly
+		p := plans[t.Plan]
+		s := accounts[t.Account]
+		if s == nil {
+			s = &stores{newBucket(p.Rate, p.Burst), newBucket(p.CeilingRate, p.CeilingBurst)}
+			accounts[t.Account] = s
+		}
+		for _, x := range []struct {
+			b    *bucket
+			rule string
+		}{{s.quota, Quotas}, {s.ceiling, Ceilings}} {
+			if x.b.rate <= 0 {
+				continue
+			}
+			if x.b.to(t.Sent); x.b.room < t.Units {
+				rep.saw(x.rule, "tries asked beyond")
+			} else {
+				x.b.room -= t.Units
+			}
+		}
+	}
+}
+
+// drains looks for what came to a node too long after the forwarder was told that it drains or is gone.
+func (rep *Report) drains(h *History, rules Rules, tries map[string]*Try) {
+	type key struct{ party, node string }
+	told := map[key][]Told{}
+	back := map[string][]time.Duration{} // when a party came back from being killed, with nothing but its last list
+	for _, o := range append(slices.Clone(h.Outages), h.Restarts...) {
+		back[Party(o.Forwarder)] = append(back[Party(o.Forwarder)], o.To)
+	}
+	for _, t := range h.Told {
+		k := key{t.Party, t.Node}
+		told[k] = append(told[k], t)
+	}
+	sentTo := map[key][]time.Duration{}
+	for _, a := range h.Attempts {
+		t := tries[a.ID+"/"+a.Account]
+		if t == nil {
+			continue
+		}
+		sentTo[key{Party(t.Forwarder), a.Node}] = append(sentTo[key{Party(t.Forwarder), a.Node}], a.At)
+		last := Told{State: "in_service"}
+		for _, x := range told[key{Party(t.Forwarder), a.Node}] {
+			if x.At < a.At && !slices.ContainsFunc(back[x.Party], func(at time.Duration) bool { return x.At < at && at < a.At }) {
+				last = x
+			}
+		}
+		if grace := seconds(rules.DrainS) + 50*time.Millisecond; last.State != "in_service" && a.At > last.At+grace {
+			rep.breach(Drains, a.At, "%s came to %s %v after forwarder %d was told %q", a.ID, a.Node, a.At-last.At, t.Forwarder, last.State)
+		}
+	}
+	for _, t := range h.Told {
+		if t.State == "in_service" {
+			continue
+		}
+		if slices.ContainsFunc(sentTo[key{t.Party, t.Node}], func(at time.Duration) bool { return at < t.At && at > t.At-time.Second }) {
+			rep.saw(Drains, "told "+t.State+" with work in the second before")
+		}
+	}
+}
+
+// quotas replays what came to nodes, each try once, against each account's buckets. It returns the tries that
+// were inside their quotas when they were passed on.
+func (rep *Report) quotas(h *History, rules Rules, plans map[string]policy.Plan) (inside map[string]bool) {
+	inside = map[string]bool{}
+	type account struct {
+		plan           policy.Plan
+		quota, ceiling *bucket
+		store          *bucket // takes only what is inside the quota
+		worst          float64
+		at             time.Duration
+		broken, over   bool
+	}
+	accounts := map[string]*account{}
+	seen := map[string]bool{}
+	for _, a := range h.Attempts { // in the order of their coming
+		if seen[a.ID+"/"+a.Account] {
+			continue
+		}
+		seen[a.ID+"/"+a.Account] = true
+		x := accounts[a.Account]
+		if x == nil {
+			p := plans[a.Plan]
+			x = &account{plan: p, quota: newBucket(p.Rate, p.Burst), ceiling: newBucket(p.CeilingRate, p.CeilingBurst),
+				store: newBucket(p.Rate, p.Burst)}
+			accounts[a.Account] = x
+		}
+		if x.plan.Rate > 0 {
+			x.quota.to(a.At)
+			x.quota.room -= a.Units
+			if -x.quota.room > x.worst+1e-6 {
+				x.worst, x.at = -x.quota.room, a.At
+			}
+			rep.near("quota", (x.plan.Burst-x.quota.room)/x.plan.Burst)
+			if rules.Quota > 0 && x.worst > rules.Quota && !x.over {
+				x.over = true
+				rep.breach(Quotas, a.At, "%s is %.1f units over its quota, slack %.1f", a.Account, x.worst, rules.Quota)
+			}
+		}
+		if x.store.to(a.At); x.plan.Rate == 0 || x.store.room >= a.Units {
+			inside[a.ID+"/"+a.Account] = true
+			x.store.room -= a.Units
+		}
+		if x.plan.CeilingRate > 0 {
+			x.ceiling.to(a.At)
+			x.ceiling.room -= a.Units
+			slack := max(x.plan.CeilingSlack, 0.1*x.plan.CeilingBurst, rules.SlackUnit) + rules.CeilingS*x.plan.CeilingRate
+			rep.near("ceiling and slack", (x.plan.CeilingBurst-x.ceiling.room)/(x.plan.CeilingBurst+slack))
+			if x.ceiling.room < -slack && !x.broken {
+				x.broken = true
+				rep.breach(Ceilings, a.At, "%s is %.1f units over its ceiling, slack %.1f", a.Account, -x.ceiling.room, slack)
+			}
+		}
+	}
+	for name, x := range accounts {
+		if x.worst > 0 {
+			rep.Overshoots = append(rep.Overshoots, Overshoot{name, x.plan.Name, x.worst, 100 * x.worst / x.plan.Burst, x.at})
+		}
+	}
+	slices.SortFunc(rep.Overshoots, func(a, b Overshoot) int {
+		switch {
+		case a.Percent > b.Percent:
+			return -1
+		case a.Percent < b.Percent:
+			return 1
+		}
+		return 0
+	})
+	return inside
+}
+
+// service weighs what was answered in time against what one gateway that saw all first tries would let in.
+func (rep *Report) service(h *History, classes map[string]policy.Class, plans map[string]policy.Plan, inside map[string]bool) {
+	inTime := map[string]bool{}
+	sent := map[string]time.Duration{}
+	for _, t := range h.Tries {
+		if t.ID == t.First {
+			sent[t.ID] = t.Sent
+		}
+	}
+	for _, t := range h.Tries {
+		if t.Result == Served && inside[t.key()] && t.Answered <= sent[t.First]+seconds(classes[t.Class].AimS) {
+			inTime[t.First] = true
+		}
+	}
+	type sum struct{ asked, got float64 }
+	byAccount := map[string]*sum{}
+	planOf := map[string]string{}
+	over := map[string]bool{} // accounts that ask beyond their quotas: more served hides what is lost
+	windows := map[int]map[string]*sum{}
+	buckets := map[string]*bucket{}
+	firsts := make([]*Try, 0, len(h.Tries))
+	for _, t := range h.Tries {
+		if t.ID == t.First {
+			firsts = append(firsts, t)
+		}
+	}
+	sort.Slice(firsts, func(i, j int) bool { return firsts[i].Sent < firsts[j].Sent })
+	for _, t := range firsts {
+		p := plans[t.Plan]
+		b := buckets[t.Account]
+		if b == nil {
+			b = newBucket(p.Rate, p.Burst)
+			buckets[t.Account] = b
+		}
+		b.to(t.Sent)
+		worth := classes[t.Class].Worth * p.Price * t.Units
+		if byAccount[t.Account] == nil {
+			byAccount[t.Account], planOf[t.Account] = &sum{}, t.Plan
+		}
+		w := int(t.Sent.Seconds())
+		if windows[w] == nil {
+			windows[w] = map[string]*sum{}
+		}
+		if windows[w][t.Account] == nil {
+			windows[w][t.Account] = &sum{}
+		}
+		if p.Rate == 0 || b.room >= t.Units {
+			b.room -= t.Units
+			byAccount[t.Account].asked += worth
+			windows[w][t.Account].asked += worth
+		} else {
+			over[t.Account] = true
+		}
+		if inTime[t.ID] {
+			byAccount[t.Account].got += worth
+			windows[w][t.Account].got += worth
+		}
+	}
+	classSums := map[string]*sum{}
+	for _, t := range firsts {
+		if over[t.Account] {
+			continue
+		}
+		if classSums[t.Class] == nil {
+			classSums[t.Class] = &sum{}
+		}
+		classSums[t.Class].asked += t.Units
+		if inTime[t.ID] {
+			classSums[t.Class].got += t.Units
+		}
+	}
+	var all sum // of each account no more counts than it may have
+	byPlan := map[string]*sum{}
+	for name, s := range byAccount {
+		if byPlan[planOf[name]] == nil {
+			byPlan[planOf[name]] = &sum{}
+		}
+		for _, to := range []*sum{&all, byPlan[planOf[name]]} {
+			to.asked += s.asked
+			to.got += min(s.got, s.asked)
+		}
+	}
+	rate := func(s sum) float64 {
+		if s.asked == 0 {
+			return -1
+		}
+		return s.got / s.asked
+	}
+	rep.Service = rate(all)
+	for name, s := range classSums {
+		rep.ByClass[name] = rate(*s)
+	}
+	for name, s := range byPlan {
+		rep.ByPlan[name] = rate(*s)
+	}
+	for w := range int(h.Now().Seconds()) + 1 {
+		var of sum
+		for name, s := range windows[w] {
+			if !over[name] {
+				of.asked += s.asked
+				of.got += s.got
+			}
+		}
+		rep.Windows = append(rep.Windows, rate(of))
+	}
+}
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -2,16 +2,21 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"eiderspread/internal/lab/audit"
 	"eiderspread/policy"
 )
 
@@ -32,27 +37,34 @@
 	Shares   map[string]float64 // of the requests, by class
 	Units    map[string]int     // by class
 	Retries  int                // of a client, after its first try
+	HangUps  float64            // share of the tries whose client hangs up at a random moment
+	Batches  float64            // share of the requests that go out in threes on one connection
+	Rude     int                // clients that send what they should not
 	Seed     uint64
 }
 
 // Clients stand in for restaurants' programs: each account asks by chance at its rate, each request on a connection
 // of its own for as long as it lasts, with as many tries as are allowed. Nothing waits for answers.
 type Clients struct {
-	cfg  Traffic
-	hist *History
-	addr func(forwarder int) string // "" while it is not to be asked
+	cfg   Traffic
+	hist  *audit.History
+	front *Front
 
-	mu   sync.Mutex
-	idle map[int][]*clientConn
-	rng  *rand.Rand
-	next uint64
-	wg   sync.WaitGroup
+	mu     sync.Mutex
+	idle   map[int][]*clientConn // by forwarder
+	rng    *rand.Rand
+	next   uint64
+	last   *audit.Try
+	floods map[string]float64 // factor by account
+	wg     sync.WaitGroup     // bounded by the run's length and rates
 }
 
 type clientConn struct {
 	net.Conn
 	r      *bufio.Reader
 	idleAt time.Time
+	life   int  // of the forwarder's program
+	used   bool // it has carried a request before
 }
 
 // idleMost is how long a connection is kept: less than what a forwarder allows, so that none is closed while a
@@ -71,8 +83,16 @@
 }
 
 // NewClients makes clients; Run starts them.
-func NewClients(cfg Traffic, hist *History, addr func(int) string) *Clients {
-	return &Clients{cfg: cfg, hist: hist, addr: addr, idle: map[int][]*clientConn{}, rng: rand.New(rand.NewPCG(cfg.Seed, 11))}
+func NewClients(cfg Traffic, hist *audit.History, front *Front) *Clients {
+	return &Clients{cfg: cfg, hist: hist, front: front, idle: map[int][]*clientConn{}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
+		floods: map[string]float64{}}
+}
+
+// Flood has an account ask for x times what it does, until it is taken back with 1.
+func (c *Clients) Flood(account string, x float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.floods[account] = x
 }
 
 // Run asks until ctx ends and waits for the last answers.
@@ -84,6 +104,13 @@
 			c.account(ctx, a, rand.New(rand.NewPCG(c.cfg.Seed, uint64(i)+100)))
 		}()
 	}
+	for i := range c.cfg.Rude {
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			c.rude(ctx, rand.New(rand.NewPCG(c.cfg.Seed, uint64(i)+1<<20)))
+		}()
+	}
 	c.wg.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,7 +130,9 @@
 	next := time.Now()
 	flood := time.Now().Add(time.Duration(rng.Float64() * float64(a.FloodEvery)))
 	for ctx.Err() == nil {
-		rate := a.Rate / mean
+		c.mu.Lock()
+		rate := a.Rate / mean * cmp.Or(c.floods[a.Name], 1)
+		c.mu.Unlock()
 		if now := time.Now(); a.FloodX > 0 && now.After(flood) {
 			rate *= a.FloodX
 			if now.After(flood.Add(a.FloodFor)) {
@@ -125,18 +154,37 @@
 				break
 			}
 		}
-		f := a.First + rng.IntN(a.Spread)
 		key := strconv.FormatUint(rng.Uint64(), 16)
+		batch := rng.Float64() < c.cfg.Batches
 		c.wg.Add(1)
 		go func() {
 			defer c.wg.Done()
-			c.request(ctx, a, class, f, key)
+			if batch {
+				c.batch(a, key)
+			} else {
+				c.request(ctx, a, class, key)
+			}
 		}()
 	}
 }
 
+// newID returns an id that no request has had.
+func (c *Clients) newID() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	return fmt.Sprintf("%016x", c.next)
+}
+
+// chance draws from 0 to 1.
+func (c *Clients) chance() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.Float64()
+}
+
 // request makes a request's tries.
-func (c *Clients) request(ctx context.Context, a Account, class policy.Class, f int, key string) {
+func (c *Clients) request(ctx context.Context, a Account, class policy.Class, key string) {
 	began := time.Now()
 	first := ""
 	for try := 0; try <= c.cfg.Retries; try++ {
@@ -144,29 +192,22 @@
 		if left < 50*time.Millisecond || try > 0 && ctx.Err() != nil {
 			return
 		}
-		c.mu.Lock()
-		c.next++
-		id := fmt.Sprintf("%016x", c.next)
-		wait := time.Duration((0.1 + 0.2*c.rng.Float64()) * float64(time.Second))
-		c.mu.Unlock()
+		id := c.newID()
+		wait := time.Duration((0.1 + 0.2*c.chance()) * float64(time.Second))
 		if first == "" {
 			first = id
 		}
-		r, hint := c.try(a, class, f, id, first, key, left)
-		if r == Served || r == Alien || (r == Failed || r == Broken) && class.Effect == policy.Unsafe {
+		r, hint := c.try(a, class, c.front.Pick(a), id, first, key, left)
+		if r == audit.Served || r == audit.Alien || r == audit.Left || (r == audit.Failed || r == audit.Broken) && class.Effect == policy.Unsafe {
 			return
 		}
 		time.Sleep(max(hint, wait))
-		f = a.First + (f-a.First+1)%a.Spread
 	}
 }
 
-func (c *Clients) dial(f int) (*clientConn, error) {
-	addr := c.addr(f)
-	if addr == "" {
-		return nil, io.EOF
-	}
-	for {
+// dial takes a connection out of the pool or makes one.
+func (c *Clients) dial(f int, fresh bool) (*clientConn, error) {
+	for !fresh {
 		c.mu.Lock()
 		list := c.idle[f]
 		if len(list) == 0 {
@@ -181,22 +222,23 @@
 		}
 		k.Close()
 	}
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	life := c.front.Life(f)
+	conn, err := net.DialTimeout("tcp", c.front.Addr(f), time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn, r: bufio.NewReader(conn)}, nil
+	return &clientConn{Conn: conn, r: bufio.NewReader(conn), life: life}, nil
 }
 
 func (c *Clients) release(f int, k *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k.idleAt = time.Now()
+	k.idleAt, k.used = time.Now(), true
 	c.idle[f] = append(c.idle[f], k)
 }
 
-// try sends one request and reads its answer.
-func (c *Clients) try(a Account, class policy.Class, f int, id, first, key string, left time.Duration) (Result, time.Duration) {
+// command words a request.
+func (c *Clients) command(a Account, class policy.Class, id, key string, left time.Duration) string {
 	fields := fmt.Sprintf("c=%s,t=%s,d=%d,units=%d,spread=%d,first=%d", class.Name, a.Plan, left.Milliseconds(),
 		c.cfg.Units[class.Name], a.Spread, a.First)
 	args := []string{"CALL.GET", a.Name, id, fields}
@@ -212,37 +254,116 @@
 	for _, x := range args {
 		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(x), x)
 	}
-	t := &Try{ID: id, First: first, Account: a.Name, Class: class.Name, Plan: a.Plan, Forwarder: f,
-		Units: float64(c.cfg.Units[class.Name])}
-	k, err := c.dial(f)
-	if err != nil {
-		return Broken, 0 // nobody took it
-	}
+	return b.String()
+}
+
+// sent records a try as sent now.
+func (c *Clients) sent(t *audit.Try, left time.Duration) {
 	t.Sent = c.hist.Now()
 	t.Deadline = t.Sent + left
-	c.hist.sent(t)
-	k.SetDeadline(time.Now().Add(left + 2*time.Second))
-	answer, err := k.ask(b.String())
-	r, hint := Broken, 0
+	c.hist.Sent(t)
+	c.mu.Lock()
+	c.last = t
+	c.mu.Unlock()
+}
+
+// result tells what an answer to a request means, and when to come back.
+func result(answer, id string) (audit.Result, time.Duration) {
 	switch {
-	case err != nil:
 	case answer == "v:"+id:
-		r = Served
+		return audit.Served, 0
 	case strings.HasPrefix(answer, "-BUSY"):
-		r = Refused
-		hint, _ = strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(answer, "-BUSY")))
+		hint, _ := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(answer, "-BUSY")))
+		return audit.Refused, time.Duration(hint) * time.Millisecond
 	case strings.HasPrefix(answer, "-"):
-		r = Failed
-	default:
-		r = Alien
+		return audit.Failed, 0
 	}
-	c.hist.answered(t, r)
-	if err != nil {
+	return audit.Alien, 0
+}
+
+// try sends one request and reads its answer. On a connection that the forwarder closed between requests, while the same
+// program still runs, it is sent once more on a new one.
+func (c *Clients) try(a Account, class policy.Class, f int, id, first, key string, left time.Duration) (audit.Result, time.Duration) {
+	command := c.command(a, class, id, key, left)
+	t := &audit.Try{ID: id, First: first, Account: a.Name, Class: class.Name, Plan: a.Plan, Forwarder: f,
+		Units: float64(c.cfg.Units[class.Name])}
+	c.sent(t, left)
+	hangUp := time.Duration(0)
+	if c.chance() < c.cfg.HangUps {
+		hangUp = seconds(c.chance() * class.AimS)
+	}
+	for again := range 2 {
+		k, err := c.dial(f, again > 0)
+		if err != nil {
+			t.Untaken = true
+			break
+		}
+		k.SetDeadline(time.Now().Add(left + 2*time.Second))
+		var left atomic.Bool
+		if hangUp > 0 {
+			timer := time.AfterFunc(hangUp, func() { left.Store(true); k.Close() })
+			defer timer.Stop()
+		}
+		asked := time.Now()
+		answer, err := k.ask(command)
+		if err == nil {
+			r, hint := result(answer, id)
+			c.hist.Answer(t, r)
+			c.release(f, k)
+			return r, hint
+		}
 		k.Close()
-	} else {
-		c.release(f, k)
+		if left.Load() {
+			c.hist.Answer(t, audit.Left)
+			return audit.Left, 0
+		}
+		if c.front.Unreached(k.LocalAddr().String()) {
+			t.Untaken = true
+			break
+		}
+		if !k.used || !c.front.Whole(f, k.life, asked) || errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+	}
+	c.hist.Answer(t, audit.Broken)
+	return audit.Broken, 0
+}
+
+// batch sends one request of each class at once on one connection and reads the answers, which must come in order.
+func (c *Clients) batch(a Account, key string) {
+	f := c.front.Pick(a)
+	k, err := c.dial(f, true)
+	if err != nil {
+		return
+	}
+	defer k.Close()
+	var commands strings.Builder
+	var tries []*audit.Try
+	most := time.Duration(0)
+	for i, class := range c.cfg.Classes {
+		id, left := c.newID(), seconds(class.DeadlineS)
+		most = max(most, left)
+		commands.WriteString(c.command(a, class, id, key, left))
+		t := &audit.Try{ID: id, First: id, Account: a.Name, Class: class.Name, Plan: a.Plan, Forwarder: f, Units: float64(c.cfg.Units[class.Name]),
+			Batch: i + 1}
+		tries = append(tries, t)
+		c.sent(t, left)
+	}
+	k.SetDeadline(time.Now().Add(most + 2*time.Second))
+	_, err = io.WriteString(k, commands.String())
+	for _, t := range tries {
+		var answer string
+		if err == nil {
+			answer, err = k.answer()
+		}
+		if err != nil {
+			t.Untaken = c.front.Unreached(k.LocalAddr().String())
+			c.hist.Answer(t, audit.Broken)
+			continue
+		}
+		r, _ := result(answer, t.ID)
+		c.hist.Answer(t, r)
 	}
-	return r, time.Duration(hint) * time.Millisecond
 }
 
 // ask sends a command and returns the value, or the error's line.
@@ -250,6 +371,11 @@
 	if _, err := io.WriteString(k, command); err != nil {
 		return "", err
 	}
+	return k.answer()
+}
+
+// answer reads one answer.
+func (k *clientConn) answer() (string, error) {
 	line, err := k.r.ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "$") {
 		return strings.TrimRight(line, "\r\n"), err
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,408 @@
+package lab
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"eiderspread/internal/lab/node"
+)
+
+// Fault is one thing that goes wrong, and is mended. A and B pick its targets, X says how bad it is; what they mean hangs on
+// the kind. A schedule is drawn before a run, so that it can be played again and cut down.
+type Fault struct {
+	At   time.Duration `json:"at"`
+	For  time.Duration `json:"for"`
+	Kind string        `json:"kind"`
+	A    int           `json:"a"`
+	B    int           `json:"b"`
+	X    float64       `json:"x"` // 0 to 1
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s %d %d %.2f for %v", f.Kind, f.A, f.B, f.X, f.For.Round(time.Millisecond))
+}
+
+// kind is one kind of fault on sockets. Its do returns when the fault is mended; wait returns false when the run has ended,
+// after which all is mended at once.
+type kind struct {
+	what   string
+	weight int                            // how often it is drawn, of all
+	level  int                            // 1: of one-level fleets alone, 2: of two-level ones alone, 0: of both
+	target func(f *Fleet, x Fault) string // no two faults of a target overlap; nil: they may
+	do     func(f *Fleet, x Fault, wait func(time.Duration) bool)
+}
+
+func onPlanner(f *Fleet, x Fault) string   { return fmt.Sprint("planner ", x.A%len(f.Planners)) }
+func onForwarder(f *Fleet, x Fault) string { return fmt.Sprint("forwarder ", x.A%len(f.Forwarders)) }
+func one(what string) func(*Fleet, Fault) string {
+	return func(*Fleet, Fault) string { return what }
+}
+
+// pick chooses a node; nil if there are too few for one to be missed.
+func (f *Fleet) pick(n int) *Node {
+	nodes := f.Nodes()
+	if len(nodes) < 3 {
+		return nil
+	}
+	return nodes[n%len(nodes)]
+}
+
+// kinds are all faults on sockets. docs/laboratory.md tells how to add one.
+var kinds = map[string]kind{
+	"kill": {"a planner is killed and comes back", 2, 2, onPlanner, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		p := f.Planners[x.A%len(f.Planners)]
+		p.Kill()
+		wait(x.For)
+		p.Start()
+	}},
+	"term": {"a planner is ended and comes back", 1, 2, onPlanner, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		p := f.Planners[x.A%len(f.Planners)]
+		p.Term()
+		wait(x.For)
+		p.Start()
+	}},
+	"pause": {"a planner stands still", 1, 2, onPlanner, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		p := f.Planners[x.A%len(f.Planners)]
+		p.Pause()
+		wait(2 * x.For)
+		p.Resume()
+	}},
+	"all": {"all planners die at once", 1, 2, one("planners"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		for _, p := range f.Planners {
+			p.Kill()
+		}
+		wait(x.For / 2)
+		for _, p := range f.Planners {
+			if p.Life() < 0 {
+				p.Start()
+			}
+		}
+	}},
+	"cut": {"a planner is cut off from half of the forwarders", 1, 2, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.cutPlanner(x, wait, func(i int) bool { return i%2 == x.B%2 })
+	}},
+	"split": {"a planner is cut off from all forwarders", 1, 2, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.cutPlanner(x, wait, func(int) bool { return true })
+	}},
+	"lone": {"a forwarder is cut off from all planners", 1, 2, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.cutPlanners(x, wait, func(_, i int) bool { return i == x.A%len(f.Forwarders) })
+	}},
+	"peers": {"ingresses are split in two halves", 1, 1, one("peers"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.Peers.All(Weather{Cut: true}, func(i, j int) bool { return i%2 != j%2 })
+		wait(x.For)
+		f.Peers.All(Weather{}, nil)
+	}},
+	"fog": {"messages between ingresses are lost, late and doubled", 1, 1, one("peers"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.Peers.All(Weather{Loss: 0.3 * x.X, Double: 0.2, Delay: 20 * time.Millisecond, Jitter: 60 * time.Millisecond}, nil)
+		wait(x.For)
+		f.Peers.All(Weather{}, nil)
+	}},
+	"forwarder": {"a forwarder or ingress is killed and comes back", 1, 0, onForwarder, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		i := x.A % len(f.Forwarders)
+		p, from := f.Forwarders[i], f.Hist.Now()
+		p.Kill()
+		wait(x.For)
+		p.Start()
+		p.Ready(10 * time.Second)
+		f.Hist.Outage(i, from, f.Hist.Now())
+	}},
+	"restart": {"a forwarder or ingress is ended and comes back", 1, 0, onForwarder, func(f *Fleet, x Fault, _ func(time.Duration) bool) {
+		f.restart(x.A % len(f.Forwarders))
+	}},
+	"roll": {"ingresses are ended and come back, one after the other", 1, 0, one("roll"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		for k := range min(len(f.Forwarders), 5) {
+			y := Fault{A: x.A + k}
+			f.claim(onForwarder(f, y), func() { f.restart(y.A % len(f.Forwarders)) })
+			if !wait(200 * time.Millisecond) {
+				return
+			}
+		}
+	}},
+	"lost client": {"the way from clients to an ingress is cut silently", 1, 0, onForwarder, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		i, from := x.A%len(f.Forwarders), f.Hist.Now()
+		f.FrontLinks[i].Cut()
+		wait(x.For / 2)
+		f.FrontLinks[i].Heal()
+		f.Hist.Outage(i, from, f.Hist.Now()+50*time.Millisecond)
+	}},
+	"drain": {"the roster tells that a node drains; another comes", 2, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		if n := f.pick(x.A); n != nil {
+			f.AddNode(true)
+			f.Drain(n, 2*time.Second)
+		}
+	}},
+	"crash": {"a node crashes and comes back at its address with a new start", 2, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.crash(f.pick(x.A), "", x, wait)
+	}},
+	"replace": {"a node crashes, another comes under a new id at its address", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.crash(f.pick(x.A), f.newNodeID(), x, wait)
+	}},
+	"crashes": {"half of the nodes crash in concert and come back cold", 1, 0, one("nodes"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		var all sync.WaitGroup
+		for i, n := range f.Nodes() {
+			if i%2 == x.B%2 {
+				all.Go(func() { f.crash(n, "", x, wait) })
+			}
+		}
+		all.Wait()
+	}},
+	"node pause": {"a node stands still", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		if n := f.pick(x.A); n != nil {
+			n.Pause()
+			wait(x.For)
+			n.Resume()
+		}
+	}},
+	"slow": {"a node is slow", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		if n := f.pick(x.A); n != nil {
+			f.weather(x, wait, []*Node{n}, func(w *node.Weather) { w.Slow = 2 + 4*x.X })
+		}
+	}},
+	"snow": {"every node is slower by 1.4 to 2.8", 1, 0, one("weather"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.weather(x, wait, f.Nodes(), func(w *node.Weather) { w.Slow = 1.4 + 1.4*x.X })
+	}},
+	"sick": {"a node errs, breaks off, stays silent and answers nonsense", 2, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		if n := f.pick(x.A); n != nil {
+			f.weather(x, wait, []*Node{n}, func(w *node.Weather) { *w = node.Rough(0.4 + 0.6*x.X) })
+		}
+	}},
+	"node cut": {"a node is cut off without a word", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.wayTo(x, wait, Way{Cut: true}, true)
+	}},
+	"node half cut": {"a node is cut off from half of the ingresses without a word", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.wayTo(x, wait, Way{Cut: true}, false)
+	}},
+	"one way": {"what a node answers is lost without a word", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.wayTo(x, wait, Way{Cut: true, Back: true}, true)
+	}},
+	"refused": {"new connections to a node are refused", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.wayTo(x, wait, Way{Refuse: true}, true)
+	}},
+	"far": {"a node is far away", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.wayTo(x, wait, Way{Delay: time.Duration(10+80*x.X) * time.Millisecond}, true)
+	}},
+	"late roster": {"the roster tells seconds late", 1, 0, one("roster"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.Roster.Late(time.Duration((1 + 4*x.X) * float64(time.Second)))
+		wait(x.For)
+		f.Roster.Late(0)
+	}},
+	"silent roster": {"the roster says nothing", 1, 0, one("roster"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.Roster.Silent(true)
+		wait(2 * x.For)
+		f.Roster.Silent(false)
+	}},
+	"broken roster": {"all watches break, and the whole list is told", 1, 0, nil, func(f *Fleet, x Fault, _ func(time.Duration) bool) {
+		f.Roster.Break()
+	}},
+	"shift": {"accounts move to others of their ingresses at one stroke", 1, 0, nil, func(f *Fleet, x Fault, _ func(time.Duration) bool) {
+		f.Front.Shift(0.11 + 0.48*x.X)
+	}},
+	"flood": {"an account of the last plan asks for far more", 1, 0, one("flood"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		list := f.clients.cfg.Accounts
+		a := list[len(list)-1-x.A%min(3, len(list))]
+		f.clients.Flood(a.Name, 3+5*x.X)
+		wait(2 * x.For)
+		f.clients.Flood(a.Name, 1)
+	}},
+}
+
+// KindNames lists all kinds of faults for a fleet of that shape, or with two nil all of them, each with what it does.
+func KindNames() (list []string) {
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
+		list = append(list, fmt.Sprintf("%-14s %s", name, kinds[name].what))
+	}
+	return list
+}
+
+// Fits tells whether a kind of fault is one of a shape: of two levels, or of one. Kinds that are none on sockets fit two.
+func Fits(name string, two bool) bool {
+	k, ok := kinds[name]
+	return !ok && two || ok && (k.level == 0 || (k.level == 2) == two)
+}
+
+// Schedule draws the faults of a run: one every so often in the mean, each for 0.5 to 3 s, so that they overlap. No kinds
+// stand for all that fit the shape.
+func Schedule(seed uint64, length, every time.Duration, two bool, names []string) (list []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	if len(names) == 0 {
+		names = slices.Sorted(maps.Keys(kinds))
+	}
+	var draws []string
+	for _, name := range names {
+		if Fits(name, two) {
+			for range max(kinds[name].weight, 1) {
+				draws = append(draws, name)
+			}
+		}
+	}
+	if len(draws) == 0 {
+		return nil
+	}
+	for at := every; at < length; at += time.Duration(rng.ExpFloat64() * float64(every)) {
+		list = append(list, Fault{At: at.Round(time.Millisecond), For: time.Duration((0.5 + 2.5*rng.Float64()) * float64(time.Second)).Round(time.Millisecond),
+			Kind: draws[rng.IntN(len(draws))], A: rng.IntN(1000), B: rng.IntN(1000), X: float64(rng.IntN(101)) / 100})
+	}
+	return list
+}
+
+// CheckKinds tells whether all names are kinds of faults.
+func CheckKinds(names []string) error {
+	for _, name := range names {
+		if _, ok := kinds[name]; !ok {
+			return fmt.Errorf("unknown kind of fault %q; known are %s", name, strings.Join(slices.Sorted(maps.Keys(kinds)), ", "))
+		}
+	}
+	return nil
+}
+
+// claim runs do unless another fault of the target is under way.
+func (f *Fleet) claim(target string, do func()) bool {
+	f.mu.Lock()
+	if f.taken[target] {
+		f.mu.Unlock()
+		return false
+	}
+	f.taken[target] = true
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		delete(f.taken, target)
+		f.mu.Unlock()
+	}()
+	do()
+	return true
+}
+
+// play does what goes wrong, each thing at its time, and returns when all is mended.
+func (f *Fleet) play(ctx context.Context, list []Fault, log io.Writer) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	var mu sync.Mutex
+	note := func(what string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprintf(log, "%8.3f %s\n", f.Hist.Now().Seconds(), what)
+	}
+	began := time.Now()
+	for _, x := range list {
+		if !wait(x.At - time.Since(began)) {
+			return
+		}
+		k, ok := kinds[x.Kind]
+		if !ok || k.level == 2 && len(f.Planners) == 0 || k.level == 1 && len(f.Planners) > 0 {
+			continue
+		}
+		all.Go(func() {
+			do := func() {
+				f.Hist.Fault(x.String())
+				note(x.String())
+				k.do(f, x, wait)
+			}
+			if k.target == nil {
+				do()
+			} else if !f.claim(k.target(f, x), do) {
+				note("left out, its target has a fault already: " + x.String())
+			}
+		})
+	}
+}
+
+// restart ends a forwarder or ingress in order and starts it again.
+func (f *Fleet) restart(i int) {
+	p := f.Forwarders[i]
+	p.Term()
+	from := f.Hist.Now()
+	p.Start()
+	p.Ready(10 * time.Second)
+	f.Hist.Restart(i, from, f.Hist.Now())
+}
+
+func (f *Fleet) cutPlanner(x Fault, wait func(time.Duration) bool, which func(i int) bool) {
+	f.cutPlanners(x, wait, func(p, i int) bool { return p == x.A%len(f.Planners) && which(i) })
+}
+
+func (f *Fleet) cutPlanners(x Fault, wait func(time.Duration) bool, which func(p, i int) bool) {
+	var links []*Link
+	for p, list := range f.Links {
+		for i, k := range list {
+			if which(p, i) {
+				k.Cut()
+				links = append(links, k)
+			}
+		}
+	}
+	wait(x.For)
+	for _, k := range links {
+		k.Heal()
+	}
+}
+
+// wayTo changes the way to a node from all ingresses or from half of them. A cut is healed late at times.
+func (f *Fleet) wayTo(x Fault, wait func(time.Duration) bool, w Way, all bool) {
+	n := f.pick(x.A)
+	if n == nil {
+		return
+	}
+	links := f.linksOf(n)
+	if !all && len(links) > 1 {
+		links = links[x.B%2 : x.B%2+1]
+	}
+	for _, k := range links {
+		k.Set(w)
+	}
+	wait(x.For * time.Duration(1+x.B%3))
+	for _, k := range links {
+		k.Heal()
+	}
+}
+
+// weather changes how things stand at nodes, for a while.
+func (f *Fleet) weather(x Fault, wait func(time.Duration) bool, nodes []*Node, change func(*node.Weather)) {
+	w := f.cfg.Weather
+	change(&w)
+	for _, n := range nodes {
+		n.SetWeather(w)
+	}
+	wait(x.For * 2)
+	for _, n := range nodes {
+		n.SetWeather(f.cfg.Weather)
+	}
+}
+
+// crash ends a node at once. The roster knows only seconds later, and of the return a little later too. With an id another
+// node comes in its place.
+func (f *Fleet) crash(n *Node, id string, x Fault, wait func(time.Duration) bool) {
+	if n == nil || !f.without(n) {
+		return
+	}
+	links, addr := f.linksOf(n), n.Addr()
+	n.Stop()
+	notice := time.Duration((1 + 3*x.X) * float64(time.Second))
+	told := x.For > notice || id != ""
+	if told {
+		wait(notice)
+		f.tell(n, "terminated")
+		wait(max(x.For-notice, 100*time.Millisecond))
+	} else {
+		wait(x.For)
+	}
+	if _, err := f.startNode(cmp.Or(id, n.ID), addr, links, true); err != nil {
+		f.Hist.Fault("node " + n.ID + " does not come back: " + err.Error())
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -12,6 +12,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +22,8 @@
 	"time"
 
 	"eiderspread/internal/fleet"
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/node"
 	"eiderspread/internal/roster"
 	"eiderspread/policy"
 )
@@ -34,12 +38,14 @@
 	Params               fleet.Params // times; the rest is filled in
 	Classes              []policy.Class
 	Plans                []policy.Plan
-	Node                 NodeConfig
+	Node                 node.Config
+	Weather              node.Weather // of nodes, from the start on
 	Seed                 uint64
 	Dir                  string
 	Spawn                Spawn
 	MemoryMB, Sockets    int
 	SlowS                float64 // added to the auditor's time limits, for tests that a slow machine must pass too
+	Direct               bool    // no links between clients, ingresses and nodes: for measurements of cost
 	// Discovery, if set, gives the address at which a party asks, in place of the stand-in roster.
 	Discovery func(f *Fleet, party string) (string, error)
 }
@@ -47,15 +53,22 @@
 // Fleet is a running fleet with its stand-ins.
 type Fleet struct {
 	cfg        FleetConfig
-	Hist       *History
+	Hist       *audit.History
 	Roster     *Roster
 	Forwarders []*Proc
 	Planners   []*Proc
 	Links      [][]*Link // by planner and forwarder
-	Peers      *PeerNet  // of a fleet of one level
-	nodes      []*Node
-	keys       *Keys
-	nodeSeq    int
+	FrontLinks []*Link   // from clients, by forwarder; nil with Direct
+	Front      *Front
+	Peers      *PeerNet // of a fleet of one level
+
+	mu        sync.Mutex
+	nodes     []*Node            // that run and do not drain
+	nodeLinks map[string][]*Link // by node: for forwarders of even and of odd numbers
+	net       *NodeNet
+	nodeSeq   int
+	taken     map[string]bool // targets of faults that are under way
+	clients   *Clients        // while they run
 }
 
 // nextPort is where freeAddr looks next: below what the system gives to connections and to listeners without a port,
@@ -77,6 +90,14 @@
 	return "", errors.New("no free address")
 }
 
+// What the settings state of nodes that have just started; nodes keep to it or do better.
+const (
+	StatedColdFrom = 0.26
+	StatedColdS    = 10.0
+	StatedMultiple = 3.0
+	StatedFallS    = 1.0
+)
+
 // settingsOf words classes and plans as the platform does.
 func settingsOf(cfg FleetConfig, me int, peers bool) map[string]any {
 	effects := map[policy.Effect]string{policy.Safe: "retryable", policy.Keyed: "dedup", policy.Unsafe: "fragile"}
@@ -95,15 +116,18 @@
 		"limits": map[string]any{"cancel": true, "connIdleS": 15.0, "dialTimeoutS": 0.25, "maxAttempts": 5,
 			"maxRetryAfterS": 1.0, "mostHeld": 20000, "peerMessages": peers, "retryAfter": true},
 		"profiles": profiles, "packages": packages, "tickS": 0.004,
-		"rules": map[string]any{"answerSlackS": 0.05, "coldFrom": 0.26, "coldS": 10.0, "fallMultiple": 3.0, "fallS": 1.0}}
+		"rules": map[string]any{"answerSlackS": 0.05, "coldFrom": StatedColdFrom, "coldS": StatedColdS, "fallMultiple": StatedMultiple,
+			"fallS": StatedFallS}}
 }
 
 // StartFleet starts stand-ins and programs and waits until every forwarder takes requests.
 func StartFleet(cfg FleetConfig) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, Hist: NewHistory(), keys: NewKeys()}
+	f := &Fleet{cfg: cfg, Hist: audit.New(), nodeLinks: map[string][]*Link{}, taken: map[string]bool{}}
+	f.net = NewNodeNet(f.Hist)
 	f.Roster = NewRoster(f.Hist)
+	f.Roster.AddrFor = f.addrFor
 	for range cfg.Nodes {
-		if _, err := f.AddNode(); err != nil {
+		if _, err := f.AddNode(false); err != nil {
 			return f, err
 		}
 	}
@@ -116,6 +140,9 @@
 	if err != nil {
 		return f, err
 	}
+	if err := f.openFront(); err != nil {
+		return f, err
+	}
 	for _, p := range append(append([]*Proc{}, f.Planners...), f.Forwarders...) {
 		if err := p.Start(); err != nil {
 			return f, err
@@ -141,7 +168,7 @@
 	}
 	c := map[string]any{"name": name, "listen": listen, "discovery": discovery,
 		"seed": fmt.Sprintf("%016x", f.cfg.Seed*1000+uint64(number)+1), "limits": map[string]any{"memory_mb": max(f.cfg.MemoryMB, 64), "sockets": max(f.cfg.Sockets, 512)},
-		"known": f.Roster.All(), "settings": settingsOf(f.cfg, number, len(peers) > 0)}
+		"known": f.Roster.All(name), "settings": settingsOf(f.cfg, number, len(peers) > 0)}
 	if len(peers) > 0 {
 		c["peer_listen"], c["peers"] = peers[number], peers
 	}
@@ -186,7 +213,7 @@
 }
 
 // Party is the roster's name of a forwarder.
-func (f *Fleet) Party(i int) string { return "f" + strconv.Itoa(i) }
+func (f *Fleet) Party(i int) string { return audit.Party(i) }
 
 func (f *Fleet) proc(kind, name, file, listen, status string) *Proc {
 	return &Proc{Name: name, Listen: listen, Status: status, log: filepath.Join(f.cfg.Dir, name+".log"),
@@ -261,30 +288,119 @@
 	return nil
 }
 
-// AddNode starts another node and has the roster tell of it.
-func (f *Fleet) AddNode() (*Node, error) {
+// openFront makes the way from clients to the ingresses.
+func (f *Fleet) openFront() error {
+	var addrs []string
+	var front *Front
+	for i, p := range f.Forwarders {
+		addr := p.Listen
+		if !f.cfg.Direct {
+			k, err := NewLinkWith(addr, Hooks{Unreached: func(near string) { front.noteUnreached(near) }})
+			if err != nil {
+				return fmt.Errorf("link to forwarder %d: %w", i, err)
+			}
+			f.FrontLinks = append(f.FrontLinks, k)
+			addr = k.Addr()
+		}
+		addrs = append(addrs, addr)
+	}
+	front = NewFront(f.Hist, addrs, func(i int) int { return f.Forwarders[i].Life() }, f.cfg.Seed)
+	if !f.cfg.Direct {
+		front.cut = func(i int, since time.Time) bool { return f.FrontLinks[i].CutSince(since) }
+	}
+	f.Front = front
+	return nil
+}
+
+// addrFor is where a party sees a node: behind a link.
+func (f *Fleet) addrFor(party string, t roster.Target) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	links := f.nodeLinks[t.ID]
+	if len(links) == 0 {
+		return t.Addr
+	}
+	side := 0
+	if n, err := strconv.Atoi(strings.TrimPrefix(party, "f")); err == nil {
+		side = n % len(links)
+	}
+	return links[side].Addr()
+}
+
+// AddNode starts another node, cold or as one that has stood for long, and has the roster tell of it.
+func (f *Fleet) AddNode(cold bool) (*Node, error) {
+	return f.startNode(f.newNodeID(), "", nil, cold)
+}
+
+func (f *Fleet) newNodeID() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.nodeSeq++
-	n, err := StartNode(fmt.Sprintf("z%d", f.nodeSeq), f.cfg.Node, f.keys, f.Hist, f.cfg.Seed+uint64(f.nodeSeq))
+	return fmt.Sprintf("z%d", f.nodeSeq)
+}
+
+// startNode starts a node at an address, "" for one of its own, behind links that are there or behind new ones.
+func (f *Fleet) startNode(id, addr string, links []*Link, cold bool) (*Node, error) {
+	f.mu.Lock()
+	f.nodeSeq++
+	seed := f.cfg.Seed + uint64(f.nodeSeq)
+	f.mu.Unlock()
+	n, err := f.net.Start(id, addr, f.cfg.Node, cold, seed)
 	if err != nil {
 		return nil, err
 	}
+	n.SetWeather(f.cfg.Weather)
+	for len(links) < 2 && !f.cfg.Direct {
+		k, err := NewLinkWith(n.Addr(), Hooks{NearEnd: f.Hist.ConnEnd})
+		if err != nil {
+			return nil, err
+		}
+		links = append(links, k)
+	}
+	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
+	f.nodeLinks[id] = links
+	f.mu.Unlock()
 	f.tell(n, "in_service")
 	return n, nil
 }
 
 // Nodes are those that run and do not drain.
-func (f *Fleet) Nodes() []*Node { return f.nodes }
+func (f *Fleet) Nodes() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.nodes)
+}
+
+// linksOf are the links to a node.
+func (f *Fleet) linksOf(n *Node) []*Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodeLinks[n.ID]
+}
 
 func (f *Fleet) tell(n *Node, state string) {
-	f.Roster.Set(roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1})
+	started := int64(0)
+	if n.born() {
+		started = n.started.UnixMilli()
+	}
+	f.Roster.Set(roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1, StartedMS: started})
+}
+
+// without takes a node out of those that run, and tells whether it was among them.
+func (f *Fleet) without(n *Node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := len(f.nodes)
+	f.nodes = slices.DeleteFunc(f.nodes, func(x *Node) bool { return x == n })
+	return len(f.nodes) < before
 }
 
-// Drain has the roster tell that the oldest node drains, and ends it a while later.
-func (f *Fleet) Drain(gone time.Duration) {
-	n := f.nodes[0]
-	f.nodes = f.nodes[1:]
-	f.Hist.fault("drain " + n.ID)
+// Drain has the roster tell that a node drains, and ends it a while later.
+func (f *Fleet) Drain(n *Node, gone time.Duration) {
+	if !f.without(n) {
+		return
+	}
 	f.tell(n, "terminating")
 	time.AfterFunc(gone, func() {
 		f.tell(n, "terminated")
@@ -292,14 +408,6 @@
 	})
 }
 
-// Addr is where clients reach a forwarder, "" while it is down.
-func (f *Fleet) Addr(i int) string {
-	if p := f.Forwarders[i]; p.Up() {
-		return p.Listen
-	}
-	return ""
-}
-
 // Stop ends all.
 func (f *Fleet) Stop() {
 	for _, p := range append(append([]*Proc{}, f.Forwarders...), f.Planners...) {
@@ -313,7 +421,17 @@
 	if f.Peers != nil {
 		f.Peers.Close()
 	}
-	for _, n := range f.nodes {
+	for _, k := range f.FrontLinks {
+		k.Close()
+	}
+	f.mu.Lock()
+	for _, ks := range f.nodeLinks {
+		for _, k := range ks {
+			k.Close()
+		}
+	}
+	f.mu.Unlock()
+	for _, n := range f.Nodes() {
 		n.Stop()
 	}
 	f.Roster.Close()
@@ -323,16 +441,18 @@
 const QuotaSlack = 6.0
 
 // Rules are those that the fleet's history is judged by.
-func (f *Fleet) Rules() Rules {
-	quota := 0.0
+func (f *Fleet) Rules() audit.Rules {
+	quota, caps := 0.0, 0.0
 	if len(f.Planners) > 0 {
-		quota = QuotaSlack
+		quota, caps = QuotaSlack, 2
 	}
-	return Rules{Quota: quota, Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25 + f.cfg.SlowS, AnswerS: 0.25 + f.cfg.SlowS,
-		OverlapS: 0.1 + f.cfg.SlowS, CeilingS: 0.15,
-		SlackUnit: 6, PartyOf: f.Party}
+	return audit.Rules{Quota: quota, Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25 + f.cfg.SlowS, AnswerS: 0.25 + f.cfg.SlowS,
+		OverlapS: 0.1 + f.cfg.SlowS, CeilingS: 0.15, SlackUnit: 6, CapX: caps, FallMultiple: f.cfg.Node.FallMultiple, FallS: f.cfg.Node.FallS,
+		ColdSlack: 0.1, LateMost: 90*time.Millisecond + seconds(f.cfg.SlowS)}
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // Proc is one program under test.
 type Proc struct {
 	Name, Listen, Status string
@@ -343,6 +463,7 @@
 	run    *exec.Cmd
 	exited chan struct{}
 	paused bool
+	starts int
 	cpu    time.Duration // of runs that have ended
 }
 
@@ -355,12 +476,13 @@
 	defer out.Close()
 	c := p.cmd()
 	c.Stdout, c.Stderr = out, out
-	if err := c.Start(); err != nil {
+	if err := spawned(c); err != nil {
 		return fmt.Errorf("%s: %w", p.Name, err)
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
 	p.run, p.exited, p.paused = c, exited, false
+	p.starts++
 	p.mu.Unlock()
 	go func() {
 		c.Wait()
@@ -372,6 +494,39 @@
 	return nil
 }
 
+// Life tells one run of the program from another; it is below 0 while the program does not run or is paused.
+func (p *Proc) Life() int {
+	if !p.Up() {
+		return -1
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
+// starting has all programs started by one thread that lives as long as the laboratory: a program ends with the thread
+// that started it, so that none is left behind when the laboratory itself is killed.
+var starting = sync.OnceValue(func() chan func() {
+	todo := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for do := range todo {
+			do()
+		}
+	}()
+	return todo
+})
+
+func spawned(c *exec.Cmd) error {
+	if c.SysProcAttr == nil {
+		c.SysProcAttr = &syscall.SysProcAttr{}
+	}
+	c.SysProcAttr.Pdeathsig = syscall.SIGKILL
+	done := make(chan error)
+	starting() <- func() { done <- c.Start() }
+	return <-done
+}
+
 // Up tells that the program runs and is not paused.
 func (p *Proc) Up() bool {
 	p.mu.Lock()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -15,6 +15,7 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/forward"
+	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/planner"
 	"eiderspread/internal/program"
 	"eiderspread/policy"
@@ -50,17 +51,22 @@
 	if !fleet.Fenced {
 		t.Skip("a build without fencing")
 	}
-	sc := Scenario{FleetConfig: testFleet(t, 5), Accounts: Accounts(6, 4, 2, 5, 3, 1), Length: 14 * time.Second, Faults: true,
-		Every: 800 * time.Millisecond, Kinds: []string{"kill", "cut", "term", "drain"}}
+	sc := Scenario{FleetConfig: testFleet(t, 5), Accounts: Accounts(6, 4, 2, 5, 3, 1), Length: 14 * time.Second}
+	if err := Make("storm", &sc, []string{"kill", "cut", "term", "drain", "sick", "node half cut", "flood"}, 800*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	sc.Floors = map[string]int{audit.Lost: 50, audit.Out: 10, audit.Twice: 5, audit.Ceilings: 10, audit.Quotas: 50}
 	var log strings.Builder
 	f, rep, err := Run(sc, &log)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(rep.Breaches) > 0 {
-		t.Errorf("%+v\n%s", rep.Breaches, log.String())
+	if err := rep.Verdict(); err != nil {
+		var b strings.Builder
+		rep.Print(&b)
+		t.Errorf("%v\n%s\n%s", err, b.String(), log.String())
 	}
-	if rep.Results[Served] < 100 || len(f.Hist.Faults) < 3 {
+	if rep.Results[audit.Served] < 100 || len(f.Hist.Faults) < 3 {
 		t.Errorf("%+v served under %d faults: the run shows nothing", rep.Results, len(f.Hist.Faults))
 	}
 	for _, o := range rep.Overshoots {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"eiderspread/internal/forward"
+	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/planner"
 )
 
@@ -51,7 +52,8 @@
 }
 
 // MeasureCost runs a fleet without faults, first idle and then under load.
-func MeasureCost(sc Scenario, idle time.Duration) (Cost, *Report, error) {
+func MeasureCost(sc Scenario, idle time.Duration) (Cost, *audit.Report, error) {
+	sc.Direct = true
 	f, err := StartFleet(sc.FleetConfig)
 	defer f.Stop()
 	if err != nil {
@@ -65,11 +67,11 @@
 	b := f.snapshot()
 	ctx, end := context.WithTimeout(context.Background(), sc.Length)
 	defer end()
-	f.Hist.start = time.Now()
-	NewClients(Traffic{Accounts: sc.Accounts, Classes: sc.Classes, Shares: labShares, Units: labUnits, Retries: 2, Seed: sc.Seed},
-		f.Hist, f.Addr).Run(ctx)
+	f.Hist.Again()
+	NewClients(Traffic{Accounts: sc.Accounts, Classes: sc.Classes, Shares: LabShares, Units: LabUnits, Retries: 2, Seed: sc.Seed},
+		f.Hist, f.Front).Run(ctx)
 	c := f.snapshot()
-	rep := Audit(f.Hist, f.Rules())
+	rep := audit.Audit(f.Hist, f.Rules())
 	n := float64(max(rep.Tries, 1))
 	span, rest := c.at.Sub(b.at).Seconds(), b.at.Sub(a.at).Seconds()
 	share := func(d time.Duration, programs int, of float64) float64 {
@@ -84,18 +86,18 @@
 	return cost, rep, nil
 }
 
-func overheads(h *History) (p50, p99 time.Duration) {
+func overheads(h *audit.History) (p50, p99 time.Duration) {
 	defer h.Lock()()
-	one := map[string]*Attempt{}
+	one := map[string]*audit.Attempt{}
 	for _, a := range h.Attempts {
 		if one[a.ID] != nil {
-			a = &Attempt{}
+			a = &audit.Attempt{}
 		}
 		one[a.ID] = a
 	}
 	var list []time.Duration
 	for _, t := range h.Tries {
-		if a := one[t.ID]; t.Result == Served && a != nil && a.How == "ok" {
+		if a := one[t.ID]; t.Result == audit.Served && a != nil && a.How == "served" {
 			list = append(list, t.Answered-t.Sent-(a.End-a.At))
 		}
 	}
--- /dev/null
+++ b/internal/lab/mutants/mutants.go
@@ -0,0 +1,159 @@
+// Package mutants takes guards out of the program, one at a time, to see whether the laboratory finds out: a run that
+// could not lose its verdict shows nothing. Sources stay as they are: a mutant is built from an overlay of theirs.
+package mutants
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// Edit replaces a text that stands exactly once in a file.
+type Edit struct{ File, Old, New string }
+
+// Mutant is the removal of one guard.
+type Mutant struct {
+	Name  string // of the guard
+	Rule  string // that it is there for, as the auditor words it
+	Edits []Edit
+	Runs  []string // arguments of eiderfleet that bring the guard's occasions, the likeliest to object first
+	Unit  string   // package whose own tests are to fail too, "" if none is
+	Why   string   // of one that no run catches: why it is there all the same
+}
+
+// Result is what became of a mutant.
+type Result struct {
+	Caught bool
+	By     string        // the run that objected
+	After  time.Duration // from the first run's start on
+	Said   string        // the verdict
+	Unit   string        // caught, passed, "" if not tried
+}
+
+// Runner builds and runs mutants of the sources at Root, with files of its own in Dir.
+type Runner struct {
+	Root, Dir string
+	Most      time.Duration // for one run
+}
+
+// Apply writes a mutant's overlay and returns its path. A text that does not stand exactly once is an error: the list has
+// to follow the sources.
+func (r Runner) Apply(m Mutant) (overlay string, err error) {
+	dir := filepath.Join(r.Dir, strings.ReplaceAll(m.Name, " ", "-"))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	texts := map[string]string{}
+	for _, e := range m.Edits {
+		if _, ok := texts[e.File]; !ok {
+			b, err := os.ReadFile(filepath.Join(r.Root, e.File))
+			if err != nil {
+				return "", err
+			}
+			texts[e.File] = string(b)
+		}
+		if n := strings.Count(texts[e.File], e.Old); n != 1 {
+			return "", fmt.Errorf("mutant %q no longer applies: %q stands %d times in %s", m.Name, e.Old, n, e.File)
+		}
+		texts[e.File] = strings.Replace(texts[e.File], e.Old, e.New, 1)
+	}
+	replace := map[string]string{}
+	for file, text := range texts {
+		path := filepath.Join(dir, strings.ReplaceAll(file, "/", "_"))
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return "", err
+		}
+		abs, err := filepath.Abs(filepath.Join(r.Root, file))
+		if err != nil {
+			return "", err
+		}
+		replace[abs] = path
+	}
+	text, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", err
+	}
+	overlay = filepath.Join(dir, "overlay.json")
+	return overlay, os.WriteFile(overlay, text, 0o600)
+}
+
+// Build builds a mutant, or with the zero Mutant the program as it is, and returns the folder of its programs.
+func (r Runner) Build(ctx context.Context, m Mutant) (bin string, err error) {
+	overlay, err := r.Apply(m)
+	if err != nil {
+		return "", err
+	}
+	bin = filepath.Join(filepath.Dir(overlay), "bin")
+	c := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", bin+"/", "./cmd/eiderfleet", "./cmd/eiderspread")
+	c.Dir = r.Root
+	if out, err := c.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("mutant %q does not build: %w: %s", m.Name, err, out)
+	}
+	return bin, nil
+}
+
+// Try builds a mutant and runs its runs until one objects. An object is a broken rule, not a run that could not be made.
+func (r Runner) Try(ctx context.Context, m Mutant, unit bool) (res Result, err error) {
+	bin, err := r.Build(ctx, m)
+	if err != nil {
+		return res, err
+	}
+	defer os.RemoveAll(bin)
+	began := time.Now()
+	for _, args := range m.Runs {
+		said, err := r.run(ctx, bin, args)
+		if err != nil {
+			return res, fmt.Errorf("mutant %q: %s: %w", m.Name, args, err)
+		}
+		if said != "" {
+			res.Caught, res.By, res.After, res.Said = true, args, time.Since(began), said
+			break
+		}
+	}
+	if unit && m.Unit != "" {
+		c := exec.CommandContext(ctx, "go", "test", "-count=1", "-overlay", filepath.Join(filepath.Dir(bin), "overlay.json"), m.Unit)
+		c.Dir = r.Root
+		res.Unit = "passed"
+		if c.Run() != nil {
+			res.Unit = "caught"
+		}
+	}
+	return res, nil
+}
+
+// run makes one run and returns what the auditor objected to, "" if nothing.
+func (r Runner) run(ctx context.Context, bin, args string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Most)
+	defer cancel()
+	list := strings.Fields(args)
+	if list[0] == "lab" {
+		dir, err := os.MkdirTemp(r.Dir, "run")
+		if err != nil {
+			return "", err
+		}
+		defer os.RemoveAll(dir)
+		list = append(list, "-dir", dir)
+	}
+	c := exec.CommandContext(ctx, filepath.Join(bin, "eiderfleet"), list...)
+	out, err := c.CombinedOutput()
+	var exit *exec.ExitError
+	switch {
+	case err == nil:
+		return "", nil
+	case ctx.Err() != nil || !errors.As(err, &exit):
+		return "", fmt.Errorf("%w: %.300s", errors.Join(err, ctx.Err()), out)
+	}
+	for line := range strings.Lines(string(out)) {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "verdict: ") && strings.Contains(line, "breaches") || strings.HasPrefix(line, "seed ") && strings.Contains(line, "breaches") {
+			return line, nil
+		}
+	}
+	return "", fmt.Errorf("no verdict: %.600s", out)
+}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -1,6 +1,7 @@
-// Package lab is the laboratory in which fleets are tried: stand-ins for zone nodes, the roster and clients, links
-// that can be cut, processes that can be killed and paused, and an auditor that judges what nodes and clients saw.
-// All of it is on loopback addresses. One process holds the stand-ins, so that one clock times everything; the
+// Package lab is the laboratory in which fleets are tried: stand-ins for zone nodes, the roster, the front and clients, links
+// that can be cut, processes that can be killed and paused, and faults of all of them by schedule. Package node has the model
+// of a node, package audit the judge, package sim fleets in virtual time, package mutants the guards that are taken out on
+// purpose. All of it is on loopback addresses. One process holds the stand-ins, so that one clock times everything; the
 // programs under test are processes of their own.
 package lab
 
@@ -10,107 +11,207 @@
 	"fmt"
 	"io"
 	"math"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
-)
 
-// NodeConfig is what a stand-in zone node can do.
-type NodeConfig struct {
-	Cores    int                      // attempts in work at once
-	Queue    int                      // attempts that may wait; further ones are turned away
-	Speed    float64                  // factor on the work
-	KeyedS   float64                  // seconds for which the repeat of a key is dropped
-	ColdS    float64                  // seconds until it is warm after its start, 0: at once
-	ColdPart float64                  // of its speed that it starts with
-	Work     map[string]time.Duration // mean by class
-}
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/node"
+)
 
-// Node is one stand-in zone node. Each attempt is recorded when its last byte has come and when it ends.
+// Node is one stand-in zone node on a socket: a node.Model, and the connections to it. Each attempt is recorded when its last
+// byte has come and when it ends.
 type Node struct {
-	ID   string
-	cfg  NodeConfig
-	l    net.Listener
-	hist *History
-	keys *Keys // shared by all nodes
-
-	mu      sync.Mutex
-	rng     *rand.Rand
-	busy    int
-	waiting int
-	slots   chan struct{}
+	ID      string
+	cfg     node.Config
+	hist    *audit.History
+	life    int
 	started time.Time
-	conns   map[net.Conn]bool
-	stopped bool
+	cold    bool
+	zero    time.Time   // of the model's time
+	keysMu  *sync.Mutex // of the model's Keys, which all nodes share; taken inside mu
+
+	mu       sync.Mutex
+	l        net.Listener
+	model    *node.Model
+	timer    *time.Timer
+	nextAt   float64
+	handles  uint64
+	attempts map[uint64]*nodeAttempt // not ended
+	conns    map[net.Conn]bool
+	stopped  bool
+}
+
+// nodeAttempt is what the node keeps of an attempt that has not ended.
+type nodeAttempt struct {
+	node.Attempt
+	rec   *audit.Attempt
+	reply chan node.Fate // of one place, for what its connection is to write; closed with nothing to write
+	load  float64
+	left  bool
 }
 
-// Keys is the memory that all nodes share of keyed requests.
-type Keys struct {
+// NodeNet is what all nodes of a laboratory share.
+type NodeNet struct {
+	hist *audit.History
+	zero time.Time
 	mu   sync.Mutex
-	seen map[string]time.Time
+	keys *node.Keys
 }
 
-// NewKeys returns an empty memory.
-func NewKeys() *Keys { return &Keys{seen: map[string]time.Time{}} }
-
-// first tells whether the key was not begun within span.
-func (k *Keys) first(key string, span time.Duration) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := time.Now()
-	if len(k.seen) > 1<<14 {
-		for key, at := range k.seen {
-			if now.Sub(at) > span {
-				delete(k.seen, key)
-			}
-		}
-	}
-	at, ok := k.seen[key]
-	if ok && now.Sub(at) < span {
-		return false
-	}
-	k.seen[key] = now
-	return true
+// NewNodeNet makes what nodes share.
+func NewNodeNet(hist *audit.History) *NodeNet {
+	return &NodeNet{hist: hist, zero: time.Now(), keys: node.NewKeys()}
 }
 
-// StartNode starts a node at an address of its own.
-func StartNode(id string, cfg NodeConfig, keys *Keys, hist *History, seed uint64) (*Node, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// Start starts a node at an address, or with "" at one of its own: as one that has stood for long, or with cold as one that
+// has just started.
+func (w *NodeNet) Start(id, addr string, cfg node.Config, cold bool, seed uint64) (*Node, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	var l net.Listener
+	var err error
+	for range 50 { // what was here before may still hold the address for a moment
+		if l, err = net.Listen("tcp", addr); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{ID: id, cfg: cfg, l: l, hist: hist, keys: keys, rng: rand.New(rand.NewPCG(seed, 7)),
-		slots: make(chan struct{}, cfg.Cores), started: time.Now(), conns: map[net.Conn]bool{}}
-	go n.accept()
+	n := &Node{ID: id, cfg: cfg, l: l, hist: w.hist, zero: w.zero, keysMu: &w.mu, started: time.Now(), cold: cold, attempts: map[uint64]*nodeAttempt{},
+		conns: map[net.Conn]bool{}, nextAt: math.Inf(1)}
+	born, started := n.now(), w.hist.Now()
+	if !cold {
+		born -= 1e6
+		started = -1e6 * time.Second
+	}
+	n.life = w.hist.Life(audit.Life{Node: id, Started: started, Capacity: float64(cfg.Cores) * cfg.Speed, ColdFrom: cfg.ColdFrom, ColdS: cfg.ColdS})
+	n.model = node.New(cfg, w.keys, seed, born, n)
+	n.timer = time.AfterFunc(time.Hour, n.ring)
+	go n.accept(l)
 	return n, nil
 }
 
+// born tells that its start is of this run.
+func (n *Node) born() bool { return n.cold }
+
+func (n *Node) now() float64 { return time.Since(n.zero).Seconds() }
+
+// do runs something on the model, and sets the timer for what comes next.
+func (n *Node) do(f func(m *node.Model, now float64)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.keysMu.Lock()
+	f(n.model, n.now())
+	n.keysMu.Unlock()
+	if next := n.model.Next(); next != n.nextAt {
+		n.nextAt = next
+		if !math.IsInf(next, 1) {
+			n.timer.Reset(max(0, time.Duration((next-n.now())*float64(time.Second))))
+		}
+	}
+}
+
+func (n *Node) ring() { n.do(func(m *node.Model, now float64) { m.Advance(now) }) }
+
+// SetWeather says how things stand at the node from now on.
+func (n *Node) SetWeather(w node.Weather) {
+	n.do(func(m *node.Model, now float64) { m.Advance(now); m.SetWeather(w) })
+}
+
+// Pause stops the node's time; its connections stay open. Resume ends that.
+func (n *Node) Pause() { n.do(func(m *node.Model, now float64) { m.Pause(now) }) }
+
+// Resume ends a pause.
+func (n *Node) Resume() { n.do(func(m *node.Model, now float64) { m.Resume(now) }) }
+
+// Fallen tells that the node has fallen over.
+func (n *Node) Fallen() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.model.Fallen()
+}
+
+// ---- node.Out, with n.mu held ----
+
+// Began implements node.Out.
+func (n *Node) Began(_ float64, a *node.Attempt, work float64, repeat bool) {
+	n.hist.Began(n.attempts[a.Handle].rec, work, repeat)
+}
+
+// Answer implements node.Out.
+func (n *Node) Answer(_ float64, a *node.Attempt, f node.Fate, load float64) {
+	x := n.attempts[a.Handle]
+	x.load = load
+	x.reply <- f
+}
+
+// Ended implements node.Out.
+func (n *Node) Ended(_ float64, a *node.Attempt, how string) {
+	x := n.attempts[a.Handle]
+	if x == nil {
+		return
+	}
+	delete(n.attempts, a.Handle)
+	n.hist.Done(x.rec, how)
+	close(x.reply)
+}
+
+// Fell implements node.Out.
+func (n *Node) Fell(float64) {
+	n.hist.Fell(n.life)
+	n.hist.Fault("node " + n.ID + " fell over")
+	n.stop()
+}
+
+func (n *Node) stop() {
+	n.stopped = true
+	n.l.Close()
+	for c := range n.conns {
+		reset(c)
+	}
+}
+
+// reset ends a connection as a dying process does.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Addr is where the node listens.
 func (n *Node) Addr() string { return n.l.Addr().String() }
 
-// Stop ends the node as a crash would.
+// Stop ends the node as a crash would: what it holds is lost.
 func (n *Node) Stop() {
-	n.l.Close()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.stopped = true
-	for c := range n.conns {
-		c.Close()
+	n.stop()
+	n.timer.Stop()
+	for h, x := range n.attempts {
+		delete(n.attempts, h)
+		n.hist.Done(x.rec, "crash")
+		close(x.reply)
 	}
 }
 
-func (n *Node) accept() {
+func (n *Node) accept(l net.Listener) {
 	for {
-		c, err := n.l.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
 		n.mu.Lock()
-		if n.stopped {
-			c.Close()
+		if n.stopped || n.cfg.Conns > 0 && len(n.conns) >= n.cfg.Conns {
+			n.mu.Unlock()
+			reset(c)
+			continue
 		}
 		n.conns[c] = true
 		n.mu.Unlock()
@@ -124,12 +225,17 @@
 	}
 }
 
-// readCommand reads an array of bulk strings.
-func readCommand(r *bufio.Reader) ([]string, error) {
+var errBreaks = errors.New("breaks in the command")
+
+// readCommand reads an array of bulk strings. After its head it asks whether the connection is to break now.
+func readCommand(r *bufio.Reader, breaks func() bool) ([]string, error) {
 	head, err := r.ReadString('\n')
 	if err != nil {
 		return nil, err
 	}
+	if breaks != nil && breaks() {
+		return nil, errBreaks
+	}
 	count, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "*")))
 	if err != nil || head[0] != '*' || count > 16 {
 		return nil, errors.New("no command")
@@ -174,7 +280,13 @@
 		defer close(gone)
 		r := bufio.NewReader(c)
 		for {
-			args, err := readCommand(r)
+			args, err := readCommand(r, func() (b bool) {
+				n.do(func(m *node.Model, _ float64) { b = m.Breaks() })
+				return b
+			})
+			if err == errBreaks {
+				reset(c)
+			}
 			if err != nil {
 				return
 			}
@@ -185,87 +297,112 @@
 			}
 		}
 	}()
+	idle := time.Duration(n.cfg.IdleS * float64(time.Second))
+	if idle == 0 {
+		idle = time.Hour
+	}
+	wait := time.NewTimer(idle)
+	defer wait.Stop()
 	for {
+		wait.Reset(idle)
 		select {
 		case args := <-commands:
-			if _, err := io.WriteString(c, n.command(args, gone)); err != nil {
+			if !n.command(c, args, gone) {
+				reset(c)
 				return
 			}
 		case <-gone:
 			return
+		case <-wait.C:
+			return
 		}
 	}
 }
 
-func (n *Node) command(args []string, gone <-chan struct{}) string {
+// command carries out one command and tells whether the connection goes on.
+func (n *Node) command(c net.Conn, args []string, gone <-chan struct{}) bool {
 	if len(args) < 4 || !strings.HasPrefix(args[0], "CALL.") {
+		answer := "-ERR unknown\r\n"
 		if len(args) > 0 && args[0] == "INFO" {
-			load := n.load()
-			return fmt.Sprintf("$%d\r\n%s\r\n", len(load), load)
+			n.mu.Lock()
+			load := loadOf(n.model.Load())
+			n.mu.Unlock()
+			answer = bulk(load)
 		}
-		return "-ERR unknown\r\n"
+		_, err := io.WriteString(c, answer)
+		return err == nil
 	}
 	f := fieldsOf(args[3])
 	units, _ := strconv.ParseFloat(f["units"], 64)
-	a := n.hist.attempt(args[2], n.ID, args[1], f["c"], f["t"], units)
-	n.mu.Lock()
-	if n.busy+n.waiting >= n.cfg.Cores+n.cfg.Queue {
-		n.mu.Unlock()
-		n.hist.ended(a, false, "full")
-		return "-BUSY " + n.load() + "\r\n"
-	}
-	n.waiting++
-	work := n.work(f["c"])
-	n.mu.Unlock()
+	x := &nodeAttempt{reply: make(chan node.Fate, 1), rec: &audit.Attempt{ID: args[2], Node: n.ID, Account: args[1], Class: f["c"], Plan: f["t"],
+		Units: units, Life: n.life, Conn: c.RemoteAddr().String()},
+		Attempt: node.Attempt{Request: args[2], Account: args[1], Class: f["c"], Key: f["k"]}}
+	n.do(func(m *node.Model, now float64) {
+		n.handles++
+		x.Handle = n.handles
+		n.attempts[x.Handle] = x
+		n.hist.Came(x.rec)
+		n.hist.Weighed(x.rec, m.Arrive(now, &x.Attempt))
+	})
+	var fate node.Fate
+	var answers bool
 	select {
-	case n.slots <- struct{}{}:
+	case fate, answers = <-x.reply:
 	case <-gone:
-		n.mu.Lock()
-		n.waiting--
-		n.mu.Unlock()
-		n.hist.ended(a, false, "gone")
-		return ""
+		n.hist.ConnEnd(x.rec.Conn)
+		n.do(func(m *node.Model, now float64) {
+			if n.attempts[x.Handle] == x {
+				m.Leave(now, &x.Attempt)
+			}
+		})
+		return false
 	}
-	n.mu.Lock()
-	n.waiting--
-	n.busy++
-	n.mu.Unlock()
-	n.hist.began(a)
-	if k := f["k"]; k != "" && !n.keys.first(args[1]+"/"+k, time.Duration(n.cfg.KeyedS*float64(time.Second))) {
-		n.hist.repeated(a)
+	if !answers { // it fell over or crashed
+		return false
 	}
-	done := time.NewTimer(work)
-	how := "ok"
-	select {
-	case <-done.C:
-	case <-gone:
-		done.Stop()
-		how = "gone"
+	text, goesOn := replyOf(fate, args[2], loadOf(x.load))
+	if _, err := io.WriteString(c, text); err != nil {
+		return false
 	}
-	n.mu.Lock()
-	n.busy--
-	n.mu.Unlock()
-	<-n.slots
-	n.hist.ended(a, true, how)
-	if how != "ok" {
-		return ""
+	if fate == node.Copy { // at once, or so late that the next command may be there already
+		time.Sleep(time.Duration(x.Handle%3) * 4 * time.Millisecond)
+		if _, err := io.WriteString(c, text); err != nil {
+			goesOn = false
+		}
 	}
-	value, load := "v:"+args[2], n.load()
-	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$%d\r\n%s\r\n", len(value), value, len(load), load)
-}
-
-// work draws how long an attempt takes; n.mu is held.
-func (n *Node) work(class string) time.Duration {
-	mean := float64(n.cfg.Work[class])
-	x := mean * math.Exp(0.5*n.rng.NormFloat64()-0.125) / n.cfg.Speed
-	if age := time.Since(n.started).Seconds(); n.cfg.ColdS > 0 && age < n.cfg.ColdS {
-		x /= n.cfg.ColdPart + (1-n.cfg.ColdPart)*age/n.cfg.ColdS
+	if fate == node.Served || fate == node.Copy || fate == node.AbsurdLoad || fate == node.Late {
+		n.hist.Wrote(x.rec)
 	}
-	return time.Duration(min(x, 10*mean))
+	return goesOn
 }
 
-func (n *Node) load() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return fmt.Sprintf("cpu_share=%.3f,svc_ms=%.1f", float64(n.busy)/float64(n.cfg.Cores), 100.0)
+func bulk(s string) string { return fmt.Sprintf("$%d\r\n%s\r\n", len(s), s) }
+
+func loadOf(util float64) string { return fmt.Sprintf("cpu_share=%.3f,svc_ms=%.1f", util, 100.0) }
+
+// replyOf words what a fate brings back, and tells whether the connection goes on after it.
+func replyOf(f node.Fate, id, load string) (text string, goesOn bool) {
+	value := bulk("v:" + id)
+	whole := "*3\r\n" + value + "$-1\r\n" + bulk(load)
+	switch f {
+	case node.Served, node.Late, node.Copy:
+		return whole, true
+	case node.Error, node.ErrorRan:
+		return "-ERR failed " + load + "\r\n", true
+	case node.Full:
+		return "-BUSY " + load + "\r\n", true
+	case node.ResetMid:
+		return whole[:len(whole)/3], false
+	case node.Noise:
+		return "HTTP/1.1 200 OK\r\n\r\n", true
+	case node.Lying:
+		return fmt.Sprintf("*3\r\n$%d\r\nv:%s\r\n$-1\r\n$-1\r\n", len(id)-3, id), true
+	case node.Endless:
+		return "*3\r\n$" + strconv.Itoa(1<<20) + "\r\n" + strings.Repeat("x", 2000), true
+	case node.Valueless:
+		return "*3\r\n$-1\r\n$-1\r\n$-1\r\n", true
+	case node.AbsurdLoad:
+		return "*3\r\n" + value + "$-1\r\n" + bulk("cpu_share=1e8,svc_ms=-4"), true
+	}
+	return "", false // ResetUnrun, ResetRan
 }
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -8,25 +8,36 @@
 	"sync"
 	"time"
 
+	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/roster"
 )
 
 // Roster is a stand-in discovery. Each party asks at an address of its own, so that it is known who was told what
-// and when.
+// and when, and so that parties can be told late, or of addresses of their own.
 type Roster struct {
-	hist *History
+	hist *audit.History
+	// AddrFor, if set before the first party asks, gives the address under which a party sees a node.
+	AddrFor func(party string, t roster.Target) string
 
 	mu      sync.Mutex
 	version int64
 	list    map[string]roster.Target
-	changes []roster.List
+	changes []change
 	changed chan struct{} // closed and replaced with each change
+	late    time.Duration
+	silent  bool
+	breaks  chan struct{} // closed and replaced to end all watches
 	servers []*http.Server
 }
 
+type change struct {
+	roster.List
+	due time.Time // told no earlier
+}
+
 // NewRoster returns a roster without nodes.
-func NewRoster(hist *History) *Roster {
-	return &Roster{hist: hist, version: 1, list: map[string]roster.Target{}, changed: make(chan struct{})}
+func NewRoster(hist *audit.History) *Roster {
+	return &Roster{hist: hist, version: 1, list: map[string]roster.Target{}, changed: make(chan struct{}), breaks: make(chan struct{})}
 }
 
 // Set says how a node stands from now on.
@@ -39,22 +50,57 @@
 	} else {
 		r.list[t.ID] = t
 	}
-	r.changes = append(r.changes, roster.List{Version: r.version, Servers: []roster.Target{t}})
+	r.changes = append(r.changes, change{roster.List{Version: r.version, Servers: []roster.Target{t}}, time.Now().Add(r.late)})
+	r.wake()
+}
+
+func (r *Roster) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// All is the whole list.
-func (r *Roster) All() roster.List {
+// Late has changes from now on told so much later.
+func (r *Roster) Late(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late = d
+}
+
+// Silent has the roster say nothing more, not even that it is there, until it is taken back.
+func (r *Roster) Silent(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = on
+	r.wake()
+}
+
+// Break ends all watches and forgets the changes: whoever comes back is told the whole list.
+func (r *Roster) Break() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changes = nil
+	close(r.breaks)
+	r.breaks = make(chan struct{})
+}
+
+// All is the whole list as a party sees it.
+func (r *Roster) All(party string) roster.List {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := roster.List{Version: r.version, Full: true}
 	for _, t := range r.list {
-		l.Servers = append(l.Servers, t)
+		l.Servers = append(l.Servers, r.seen(party, t))
 	}
 	return l
 }
 
+func (r *Roster) seen(party string, t roster.Target) roster.Target {
+	if r.AddrFor != nil {
+		t.Addr = r.AddrFor(party, t)
+	}
+	return t
+}
+
 // For opens the address at which a party asks.
 func (r *Roster) For(party string) (addr string, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -78,41 +124,95 @@
 	}
 }
 
+// due is what a watch that has heard all up to after is to be told now, and how long until there may be more. The first of
+// a watch for which changes are missing is the whole list.
+func (r *Roster) due(party string, after int64) (list []roster.List, wait time.Duration, changed, breaks <-chan struct{}, silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait, changed, breaks, silent = 2*time.Second, r.changed, r.breaks, r.silent
+	if silent {
+		return
+	}
+	known := r.version
+	if len(r.changes) > 0 {
+		known = r.changes[0].Version - 1
+	}
+	if after < known {
+		l := roster.List{Version: r.version, Full: true}
+		for _, t := range r.list {
+			l.Servers = append(l.Servers, r.seen(party, t))
+		}
+		return []roster.List{l}, wait, changed, breaks, silent
+	}
+	for _, c := range r.changes {
+		if c.Version <= after {
+			continue
+		}
+		if left := time.Until(c.due); left > 0 {
+			wait = min(wait, left)
+			break
+		}
+		l := c.List
+		l.Servers = []roster.Target{r.seen(party, l.Servers[0])}
+		list = append(list, l)
+	}
+	return
+}
+
 func (r *Roster) serve(party string, w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	silent := r.silent
+	r.mu.Unlock()
 	if q.URL.Query().Get("watch") == "" {
-		json.NewEncoder(w).Encode(r.All())
+		if silent {
+			<-q.Context().Done()
+			return
+		}
+		l := r.All(party)
+		json.NewEncoder(w).Encode(l)
+		r.tell(party, l)
 		return
 	}
 	var after int64
 	fmt.Sscan(q.URL.Query().Get("after"), &after)
 	out := json.NewEncoder(w)
 	for {
-		r.mu.Lock()
-		var due []roster.List
-		for _, c := range r.changes {
-			if c.Version > after {
-				due = append(due, c)
-			}
-		}
-		changed := r.changed
-		r.mu.Unlock()
-		for _, c := range due {
-			if out.Encode(c) != nil {
+		due, wait, changed, breaks, silent := r.due(party, after)
+		for _, l := range due {
+			if out.Encode(l) != nil {
 				return
 			}
-			after = c.Version
+			after = l.Version
 			w.(http.Flusher).Flush()
-			for _, t := range c.Servers {
-				r.hist.told(party, t.ID, t.State)
-			}
+			r.tell(party, l)
 		}
 		select {
 		case <-changed:
-		case <-time.After(2 * time.Second):
-			fmt.Fprint(w, "\n")
-			w.(http.Flusher).Flush()
+		case <-breaks:
+			return
+		case <-time.After(wait):
+			if !silent && wait == 2*time.Second {
+				fmt.Fprint(w, "\n")
+				w.(http.Flusher).Flush()
+			}
 		case <-q.Context().Done():
 			return
 		}
 	}
 }
+
+// tell records what was written to a party. Of a whole list, what it does not hold is gone.
+func (r *Roster) tell(party string, l roster.List) {
+	listed := map[string]bool{}
+	for _, t := range l.Servers {
+		listed[t.ID] = true
+		r.hist.Tell(party, t.ID, t.State)
+	}
+	if l.Full {
+		for _, id := range r.hist.ToldOf(party) {
+			if !listed[id] {
+				r.hist.Tell(party, id, "terminated")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rude.go
@@ -0,0 +1,71 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"eiderspread/internal/lab/audit"
+)
+
+// rudeAccount is the one that rude clients' whole requests name.
+const rudeAccount = "00000001fffffff0"
+
+// rude does, about five times a second, what no client should: half commands, junk, many connections, ids of requests
+// that are others' and still open. Each connection lasts 3 s at most.
+func (c *Clients) rude(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		select {
+		case <-time.After(time.Duration(100+rng.IntN(200)) * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
+		f := rng.IntN(len(c.front.addrs))
+		open := func() net.Conn {
+			conn, err := net.DialTimeout("tcp", c.front.Addr(f), time.Second)
+			if err != nil {
+				return nil
+			}
+			conn.SetDeadline(time.Now().Add(3 * time.Second))
+			return conn
+		}
+		say := func(text string) {
+			if conn := open(); conn != nil {
+				io.WriteString(conn, text)
+				c.wg.Add(1)
+				go func() {
+					defer c.wg.Done()
+					io.Copy(io.Discard, conn)
+					conn.Close()
+				}()
+			}
+		}
+		switch rng.IntN(5) {
+		case 0:
+			say("*5\r\n$9\r\nCALL.POST\r\n$16\r\n0000")
+		case 1:
+			say(strings.Repeat("\x00junk\r\n", 20))
+		case 2:
+			say(strings.Repeat("*1\r\n$4\r\nWHAT\r\n", 20))
+		case 3:
+			for range 12 {
+				say("")
+			}
+		case 4:
+			c.mu.Lock()
+			last := c.last
+			c.mu.Unlock()
+			if last != nil && last.Account != rudeAccount && c.hist.Is(last, audit.Open) {
+				a := Account{Name: rudeAccount, Plan: last.Plan, First: last.Forwarder, Spread: 1}
+				c.wg.Add(1)
+				go func() {
+					defer c.wg.Done()
+					c.try(a, c.cfg.Classes[0], last.Forwarder, last.ID, last.ID+"-rude", "", seconds(c.cfg.Classes[0].DeadlineS))
+				}()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scenarios.go
@@ -0,0 +1,129 @@
+package lab
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/node"
+	"eiderspread/policy"
+)
+
+// scenario is a named kind of run: what goes wrong, how often, and how many occasions for which rules it must bring, a
+// minute.
+type scenario struct {
+	what    string
+	kinds   []string // of faults; none: all that fit the shape
+	every   time.Duration
+	weather float64 // share of all attempts that go wrong at their node, in all ways
+	bound   bool    // ceilings under what quotas let in
+	load    float64 // factor on what accounts ask for; 0 stands for 1
+	hangUps float64
+	batches float64
+	rude    int
+	nodes   int                  // 0: as asked
+	classes func([]policy.Class) // changes them; nil: as they are
+	keyedS  float64              // for which nodes drop repeats; 0: as asked
+	floors  map[string]int       // occasions a minute
+}
+
+var trouble = map[string]int{audit.Lost: 50, audit.Answer: 20, audit.Out: 20, audit.Twice: 20}
+
+// scenarios are the laboratory's days. Later subsystems add theirs here.
+var scenarios = map[string]scenario{
+	"storm": {what: "everything at once: all faults of programs, nodes, links, front and roster", every: 700 * time.Millisecond, weather: 0.06, bound: true,
+		load: 1, hangUps: 0.03, batches: 0.1, rude: 2,
+		floors: map[string]int{audit.Lost: 200, audit.Answer: 100, audit.Order: 100, audit.Out: 100, audit.Twice: 40, audit.Drains: 4, audit.Cold: 100,
+			audit.Quotas: 100, audit.Ceilings: 100}},
+	"calm":    {what: "nothing goes wrong", floors: map[string]int{audit.Quotas: 100}},
+	"answers": {what: "nodes err, break off, stay silent, answer late, twice and nonsense; nothing else", weather: 0.35, hangUps: 0.03, batches: 0.1, floors: trouble},
+	"rude":    {what: "rude clients beside usual ones, some of which hang up", weather: 0.03, hangUps: 0.1, batches: 0.3, rude: 8, floors: map[string]int{audit.Order: 200}},
+	"programs": {what: "programs are killed, ended, paused and cut off from each other while nodes err",
+		kinds: []string{"kill", "term", "pause", "all", "cut", "split", "lone", "peers", "fog", "forwarder", "restart"}, every: 1200 * time.Millisecond,
+		weather: 0.08, floors: trouble},
+	"ways": {what: "the ways to nodes and from clients are cut, refused, slow and one-way",
+		kinds: []string{"node cut", "node half cut", "one way", "refused", "far", "lost client"}, every: 700 * time.Millisecond, weather: 0.02,
+		floors: map[string]int{audit.Lost: 50, audit.Out: 20, audit.Twice: 20}},
+	"drains": {what: "nodes drain, crash and are replaced while the roster is late, silent and broken",
+		kinds: []string{"drain", "drain", "drain", "replace", "crash", "late roster", "silent roster", "broken roster"}, every: 900 * time.Millisecond, weather: 0.02,
+		floors: map[string]int{audit.Drains: 10}},
+	"cold": {what: "nodes crash in concert and come back cold under a full load", kinds: []string{"crashes", "crashes", "crash"}, every: 3 * time.Second, load: 1.4,
+		nodes: 6, floors: map[string]int{audit.Cold: 200}},
+	"ceilings": {what: "accounts far beyond quotas and ceilings, and ceilings that bind, while programs die", bound: true, load: 1,
+		kinds: []string{"flood", "flood", "kill", "split", "all", "peers", "forwarder"}, every: time.Second,
+		floors: map[string]int{audit.Ceilings: 300, audit.Quotas: 300}},
+	"keys": {what: "keys that nodes remember for less than a request lasts, and attempts that end late, unserved",
+		classes: func(list []policy.Class) {
+			for i := range list {
+				if c := &list[i]; c.Effect == policy.Keyed {
+					c.AimS, c.DeadlineS, c.KeyTTLS = 3, 4, 0.6
+				}
+			}
+		}, keyedS: 0.6, weather: 0.5, kinds: []string{"kill", "split", "all", "snow", "forwarder"}, every: 1500 * time.Millisecond, floors: trouble},
+	"capped": {what: "accounts at their caps on open attempts, slow nodes, and forwarders cut off from planners with attempts out",
+		kinds: []string{"lone", "lone", "split", "kill", "forwarder", "snow", "slow"}, every: 700 * time.Millisecond, load: 2.5, floors: map[string]int{audit.Caps: 2}},
+	"friday": {what: "Friday supper: floods on chaine, accounts that shift, a node that is sick", kinds: []string{"flood", "flood", "shift", "sick", "slow"},
+		every: 1500 * time.Millisecond, weather: 0.02, load: 1.2, bound: true, floors: map[string]int{audit.Ceilings: 200, audit.Quotas: 200}},
+	"snow": {what: "snowstorm evening: every node slow again and again, some pausing, under a full load", kinds: []string{"snow", "snow", "node pause", "far"},
+		every: 2 * time.Second, weather: 0.02, load: 1.2, floors: map[string]int{audit.Lost: 50, audit.Quotas: 100}},
+	"playoff": {what: "playoff night: planned restarts of ingresses and planners one after the other, accounts shift, nodes are replaced",
+		kinds: []string{"roll", "roll", "term", "shift", "drain", "forwarder"}, every: 2 * time.Second, weather: 0.03, hangUps: 0.02, batches: 0.05, rude: 1, load: 1.1,
+		floors: map[string]int{audit.Out: 20, audit.Drains: 2}},
+}
+
+// ScenarioNames lists the scenarios, each with what it does.
+func ScenarioNames() (list []string) {
+	for _, name := range slices.Sorted(maps.Keys(scenarios)) {
+		list = append(list, fmt.Sprintf("%-10s %s", name, scenarios[name].what))
+	}
+	return list
+}
+
+// KindsOf are the kinds of faults that a scenario names; none stand for all.
+func KindsOf(name string) []string { return scenarios[name].kinds }
+
+// Make completes a run by a named scenario: nodes' weather, clients, plans, faults and floors. FleetConfig's sizes, Seed and
+// Length are the caller's, as are Accounts; kinds and every, if given, go before the scenario's own.
+func Make(name string, sc *Scenario, kinds []string, every time.Duration) error {
+	s, ok := scenarios[name]
+	if !ok {
+		return fmt.Errorf("unknown scenario %q; known are %v", name, slices.Sorted(maps.Keys(scenarios)))
+	}
+	if len(kinds) > 0 {
+		s.kinds = kinds
+	}
+	if every > 0 {
+		s.every = every
+	}
+	sc.Name = name
+	sc.Weather = node.Rough(s.weather)
+	sc.Traffic = Traffic{HangUps: s.hangUps, Batches: s.batches, Rude: s.rude}
+	if s.bound {
+		sc.Plans = Bound(sc.Plans)
+	}
+	if s.classes != nil {
+		sc.Classes = slices.Clone(sc.Classes)
+		s.classes(sc.Classes)
+	}
+	if s.keyedS > 0 {
+		sc.Node.KeyedS = s.keyedS
+	}
+	if s.nodes > 0 {
+		sc.Nodes = s.nodes
+	}
+	if s.load > 0 {
+		for i := range sc.Accounts {
+			sc.Accounts[i].Rate *= s.load
+		}
+	}
+	if s.every > 0 {
+		sc.Faults = Schedule(sc.Seed, sc.Length, s.every, sc.Planners > 0, s.kinds)
+	}
+	sc.Floors = map[string]int{}
+	for rule, n := range s.floors {
+		sc.Floors[rule] = int(float64(n) * sc.Length.Minutes())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/sim/faults.go
@@ -0,0 +1,294 @@
+package sim
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/node"
+)
+
+func (s *Sim) killPlanner(n int, down float64) {
+	p := s.planners[n]
+	if p.host == nil {
+		return
+	}
+	p.host, p.paused, p.inbox = nil, false, nil
+	p.life++
+	for f := range s.fwds {
+		k := s.links[n][f]
+		k.pUp = false
+		if !k.cut {
+			session := k.session
+			s.after(0.001, func() {
+				if k.session == session {
+					k.endForwarder()
+				}
+			})
+		}
+	}
+	s.after(down, func() {
+		if p.host == nil {
+			p.start()
+		}
+	})
+}
+
+func (s *Sim) pausePlanner(n int, down float64) {
+	p := s.planners[n]
+	if p.host == nil || p.paused {
+		return
+	}
+	p.paused = true
+	life := p.life
+	s.after(down, func() {
+		if p.life != life {
+			return
+		}
+		p.paused = false
+		inbox := p.inbox
+		p.inbox = nil
+		for _, do := range inbox {
+			p.do(do)
+		}
+	})
+}
+
+func (s *Sim) killForwarder(n int, down float64) {
+	f := s.fwds[n]
+	if !f.runs() {
+		return
+	}
+	f.core, f.gate, f.busy, f.pending = nil, nil, false, nil
+	f.life++
+	f.downAt = s.t
+	for p := range s.planners {
+		k := s.links[p][n]
+		k.fUp = false
+		if !k.cut {
+			session := k.session
+			s.after(0.001, func() {
+				if k.session == session {
+					k.endPlanner()
+				}
+			})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.open)) { // its connections end with it
+		for _, a := range f.open[id].attempts {
+			if !a.done {
+				a.done = true
+				a.leave()
+			}
+		}
+	}
+	from := s.Hist.Now()
+	s.after(down, func() {
+		f.start()
+		s.Hist.Outage(n, from, s.Hist.Now())
+	})
+}
+
+func (s *Sim) cutLinks(down float64, which func(p, f int) bool) {
+	for p := range s.planners {
+		for f := range s.fwds {
+			if which(p, f) {
+				s.links[p][f].cut = true
+			}
+		}
+	}
+	s.after(down, func() {
+		for p := range s.planners {
+			for f := range s.fwds {
+				k := s.links[p][f]
+				if !which(p, f) {
+					continue
+				}
+				k.cut = false
+				if k.lost {
+					k.endForwarder()
+					k.endPlanner()
+				}
+			}
+		}
+	})
+}
+
+// pick chooses a node that runs and does not drain; nil if there are too few for one to be missed.
+func (s *Sim) pick(n int) *simNode {
+	var list []*simNode
+	for _, x := range s.nodes {
+		if x.listed && x.model != nil && !x.model.Fallen() {
+			list = append(list, x)
+		}
+	}
+	if len(list) < 3 {
+		return nil
+	}
+	return list[n%len(list)]
+}
+
+// crash ends a node; the roster knows later, and of its return too.
+func (s *Sim) crash(n *simNode, x lab.Fault) {
+	if n == nil {
+		return
+	}
+	n.stop("crash")
+	notice := 1 + 3*x.X
+	if x.For.Seconds() > notice {
+		s.after(notice, func() {
+			if n.model == nil {
+				n.tell(2)
+			}
+		})
+	}
+	s.after(x.For.Seconds(), func() {
+		if n.model == nil {
+			n.start(true)
+		}
+	})
+}
+
+func (s *Sim) weather(x lab.Fault, list []*simNode, change func(*node.Weather)) {
+	w := s.cfg.Weather
+	change(&w)
+	for _, n := range list {
+		n.do(func(m *node.Model) { m.Advance(s.t); m.SetWeather(w) })
+	}
+	s.after(2*x.For.Seconds(), func() {
+		for _, n := range list {
+			n.do(func(m *node.Model) { m.Advance(s.t); m.SetWeather(s.cfg.Weather) })
+		}
+	})
+}
+
+// wayTo cuts the way to a node from forwarders of one side, or of both with -1.
+func (s *Sim) wayTo(x lab.Fault, side int) {
+	n := s.pick(x.A)
+	if n == nil {
+		return
+	}
+	for i := range n.cut {
+		if side >= 0 && i != side {
+			continue
+		}
+		n.cut[i] = true
+		s.after(x.For.Seconds(), func() {
+			n.cut[i] = false
+			for _, h := range slices.Sorted(maps.Keys(n.open)) { // what the cut met is reset
+				if a := n.open[h]; a.f.n%2 == i {
+					s.after(s.hop(), func() {
+						a.f.finish(a, 5)
+						if n.open[a.Handle] == a {
+							n.do(func(m *node.Model) { m.Leave(s.t, &a.Attempt) })
+						}
+					})
+				}
+			}
+		})
+	}
+}
+
+// kinds are the faults that there are in virtual time, under the names that they have on sockets.
+var kinds = map[string]func(s *Sim, x lab.Fault){
+	"kill":  func(s *Sim, x lab.Fault) { s.killPlanner(x.A%len(s.planners), x.For.Seconds()) },
+	"pause": func(s *Sim, x lab.Fault) { s.pausePlanner(x.A%len(s.planners), 2*x.For.Seconds()) },
+	"all": func(s *Sim, x lab.Fault) {
+		for n := range s.planners {
+			s.killPlanner(n, x.For.Seconds()/2)
+		}
+	},
+	"term": func(s *Sim, x lab.Fault) {
+		n := x.A % len(s.planners)
+		if p := s.planners[n]; p.host != nil && !p.paused {
+			p.host.Leave(p.now())
+			s.after(0.3, func() { s.killPlanner(n, x.For.Seconds()) })
+		}
+	},
+	"cut": func(s *Sim, x lab.Fault) {
+		s.cutLinks(x.For.Seconds(), func(p, f int) bool { return p == x.A%len(s.planners) && f%2 == x.B%2 })
+	},
+	"split": func(s *Sim, x lab.Fault) {
+		s.cutLinks(x.For.Seconds(), func(p, _ int) bool { return p == x.A%len(s.planners) })
+	},
+	"odd": func(s *Sim, x lab.Fault) {
+		s.cutLinks(x.For.Seconds(), func(p, f int) bool { return (p+f)%2 == x.B%2 })
+	},
+	"lone": func(s *Sim, x lab.Fault) {
+		s.cutLinks(x.For.Seconds(), func(_, f int) bool { return f == x.A%len(s.fwds) })
+	},
+	"peers": func(s *Sim, x lab.Fault) {
+		s.peerWay.Cut = true
+		s.after(x.For.Seconds(), func() { s.peerWay.Cut = false })
+	},
+	"fog": func(s *Sim, x lab.Fault) {
+		s.fog = lab.Weather{Loss: 0.3 * x.X, Double: 0.2, Delay: 20 * time.Millisecond, Jitter: 60 * time.Millisecond}
+		s.after(x.For.Seconds(), func() { s.fog = lab.Weather{} })
+	},
+	"forwarder": func(s *Sim, x lab.Fault) { s.killForwarder(x.A%len(s.fwds), x.For.Seconds()) },
+	"drain": func(s *Sim, x lab.Fault) {
+		if n := s.pick(x.A); n != nil {
+			s.addNode(true)
+			n.listed = false
+			n.tell(1)
+			s.after(2, func() { n.tell(2); n.stop("crash") })
+		}
+	},
+	"crash": func(s *Sim, x lab.Fault) { s.crash(s.pick(x.A), x) },
+	"crashes": func(s *Sim, x lab.Fault) {
+		for i, n := range slices.Clone(s.nodes) {
+			if n.listed && i%2 == x.B%2 {
+				s.crash(n, x)
+			}
+		}
+	},
+	"node pause": func(s *Sim, x lab.Fault) {
+		if n := s.pick(x.A); n != nil {
+			n.do(func(m *node.Model) { m.Pause(s.t) })
+			s.after(x.For.Seconds(), func() { n.do(func(m *node.Model) { m.Resume(s.t) }) })
+		}
+	},
+	"slow": func(s *Sim, x lab.Fault) {
+		if n := s.pick(x.A); n != nil {
+			s.weather(x, []*simNode{n}, func(w *node.Weather) { w.Slow = 2 + 4*x.X })
+		}
+	},
+	"snow": func(s *Sim, x lab.Fault) {
+		s.weather(x, s.nodes, func(w *node.Weather) { w.Slow = 1.4 + 1.4*x.X })
+	},
+	"sick": func(s *Sim, x lab.Fault) {
+		if n := s.pick(x.A); n != nil {
+			s.weather(x, []*simNode{n}, func(w *node.Weather) { *w = node.Rough(0.4 + 0.6*x.X) })
+		}
+	},
+	"node cut":      func(s *Sim, x lab.Fault) { s.wayTo(x, -1) },
+	"node half cut": func(s *Sim, x lab.Fault) { s.wayTo(x, x.B%2) },
+	"late roster": func(s *Sim, x lab.Fault) {
+		s.lateS = 1 + 4*x.X
+		s.after(x.For.Seconds(), func() { s.lateS = 0 })
+	},
+	"flood": func(s *Sim, x lab.Fault) {
+		a := s.cfg.Accounts[len(s.cfg.Accounts)-1-x.A%min(3, len(s.cfg.Accounts))].Name
+		s.floods[a] = 3 + 5*x.X
+		s.after(2*x.For.Seconds(), func() { delete(s.floods, a) })
+	},
+}
+
+// KindNames are the faults of a shape, in order.
+func KindNames(two bool) (list []string) {
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
+		if lab.Fits(name, two) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// fault does one thing, if the shape has what it is done to.
+func (s *Sim) fault(x lab.Fault) {
+	if do := kinds[x.Kind]; do != nil && lab.Fits(x.Kind, len(s.planners) > 0) {
+		s.Hist.Fault(x.String())
+		do(s, x)
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/run.go
@@ -0,0 +1,133 @@
+package sim
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"strings"
+
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
+	"eiderspread/policy"
+)
+
+// account draws the times of one account's requests.
+func (s *Sim) account(a lab.Account) {
+	mean := 0.0
+	for _, c := range s.cfg.Classes {
+		mean += s.cfg.Shares[c.Name] * float64(s.cfg.Units[c.Name])
+	}
+	flood := 1 + s.rng.Float64()*a.FloodEvery.Seconds()
+	var ask func()
+	next := func() {
+		rate := a.Rate / mean * cmp.Or(s.floods[a.Name], 1)
+		if a.FloodX > 0 && s.t > flood {
+			rate *= a.FloodX
+			if s.t > flood+a.FloodFor.Seconds() {
+				flood = s.t + a.FloodEvery.Seconds()
+			}
+		}
+		s.after(s.rng.ExpFloat64()/rate, ask)
+	}
+	ask = func() {
+		if s.t > s.cfg.LengthS {
+			return
+		}
+		x, class := s.rng.Float64(), s.cfg.Classes[0]
+		for _, k := range s.cfg.Classes {
+			if x -= s.cfg.Shares[k.Name]; x < 0 {
+				class = k
+				break
+			}
+		}
+		s.ask(a, class, "", class.DeadlineS, 0)
+		next()
+	}
+	s.after(1+s.rng.ExpFloat64()*mean/a.Rate, ask)
+}
+
+// ask sends a try of an account through one of its ingresses: most of them through the same one for some seconds.
+func (s *Sim) ask(a lab.Account, class policy.Class, first string, left float64, tries int) {
+	s.nextID++
+	id := fmt.Sprint("r", s.nextID)
+	first = cmp.Or(first, id)
+	i := a.First + int(s.t/7)%a.Spread
+	if s.rng.Float64() < 0.4 {
+		i = a.First + s.rng.IntN(a.Spread)
+	}
+	f := s.fwds[i]
+	if !f.runs() && s.t > f.downAt+2.5 { // the front has noticed
+		f = s.fwds[a.First+(i-a.First+1)%a.Spread]
+	}
+	f.request(policy.Request{ID: id, Class: class.Name, Plan: a.Plan, Customer: a.Name, First: a.First, Entries: a.Spread,
+		Units: float64(s.cfg.Units[class.Name])}, first, left)
+}
+
+const retries = 2
+
+// again has the client of a refused try come once more, if it has time left.
+func (s *Sim) again(t *audit.Try) {
+	class := s.class(t.Class)
+	var was *audit.Try // its first
+	n := 0
+	for k := len(s.Hist.Tries) - 1; k >= 0 && s.Hist.Now()-s.Hist.Tries[k].Sent < 20e9; k-- {
+		if s.Hist.Tries[k].First == t.First {
+			was = s.Hist.Tries[k]
+			n++
+		}
+	}
+	if was == nil || n > retries {
+		return
+	}
+	left := class.DeadlineS - (s.Hist.Now() - was.Sent).Seconds()
+	if left < 0.05 {
+		return
+	}
+	for _, a := range s.cfg.Accounts {
+		if a.Name == t.Account {
+			s.ask(a, class, t.First, left, n)
+		}
+	}
+}
+
+// Run plays the whole run, and some seconds more for all to be led again, and has the auditor judge.
+func (s *Sim) Run() *audit.Report {
+	for _, a := range s.cfg.Accounts {
+		s.account(a)
+	}
+	for _, x := range s.cfg.Faults {
+		s.after(x.At.Seconds(), func() { s.fault(x) })
+	}
+	for len(s.queue) > 0 {
+		e := heap.Pop(&s.queue).(event)
+		if s.t = e.at; s.t > s.cfg.LengthS+8 {
+			break
+		}
+		e.do()
+	}
+	if s.cfg.Planners > 0 {
+		for _, f := range s.fwds { // long after the last fault
+			if led, _ := f.core.Led(); led != s.p.Cells {
+				s.breaks("everybody is led", "forwarder %d follows a leader in %d cells", f.n, led)
+			}
+		}
+	}
+	rep := audit.Audit(s.Hist, s.Rules())
+	for rule, n := range s.breach {
+		rep.Counts[rule] += n
+	}
+	if s.first != "" {
+		rep.Breaches = append(rep.Breaches, audit.Breach{Rule: strings.SplitN(s.first, ":", 2)[0], What: s.first})
+	}
+	return rep
+}
+
+// Rules are those that a run is judged by. Of one level no slack of quotas is stated.
+func (s *Sim) Rules() audit.Rules {
+	quota, caps := 0.0, 0.0
+	if s.cfg.Planners > 0 {
+		quota, caps = lab.QuotaSlack, 2
+	}
+	return audit.Rules{Classes: s.cfg.Classes, Plans: s.cfg.Plans, DrainS: 0.25, AnswerS: 0.1, OverlapS: 0.005, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Quota: quota,
+		Drift: Drift, FallMultiple: s.cfg.Node.FallMultiple, FallS: s.cfg.Node.FallS, ColdSlack: 0.1, Floors: s.cfg.Floors}
+}
--- /dev/null
+++ b/internal/lab/sim/scenario.go
@@ -0,0 +1,55 @@
+package sim
+
+import (
+	"slices"
+	"time"
+
+	"eiderspread/internal/lab"
+)
+
+// Make is one of the laboratory's scenarios in virtual time, at a size that fits thousands of schedules into minutes: 5
+// forwarders and 3 planners in 4 cells, or with two false 4 ingresses.
+func Make(name string, two bool, seed uint64, lengthS float64) (Config, error) {
+	sc := lab.Scenario{Length: time.Duration(lengthS * float64(time.Second)),
+		FleetConfig: lab.FleetConfig{Forwarders: 4, Nodes: 6, Classes: lab.LabClasses, Plans: lab.LabPlans, Node: lab.LabNode, Seed: seed}}
+	if two {
+		sc.Forwarders, sc.Planners = 5, 3
+	}
+	sc.Accounts = lab.Accounts(16, 10, 3, sc.Forwarders, 3, seed)
+	known := KindNames(two)
+	chosen := known
+	if of := lab.KindsOf(name); len(of) > 0 {
+		chosen = slices.DeleteFunc(slices.Clone(of), func(k string) bool { return !slices.Contains(known, k) })
+	}
+	if err := lab.Make(name, &sc, chosen, 0); err != nil {
+		return Config{}, err
+	}
+	return Config{Forwarders: sc.Forwarders, Planners: sc.Planners, Cells: 4, Nodes: sc.Nodes, Classes: sc.Classes, Plans: sc.Plans, Node: sc.Node,
+		Weather: sc.Weather, Accounts: sc.Accounts, Shares: lab.LabShares, Units: lab.LabUnits, LengthS: lengthS, Faults: sc.Faults, Seed: seed}, nil
+}
+
+// Shrink cuts the faults of a failing run down to those that matter: with any one of what is left taken out, fails no
+// longer holds. It is delta debugging by halves, then by ever smaller parts; fails must be true of list.
+func Shrink[T any](list []T, fails func([]T) bool) []T {
+	parts := 2
+	for len(list) > 0 {
+		size := (len(list) + parts - 1) / parts
+		smaller := false
+		for from := 0; from < len(list); from += size {
+			rest := slices.Concat(list[:from], list[min(from+size, len(list)):])
+			if fails(rest) {
+				list, smaller = rest, true
+				parts = max(parts-1, 2)
+				break
+			}
+		}
+		switch {
+		case smaller:
+		case size == 1:
+			return list
+		default:
+			parts = min(2*parts, len(list))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/lab/sim/sim.go
@@ -0,0 +1,731 @@
+// Package sim runs whole fleets in virtual time: the decision parts as they are (the module, forwarders' cores, planners'
+// hosts) with clocks that differ and drift, the laboratory's own nodes, faults and auditor, and a seeded schedule. One seed
+// is one run, to the letter, and a run takes a fraction of its time. What sockets do to a fleet it does not show.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/forward"
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/node"
+	"eiderspread/internal/link"
+	"eiderspread/internal/planner"
+	"eiderspread/policy"
+)
+
+// Config is one run.
+type Config struct {
+	Forwarders, Planners, Cells, Nodes int // with Planners 0 the forwarders are one-program ingresses
+	Classes                            []policy.Class
+	Plans                              []policy.Plan
+	Node                               node.Config
+	Weather                            node.Weather
+	Accounts                           []lab.Account
+	Shares                             map[string]float64
+	Units                              map[string]int
+	LengthS                            float64
+	Faults                             []lab.Fault
+	Floors                             map[string]int // see audit.Rules
+	Seed                               uint64
+}
+
+// Drift is what the fastest clock makes of a second.
+const Drift = 1.02
+
+type event struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// Sim is the world. True time is t; each party has its own clock.
+type Sim struct {
+	cfg      Config
+	Hist     *audit.History
+	rng      *rand.Rand
+	t        float64
+	seq      int
+	queue    queue
+	p        fleet.Params
+	planners []*simPlanner
+	fwds     []*simForwarder
+	links    [][]*simLink // by planner and forwarder
+	nodes    []*simNode   // in the order of their first start
+	keys     *node.Keys
+	nextNode int
+	nextID   int
+	peerWay  lab.Weather // of datagrams between ingresses of different halves
+	fog      lab.Weather // of all
+	lateS    float64     // how late the roster tells
+	floods   map[string]float64
+	breach   map[string]int
+	first    string
+	Leads    int // moments at which a cell was found led: that fencing was looked at
+	leadsAt  []*simPlanner
+}
+
+type clock struct{ offset, speed float64 }
+
+func (c clock) at(t float64) float64 { return 1e6 + c.offset + t*c.speed }
+
+func (s *Sim) after(d float64, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.t + d, s.seq, do})
+}
+
+func (s *Sim) breaks(rule, format string, args ...any) {
+	if s.breach[rule]++; s.first == "" {
+		s.first = fmt.Sprintf("%.3f %s: ", s.t, rule) + fmt.Sprintf(format, args...)
+	}
+}
+
+// New makes a fleet that has just been started.
+func New(cfg Config) *Sim {
+	s := &Sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), breach: map[string]int{}, keys: node.NewKeys(), floods: map[string]float64{}}
+	s.Hist = audit.NewAt(func() time.Duration { return time.Duration(s.t * float64(time.Second)) })
+	if cfg.Planners > 0 {
+		s.p = fleet.Params{Name: "sim", Forwarders: cfg.Forwarders, Planners: cfg.Planners, Cells: cfg.Cells}
+		if err := s.p.Check(); err != nil {
+			panic(err)
+		}
+	}
+	for range cfg.Nodes {
+		s.addNode(false)
+	}
+	clocks := func() clock { return clock{s.rng.Float64() * 100, 1 + 0.04*(s.rng.Float64()-0.5)} }
+	for n := range cfg.Planners {
+		p := &simPlanner{s: s, n: n, clock: clocks()}
+		s.planners = append(s.planners, p)
+		p.start()
+		s.links = append(s.links, nil)
+		for f := range cfg.Forwarders {
+			s.links[n] = append(s.links[n], &simLink{s: s, p: n, f: f})
+		}
+	}
+	for n := range cfg.Forwarders {
+		f := &simForwarder{s: s, n: n, clock: clocks()}
+		s.fwds = append(s.fwds, f)
+		f.start()
+	}
+	for n := range cfg.Planners {
+		for f := range cfg.Forwarders {
+			s.links[n][f].dial()
+		}
+	}
+	return s
+}
+
+// settings are the module's, for gateway me of so many.
+func (s *Sim) settings(me, gateways int, peers bool) policy.Settings {
+	return policy.Settings{Me: me, Gateways: gateways, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxUnits: 6, Peers: peers, PeerIntake: 40,
+		Cancel: true, RetryAfter: true, MaxAttempts: 5, MaxRetryAfterS: 1, ReportByAnswer: true, AnswerSlackS: 0.02, ColdFrom: lab.StatedColdFrom,
+		ColdS: lab.StatedColdS, FallMultiple: lab.StatedMultiple, FallS: lab.StatedFallS, TickS: 0.004, Zone: "a"}
+}
+
+// ---- Nodes and the roster ----
+
+// simNode is one node under its id, through all its lives.
+type simNode struct {
+	s       *Sim
+	id      string
+	model   *node.Model // nil while it is down
+	life    int
+	born    float64 // true time; 0: long ago
+	cut     [2]bool // from forwarders of even and of odd numbers
+	open    map[uint64]*simAttempt
+	handles uint64
+	listed  bool // runs, and does not drain
+	wakeAt  float64
+}
+
+func (s *Sim) addNode(cold bool) *simNode {
+	s.nextNode++
+	n := &simNode{s: s, id: fmt.Sprint("z", s.nextNode)}
+	s.nodes = append(s.nodes, n)
+	n.start(cold)
+	return n
+}
+
+func (n *simNode) start(cold bool) {
+	s := n.s
+	born, started := -1e6, -1e6*time.Second
+	if n.born = 0; cold {
+		born, started = s.t, s.Hist.Now()
+		n.born = s.t
+	}
+	cfg := s.cfg.Node
+	n.life = s.Hist.Life(audit.Life{Node: n.id, Started: started, Capacity: float64(cfg.Cores) * cfg.Speed, ColdFrom: cfg.ColdFrom, ColdS: cfg.ColdS})
+	n.open, n.wakeAt, n.listed = map[uint64]*simAttempt{}, math.Inf(1), true
+	n.model = node.New(cfg, s.keys, s.rng.Uint64(), born, n)
+	n.model.SetWeather(s.cfg.Weather)
+	n.tell(policy.Up)
+}
+
+// stop ends the node as a crash would.
+func (n *simNode) stop(how string) {
+	if n.model == nil {
+		return
+	}
+	n.model, n.listed = nil, false
+	for _, h := range slices.Sorted(maps.Keys(n.open)) {
+		a := n.open[h]
+		delete(n.open, h)
+		n.s.Hist.Done(a.rec, how)
+		n.s.after(n.s.hop(), func() { a.f.finish(a, policy.Reset) })
+	}
+}
+
+// do runs something on the model and sees to it that it is woken in time.
+func (n *simNode) do(f func(m *node.Model)) {
+	if n.model == nil {
+		return
+	}
+	m := n.model
+	f(m)
+	if n.model != m {
+		return
+	}
+	if next := m.Next(); next < n.wakeAt {
+		n.wakeAt = next
+		n.s.after(max(next-n.s.t, 0), func() {
+			if n.model == m && n.wakeAt <= n.s.t {
+				n.wakeAt = math.Inf(1)
+				n.do(func(m *node.Model) { m.Advance(n.s.t) })
+			}
+		})
+	}
+}
+
+// Began implements node.Out.
+func (n *simNode) Began(_ float64, a *node.Attempt, work float64, repeat bool) {
+	n.s.Hist.Began(n.open[a.Handle].rec, work, repeat)
+}
+
+// Answer implements node.Out.
+func (n *simNode) Answer(_ float64, a *node.Attempt, f node.Fate, load float64) {
+	x := n.open[a.Handle]
+	status := policy.Error
+	switch f {
+	case node.Served, node.Late, node.Copy, node.AbsurdLoad:
+		status = policy.OK
+		n.s.Hist.Wrote(x.rec)
+	case node.Full:
+		status = policy.Full
+	case node.ResetUnrun, node.ResetRan, node.ResetMid:
+		status = policy.Reset
+	}
+	x.load = &policy.Load{InFlight: -1, Queue: -1, Util: load, ServiceMS: -1, ServedPerS: -1, FailedPerS: -1}
+	if n.isCut(x.f.n) {
+		return
+	}
+	n.s.after(n.s.hop(), func() { x.f.finish(x, status) })
+}
+
+// Ended implements node.Out.
+func (n *simNode) Ended(_ float64, a *node.Attempt, how string) {
+	x := n.open[a.Handle]
+	if x == nil {
+		return
+	}
+	delete(n.open, a.Handle)
+	n.s.Hist.Done(x.rec, how)
+	if how == "down" {
+		n.s.after(n.s.hop(), func() { x.f.finish(x, policy.Reset) })
+	}
+}
+
+// Fell implements node.Out.
+func (n *simNode) Fell(float64) {
+	s := n.s
+	s.Hist.Fell(n.life)
+	s.Hist.Fault("node " + n.id + " fell over")
+	n.listed = false
+	s.after(2, func() { n.tell(policy.Removed) })
+}
+
+func (n *simNode) isCut(f int) bool { return n.cut[f%2] }
+
+// hop is how long a message takes.
+func (s *Sim) hop() float64 { return 0.0002 + 0.002*s.rng.Float64() }
+
+// tell has the roster tell all parties of a node, each at a time of its own.
+func (n *simNode) tell(state policy.State) {
+	s := n.s
+	for _, f := range s.fwds {
+		s.after(s.lateS+0.05*s.rng.Float64(), func() { f.told(n, state) })
+	}
+	for _, p := range s.planners {
+		s.after(s.lateS+0.05*s.rng.Float64(), func() {
+			if host := p.host; host != nil {
+				p.do(func() {
+					if p.host == host {
+						host.Servers(p.now(), []policy.Server{n.entry(p.clock, state)}, false)
+					}
+				})
+			}
+		})
+	}
+}
+
+var stateNames = map[policy.State]string{policy.Up: "in_service", policy.Draining: "terminating", policy.Removed: "terminated"}
+
+// entry is a node as a party sees it: times by its own clock.
+func (n *simNode) entry(c clock, state policy.State) policy.Server {
+	e := policy.Server{ID: n.id, Zone: "a", State: state, Weight: 1}
+	if n.born > 0 {
+		e.SinceS = c.at(n.born)
+	}
+	return e
+}
+
+// list is the whole list by a clock, those that drain not in it.
+func (s *Sim) list(c clock) (list []policy.Server) {
+	for _, n := range s.nodes {
+		if n.listed {
+			list = append(list, n.entry(c, policy.Up))
+		}
+	}
+	return list
+}
+
+func (s *Sim) node(id string) *simNode {
+	for _, n := range s.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// ---- Planners ----
+
+type simPlanner struct {
+	s      *Sim
+	n      int
+	host   *planner.Host
+	clock  clock
+	life   uint64
+	paused bool
+	inbox  []func() // what came while it was paused
+}
+
+func (p *simPlanner) now() float64 { return p.clock.at(p.s.t) }
+
+func (p *simPlanner) start() {
+	p.life++
+	life := p.life
+	host, err := planner.NewHost(planner.Config{Params: p.s.p, Number: p.n, Seed: p.s.rng.Uint64(), Settings: p.s.settings(0, 1, false)}, p.now(), p)
+	if err != nil {
+		panic(err)
+	}
+	p.host = host
+	host.Servers(p.now(), p.s.list(p.clock), true)
+	var tick func()
+	tick = func() {
+		if p.life != life {
+			return
+		}
+		p.do(func() { p.host.Tick(p.now()) })
+		p.s.after(planner.TickS, tick)
+	}
+	p.s.after(p.s.rng.Float64()*planner.TickS, tick)
+}
+
+// do runs something on the planner's loop: once it runs again, if it is paused.
+func (p *simPlanner) do(f func()) {
+	if p.paused {
+		p.inbox = append(p.inbox, f)
+		return
+	}
+	f()
+	p.s.check()
+}
+
+// Link implements planner.Out.
+func (p *simPlanner) Link(f int, msgs ...link.Msg) { p.s.links[p.n][f].send(true, msgs) }
+
+// Log implements planner.Out.
+func (p *simPlanner) Log(string, ...any) {}
+
+// check is the heart of fencing: no cell has two planners that may decide now.
+func (s *Sim) check() {
+	for c := range s.p.Cells {
+		n := 0
+		for _, p := range s.planners {
+			if !p.paused && p.host != nil && p.host.Leads(p.now(), c) {
+				n++
+			}
+		}
+		if n > 1 {
+			s.breaks("one leader", "cell %d has %d", c, n)
+		}
+		s.Leads += n
+	}
+}
+
+// ---- Forwarders and ingresses ----
+
+// simForwarder does what an ingress does round its Gateway, without sockets.
+type simForwarder struct {
+	s       *Sim
+	n       int
+	core    *forward.Core   // of two levels
+	gate    *policy.Gateway // of one level
+	clock   clock
+	life    int
+	open    map[string]*simRequest
+	up      map[string]policy.State // of nodes, as told
+	pending []func()                // outcomes that an action yielded, for when its event has returned
+	busy    bool
+	downAt  float64
+}
+
+// simRequest is one try that a forwarder has taken.
+type simRequest struct {
+	policy.Request
+	try      *audit.Try
+	attempts []*simAttempt
+	over     bool
+}
+
+// simAttempt is one send.
+type simAttempt struct {
+	node.Attempt
+	f      *simForwarder
+	r      *simRequest
+	number int
+	life   int // of the forwarder
+	n      *simNode
+	at     float64 // by the forwarder's clock
+	rec    *audit.Attempt
+	done   bool
+	load   *policy.Load
+}
+
+func (f *simForwarder) now() float64 { return f.clock.at(f.s.t) }
+func (f *simForwarder) runs() bool   { return f.core != nil || f.gate != nil }
+
+func (f *simForwarder) start() {
+	s := f.s
+	f.life++
+	life := f.life
+	f.open, f.up, f.pending = map[string]*simRequest{}, map[string]policy.State{}, nil
+	for _, n := range s.nodes {
+		if n.listed {
+			f.up[n.id] = policy.Up
+		}
+	}
+	if s.cfg.Planners > 0 {
+		f.core = forward.New(forward.Config{Params: s.p, Number: f.n, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxRetryAfterS: 1,
+			Seed: s.rng.Uint64()}, f.now(), f)
+		var tick func()
+		tick = func() {
+			if f.life == life {
+				f.do(func() { f.core.Tick(f.now()) })
+				s.after(forward.TickS, tick)
+			}
+		}
+		s.after(s.rng.Float64()*forward.TickS, tick)
+		return
+	}
+	var err error
+	if f.gate, err = policy.New(s.settings(f.n, s.cfg.Forwarders, true), s.rng.Uint64(), f.now(), f); err != nil {
+		panic(err)
+	}
+	f.gate.Servers(f.now(), s.list(f.clock), true)
+}
+
+// do runs one event on the forwarder's loop, and what it left to do.
+func (f *simForwarder) do(event func()) {
+	if !f.runs() {
+		return
+	}
+	if f.busy {
+		f.pending = append(f.pending, event)
+		return
+	}
+	f.busy = true
+	event()
+	for len(f.pending) > 0 && f.runs() {
+		next := f.pending[0]
+		f.pending = f.pending[1:]
+		next()
+	}
+	f.busy = false
+}
+
+// told takes the roster's word on a node.
+func (f *simForwarder) told(n *simNode, state policy.State) {
+	if !f.runs() {
+		return
+	}
+	f.s.Hist.Tell(audit.Party(f.n), n.id, stateNames[state])
+	f.up[n.id] = state
+	if f.gate != nil {
+		f.do(func() { f.gate.Servers(f.now(), []policy.Server{n.entry(f.clock, state)}, false) })
+	}
+}
+
+// Link implements forward.Out.
+func (f *simForwarder) Link(p int, msgs ...link.Msg) { f.s.links[p][f.n].send(false, msgs) }
+
+// Room implements forward.Out.
+func (f *simForwarder) Room(p int) bool { return f.s.links[p][f.n].fUp }
+
+// answer gives a client its answer; the first of a request stands, as in the ingress.
+func (f *simForwarder) answer(id string, how audit.Result) {
+	r := f.open[id]
+	if r == nil {
+		f.s.breaks(audit.Answer, "%v for %s, which is not open", how, id)
+		return
+	}
+	if r.over && how == audit.Served {
+		return
+	}
+	if r.over {
+		f.s.breaks(audit.Answer, "%s has a second answer", id)
+	}
+	r.over = true
+	f.s.Hist.Answer(r.try, how)
+}
+
+// Refuse implements policy.Actions.
+func (f *simForwarder) Refuse(id string, retryS float64) {
+	if r := f.open[id]; r != nil && !r.over {
+		try, s := r.try, f.s
+		s.after(max(retryS, 0.1)+0.2*s.rng.Float64(), func() { s.again(try) })
+	}
+	f.answer(id, audit.Refused)
+}
+
+// Fail implements policy.Actions.
+func (f *simForwarder) Fail(id string) { f.answer(id, audit.Failed) }
+
+// SetTimer implements policy.Actions.
+func (f *simForwarder) SetTimer(token uint64, d float64) {
+	life := f.life
+	f.s.after(max(d, 0), func() {
+		if f.life == life && f.gate != nil {
+			f.do(func() { f.gate.Timer(f.now(), token) })
+		}
+	})
+}
+
+// Probe implements policy.Actions.
+func (f *simForwarder) Probe(string) {}
+
+// Log implements policy.Actions.
+func (f *simForwarder) Log(string) {}
+
+// Tell implements policy.Actions: a datagram, that may be lost, late and doubled.
+func (f *simForwarder) Tell(to int, data []byte) {
+	s := f.s
+	for g := range s.fwds {
+		if g == f.n || to != policy.Broadcast && g != to {
+			continue
+		}
+		if s.peerWay.Cut && g%2 != f.n%2 || s.rng.Float64() < s.fog.Loss+0.03 {
+			continue
+		}
+		for range 1 + boolInt(s.rng.Float64() < s.fog.Double) {
+			d := 0.0023 + 0.01*s.rng.Float64() + s.fog.Delay.Seconds() + s.rng.Float64()*s.fog.Jitter.Seconds()
+			s.after(d, func() {
+				if x := s.fwds[g]; x.gate != nil {
+					x.do(func() { x.gate.Peer(x.now(), f.n, data) })
+				}
+			})
+		}
+	}
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Cancel implements policy.Actions.
+func (f *simForwarder) Cancel(id string, attempt int) {
+	if r := f.open[id]; r != nil && attempt < len(r.attempts) {
+		f.finish(r.attempts[attempt], policy.Cancelled)
+	}
+}
+
+// Send implements policy.Actions.
+func (f *simForwarder) Send(id, server string, timeoutS float64) {
+	s, r := f.s, f.open[id]
+	if r == nil || r.over {
+		s.breaks(audit.Answer, "%s is sent after its end", id)
+		return
+	}
+	class := s.class(r.Class)
+	a := &simAttempt{f: f, r: r, number: len(r.attempts), life: f.life, n: s.node(server), at: f.now(),
+		Attempt: node.Attempt{Request: id, Account: r.Customer, Class: r.Class}}
+	if class.Effect == policy.Keyed {
+		a.Key = r.try.First
+	}
+	r.attempts = append(r.attempts, a)
+	if a.n == nil || f.up[server] != policy.Up {
+		f.finish(a, policy.Moot)
+		return
+	}
+	s.after(timeoutS, func() { f.finish(a, policy.Timeout) })
+	s.after(s.hop(), func() { a.arrive() })
+}
+
+// arrive brings an attempt to its node.
+func (a *simAttempt) arrive() {
+	s, n := a.f.s, a.n
+	switch {
+	case n.isCut(a.f.n):
+		if s.rng.Float64() < 0.5 { // on a new connection, which never comes up; else on an open one, silently
+			s.after(0.25, func() { a.f.finish(a, policy.ConnectFailed) })
+		}
+		return
+	case n.model == nil || n.model.Fallen():
+		s.after(s.hop(), func() { a.f.finish(a, policy.ConnectFailed) })
+		return
+	case n.model.Breaks():
+		s.after(s.hop(), func() { a.f.finish(a, policy.Reset) })
+		return
+	}
+	n.handles++
+	a.Handle = n.handles
+	a.rec = &audit.Attempt{ID: a.r.ID, Node: n.id, Account: a.r.Customer, Class: a.r.Class, Plan: a.r.Plan, Units: a.r.Units, Life: n.life,
+		Conn: fmt.Sprintf("%d/%s/%d", a.f.n, a.r.ID, a.number)}
+	n.open[a.Handle] = a
+	s.Hist.Came(a.rec)
+	n.do(func(m *node.Model) { s.Hist.Weighed(a.rec, m.Arrive(s.t, &a.Attempt)) })
+	if a.done { // given up on the way
+		a.leave()
+	}
+}
+
+// leave takes the end of an attempt's connection to the node.
+func (a *simAttempt) leave() {
+	if a.rec == nil {
+		return
+	}
+	s, n := a.f.s, a.n
+	s.Hist.ConnEnd(a.rec.Conn)
+	if n.isCut(a.f.n) {
+		return
+	}
+	s.after(s.hop(), func() {
+		if n.open[a.Handle] == a {
+			n.do(func(m *node.Model) { m.Leave(s.t, &a.Attempt) })
+		}
+	})
+}
+
+// finish ends an attempt at the forwarder, the first time that it is called.
+func (f *simForwarder) finish(a *simAttempt, status policy.Status) {
+	if a.done {
+		return
+	}
+	a.done = true
+	a.leave()
+	if f.life != a.life || !f.runs() {
+		return
+	}
+	r := a.r
+	if status == policy.OK {
+		f.answer(r.ID, audit.Served)
+	}
+	f.do(func() {
+		if f.life != a.life {
+			return
+		}
+		o := policy.Outcome{ID: r.ID, Server: a.n.idOr(), Attempt: a.number, Status: status, Over: r.over, SpentS: f.now() - a.at, Load: a.load}
+		if f.core != nil {
+			f.core.Outcome(f.now(), o)
+		} else {
+			f.gate.Outcome(f.now(), o)
+		}
+	})
+}
+
+func (n *simNode) idOr() string {
+	if n == nil {
+		return ""
+	}
+	return n.id
+}
+
+func (s *Sim) class(name string) policy.Class {
+	for _, c := range s.cfg.Classes {
+		if c.Name == name {
+			return c
+		}
+	}
+	return policy.Class{}
+}
+
+// request has a forwarder take a try.
+func (f *simForwarder) request(q policy.Request, first string, left float64) {
+	s := f.s
+	try := &audit.Try{ID: q.ID, First: first, Account: q.Customer, Class: q.Class, Plan: q.Plan, Forwarder: f.n, Units: q.Units,
+		Sent: s.Hist.Now(), Deadline: s.Hist.Now() + time.Duration(left*float64(time.Second))}
+	s.Hist.Sent(try)
+	if !f.runs() {
+		try.Untaken = true
+		s.Hist.Answer(try, audit.Broken)
+		return
+	}
+	q.DeadlineS = f.clock.at(s.t + left)
+	r := &simRequest{Request: q, try: try}
+	f.open[q.ID] = r
+	life := f.life
+	f.do(func() {
+		if f.core != nil {
+			f.core.Request(f.now(), q)
+		} else {
+			f.gate.Request(f.now(), q)
+		}
+	})
+	s.after(left+0.05, func() {
+		if f.life != life {
+			return
+		}
+		if !r.over {
+			r.over = true
+			s.Hist.Answer(try, audit.Broken)
+			f.do(func() {
+				if f.core != nil {
+					f.core.Gone(f.now(), q.ID)
+				} else {
+					f.gate.Gone(f.now(), q.ID)
+				}
+			})
+		}
+		s.after(6, func() {
+			if f.life == life {
+				delete(f.open, q.ID)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,150 @@
+package sim
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"eiderspread/internal/fleet"
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
+)
+
+var schedules = flag.Int("schedules", 4, "how many schedules of each scenario and shape are played")
+
+func play(t *testing.T, name string, two bool, seed uint64, length float64) (*Sim, *audit.Report) {
+	t.Helper()
+	cfg, err := Make(name, two, seed, length)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(cfg)
+	return s, s.Run()
+}
+
+func words(r *audit.Report) string {
+	var b strings.Builder
+	r.Print(&b)
+	return b.String()
+}
+
+// Guards the decision parts of both shapes under all faults at once, many seeds: fencing, hand-over, recovery, further
+// attempts, quotas, ceilings, drains and cold nodes. Over the seeds of a scenario each rule must have had its occasions.
+func TestSchedules(t *testing.T) {
+	if !fleet.Fenced {
+		t.Skip("a build without fencing")
+	}
+	for _, tc := range []struct {
+		name string
+		two  bool
+		seen []string
+	}{
+		{"storm", true, []string{audit.Lost, audit.Answer, audit.Out, audit.Twice, audit.Drains, audit.Cold, audit.Quotas, audit.Ceilings}},
+		{"storm", false, []string{audit.Lost, audit.Answer, audit.Out, audit.Twice, audit.Drains, audit.Cold, audit.Quotas, audit.Ceilings}},
+		{"programs", true, []string{audit.Twice, audit.Out}},
+		{"ceilings", true, []string{audit.Quotas, audit.Ceilings}},
+		{"ceilings", false, []string{audit.Quotas, audit.Ceilings}},
+		{"capped", true, []string{audit.Caps}},
+		{"keys", true, []string{audit.Twice}},
+		{"cold", false, []string{audit.Cold}},
+	} {
+		t.Run(fmt.Sprint(tc.name, " two levels ", tc.two), func(t *testing.T) {
+			t.Parallel()
+			seen, leads := map[string]int{}, 0
+			for seed := range uint64(*schedules) {
+				s, r := play(t, tc.name, tc.two, seed+1, 25)
+				if len(r.Counts) > 0 {
+					t.Errorf("seed %d: %v\n%s%v", seed+1, r.Counts, words(r), s.cfg.Faults)
+				}
+				for rule, n := range r.Seen {
+					seen[rule] += n
+				}
+				leads += s.Leads
+			}
+			for _, rule := range tc.seen {
+				if seen[rule] < *schedules {
+					t.Errorf("%q had %d occasions in %d schedules: they show nothing", rule, seen[rule], *schedules)
+				}
+			}
+			if tc.two && leads == 0 {
+				t.Error("no cell was seen led")
+			}
+		})
+	}
+}
+
+// Guards against schedules that can't be played again: the same seed must give the same run to the letter.
+func TestSeedsRepeat(t *testing.T) {
+	for _, two := range []bool{true, false} {
+		var was string
+		for range 3 {
+			s, r := play(t, "storm", two, 7, 15)
+			got := fmt.Sprint(s.Leads, s.seq, r.Tries, r.Attempts, r.Results, r.Service, r.Nearest, r.Seen)
+			if was != "" && got != was {
+				t.Fatalf("one seed, two runs:\n%s\n%s", was, got)
+			}
+			was = got
+		}
+	}
+}
+
+// Without faults nothing may be lost: what fits a quota is served.
+func TestCalm(t *testing.T) {
+	for _, two := range []bool{true, false} {
+		_, r := play(t, "calm", two, 1, 20)
+		if len(r.Counts) > 0 || r.Tries < 500 || r.Service < 0.9 || r.Results[audit.Failed] > r.Tries/50 {
+			t.Errorf("two levels %v:\n%s", two, words(r))
+		}
+	}
+}
+
+// The same schedules must find breaches where planners are not fenced, or they show nothing.
+func TestUnfencedFleetIsFoundOut(t *testing.T) {
+	if fleet.Fenced {
+		t.Skip("for builds with the tag unfenced")
+	}
+	leaders, windows := 0, 0
+	for seed := range uint64(10) {
+		_, r := play(t, "programs", true, seed+1, 30)
+		if r.Counts["one leader"] > 0 {
+			leaders++
+		}
+		if r.Counts[audit.Quotas] > 0 {
+			windows++
+		}
+	}
+	if leaders < 5 || windows < 3 {
+		t.Errorf("of 10 seeds %d had two leaders, %d went beyond a window", leaders, windows)
+	}
+}
+
+// Guards the cutting down of failing schedules: what is left is needed, all of it.
+func TestShrink(t *testing.T) {
+	list := make([]int, 100)
+	for i := range list {
+		list[i] = i
+	}
+	tried := 0
+	got := Shrink(list, func(l []int) bool {
+		tried++
+		return slices.Contains(l, 17) && slices.Contains(l, 18) && slices.Contains(l, 91)
+	})
+	if !slices.Equal(got, []int{17, 18, 91}) || tried > 200 {
+		t.Errorf("%v after %d tries", got, tried)
+	}
+	if got := Shrink(list, func([]int) bool { return true }); len(got) != 0 {
+		t.Errorf("what fails without faults needs %v", got)
+	}
+	cfg, err := Make("programs", true, 3, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	faults := Shrink(cfg.Faults, func(l []lab.Fault) bool {
+		return slices.ContainsFunc(l, func(x lab.Fault) bool { return x == cfg.Faults[0] })
+	})
+	if !slices.Equal(faults, cfg.Faults[:1]) {
+		t.Errorf("%v", faults)
+	}
+}
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -385,6 +385,11 @@
 	}
 }
 
+// Leads tells whether this planner may decide for a cell at this moment.
+func (h *Host) Leads(now float64, cell int) bool {
+	return h.leases.leads(now, cell, h.leases.cells[cell].epoch)
+}
+
 // Leave gives up all cells, for good.
 func (h *Host) Leave(now float64) {
 	h.at(now)
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -159,11 +159,14 @@
 	l.lost(cell)
 }
 
-// expire drops the leads that have run out.
+// expire drops the leads that have run out. It says so: a forwarder whose promise still runs would go on telling requests
+// to a planner that has stopped listening.
 func (l *leases) expire(now float64) {
 	for i := range l.cells {
 		if k := &l.cells[i]; k.leads && now >= k.endsAt && fleet.Fenced {
+			epoch := k.epoch
 			l.drop(now, i)
+			l.unpromise(i, epoch)
 		}
 	}
 }
@@ -174,8 +177,15 @@
 	epoch := k.epoch
 	l.drop(now, cell)
 	k.next = now + l.p.LeaseS
-	for f, up := range l.up {
+	for f := range l.up {
 		k.views[f].known = false // it is about to change
+	}
+	l.unpromise(cell, epoch)
+}
+
+// unpromise tells forwarders that nothing more will be decided under an epoch.
+func (l *leases) unpromise(cell int, epoch uint64) {
+	for f, up := range l.up {
 		if up {
 			l.send(f, link.Msg{Kind: link.Release, Cell: uint16(cell), Epoch: epoch})
 		}
--- a/internal/planner/leases_test.go
+++ b/internal/planner/leases_test.go
@@ -72,7 +72,11 @@
 	if math.Abs(k.endsAt-(10.06+lease)) > 1e-9 || !l.leads(10.06+lease-0.001, 0, 320) || l.leads(10.06+lease, 0, 320) {
 		t.Errorf("ends at %v after three renewals", k.endsAt)
 	}
+	sent = nil
 	l.expire(10.06 + lease)
+	if len(sent) != 5 || sent[0].Kind != link.Release || sent[0].Epoch != 320 { // else they go on telling it requests
+		t.Errorf("forwarders are not told that the lead ran out: %v", sent)
+	}
 	grant(10.06+lease, 3, 320, round)
 	if had[len(had)-1] != "lost 0" || l.leads(10.06+lease, 0, 320) {
 		t.Errorf("a lead that ran out goes on: %v", had)
