No two claims have the same epoch; a forwarder ends what nobody answers

Found by schedules in virtual time, each cut down and mended:

Epochs hold a draw beside their order and the planner's number. - An attempt that outlived its leader in silence kept its request open past its deadline. A forwarder ends all that nobody has answered 20 ms before. TestSilentAttemptOutlivesItsLeader fails without it.

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -596,18 +596,20 @@
 	}
 }
 
-// overdue ends what a planner was told and has not answered by the last moment at which its client still listens: one that
-// has lost its lead, or stands still, says nothing more.
+// overdue ends what nobody has answered by the last moment at which its client still listens: a leader that has lost its
+// lead, or stands still, says nothing more, and an attempt may outlive its leader and stay silent.
 func (c *Core) overdue() {
 	var list []*open
-	for _, o := range c.told {
+	for _, o := range c.byID {
 		if !o.over && c.now >= o.DeadlineS-TickS {
 			list = append(list, o)
 		}
 	}
-	slices.SortFunc(list, func(a, b *open) int { return cmp.Compare(a.handle, b.handle) })
+	slices.SortFunc(list, func(a, b *open) int { return cmp.Compare(a.ID, b.ID) })
 	for _, o := range list {
-		c.out.Link(c.cells[o.cell].holder, link.Msg{Kind: link.Gone, Handle: o.handle})
+		if o.handle != 0 {
+			c.out.Link(c.cells[o.cell].holder, link.Msg{Kind: link.Gone, Handle: o.handle})
+		}
 		c.end(o)
 	}
 }
--- a/internal/forward/core_test.go
+++ b/internal/forward/core_test.go
@@ -379,6 +379,23 @@
 	}
 }
 
+// Guards against an attempt that outlives its leader in silence: its request is ended while its client still listens.
+func TestSilentAttemptOutlivesItsLeader(t *testing.T) {
+	r := newRig(t)
+	r.lead(0, 64)
+	r.ask("b", "bill")
+	r.sent(0, 64, "z1", 1)
+	r.core.LinkDown(r.now, 0)
+	r.said = nil
+	r.now += 4 - TickS/2
+	r.core.Tick(r.now)
+	r.want("fail b")
+	r.now += 5
+	r.core.Tick(r.now)
+	r.ended("b", 0, policy.Timeout)
+	r.want()
+}
+
 // Guards against a leader that says nothing more, as one whose lead has run out: what it was told is ended while its client
 // still listens, once, and nothing that comes later changes that.
 func TestToldAndNeverAnswered(t *testing.T) {
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -33,6 +33,7 @@
 	Plans               []policy.Plan
 	DrainS              float64        // grace after a drain was told; the network's 50 ms come on top
 	AnswerS             float64        // time past a try's deadline in which its answer still counts
+	HeldS               float64        // past its deadline, a refusal or failure of a try with nothing under way was held back; 0: not judged
 	OverlapS            float64        // for which two attempts may seem to overlap, since nodes notice an end late
 	CeilingS            float64        // of a ceiling's rate, that its slack is wider by
 	SlackUnit           float64        // the largest request
@@ -210,6 +211,9 @@
 		case t.Result == Left, t.Untaken:
 		case (t.Result == Open || t.Result == Broken) && due < now && !out(t, due):
 			rep.breach(Lost, t.Sent, "%s at forwarder %d has no answer", t.ID, t.Forwarder)
+		case (t.Result == Refused || t.Result == Failed) && t.Batch < 2 && rules.HeldS > 0 && t.Answered > t.Deadline+seconds(rules.HeldS) &&
+			!out(t, due) && !slices.ContainsFunc(attempts, func(a *Attempt) bool { end := h.end(a); return end == 0 || end > t.Answered-100*time.Millisecond }):
+			rep.breach(Lost, t.Answered, "%s got its final answer at its deadline, with nothing under way", t.ID)
 		case t.Answers == 1 && t.Answered > due && t.Batch < 2 && !out(t, due): // behind others it may have to wait for them
 			rep.breach(Lost, t.Answered, "%s was answered %v late", t.ID, t.Answered-t.Deadline)
 		}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -114,6 +114,14 @@
 		p.Ready(10 * time.Second)
 		f.Hist.Outage(i, from, f.Hist.Now())
 	}},
+	"blink": {"a forwarder or ingress is killed and comes back at once", 1, 0, onForwarder, func(f *Fleet, x Fault, _ func(time.Duration) bool) {
+		i := x.A % len(f.Forwarders)
+		p, from := f.Forwarders[i], f.Hist.Now()
+		p.Kill()
+		p.Start()
+		p.Ready(10 * time.Second)
+		f.Hist.Outage(i, from, f.Hist.Now())
+	}},
 	"restart": {"a forwarder or ingress is ended and comes back", 1, 0, onForwarder, func(f *Fleet, x Fault, _ func(time.Duration) bool) {
 		f.restart(x.A % len(f.Forwarders))
 	}},
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -41,7 +41,8 @@
 	handles  uint64
 	attempts map[uint64]*nodeAttempt // not ended
 	conns    map[net.Conn]bool
-	stopped  bool
+	stopped  bool // takes no connections any more
+	crashed  bool // nor does anything else
 }
 
 // nodeAttempt is what the node keeps of an attempt that has not ended.
@@ -106,6 +107,9 @@
 func (n *Node) do(f func(m *node.Model, now float64)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.crashed {
+		return
+	}
 	n.keysMu.Lock()
 	f(n.model, n.now())
 	n.keysMu.Unlock()
@@ -193,6 +197,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.stop()
+	n.crashed = true
 	n.timer.Stop()
 	for h, x := range n.attempts {
 		delete(n.attempts, h)
@@ -344,6 +349,9 @@
 		n.hist.Came(x.rec)
 		n.hist.Weighed(x.rec, m.Arrive(now, &x.Attempt))
 	})
+	if x.Handle == 0 { // it had crashed
+		return false
+	}
 	var fate node.Fate
 	var answers bool
 	select {
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -227,6 +227,7 @@
 		s.after(x.For.Seconds(), func() { s.fog = lab.Weather{} })
 	},
 	"forwarder": func(s *Sim, x lab.Fault) { s.killForwarder(x.A%len(s.fwds), x.For.Seconds()) },
+	"blink":     func(s *Sim, x lab.Fault) { s.killForwarder(x.A%len(s.fwds), 0.02+0.05*x.X) },
 	"drain": func(s *Sim, x lab.Fault) {
 		if n := s.pick(x.A); n != nil {
 			s.addNode(true)
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -35,6 +35,7 @@
 	LengthS                            float64
 	Faults                             []lab.Fault
 	Floors                             map[string]int // see audit.Rules
+	CapX                               float64        // of the rule on caps; 0: 2 in two levels, not judged in one
 	Seed                               uint64
 }
 
@@ -593,7 +594,7 @@
 		f.finish(a, policy.Moot)
 		return
 	}
-	s.after(timeoutS, func() { f.finish(a, policy.Timeout) })
+	s.after(max(min(timeoutS, r.DeadlineS-f.now()), 0), func() { f.finish(a, policy.Timeout) }) // as the ingress bounds it
 	s.after(s.hop(), func() { a.arrive() })
 }
 
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -16,7 +16,9 @@
 	rounds    = 64  // renewals whose time of sending is remembered
 	handbackS = 2.0 // a cell is kept for so long before it is given to a planner that comes before in its order
 	wantEvery = 0.2 // seconds between two wishes
-	epochStep = 64  // epochs of different planners differ: their numbers stand in what is left over
+	// No two claims have the same epoch: beside its order stand the planner's number and a draw. A forwarder that had
+	// promised one to a planner's earlier life would else take the same one of its new life for neither newer nor its own.
+	epochStep = 64 << 32
 )
 
 // view is how a forwarder last said that a cell stands with it.
@@ -266,7 +268,7 @@
 	}
 	switch {
 	case now >= k.next && now >= k.freeSince+float64(rank)*fleet.StaggerS:
-		k.epoch, k.leads, k.since, k.round = (epoch/epochStep+1)*epochStep+uint64(l.me), false, now, 0
+		k.epoch, k.leads, k.since, k.round = (epoch/epochStep+1)*epochStep+uint64(l.rng.Uint32())<<6+uint64(l.me), false, now, 0
 		for f := range k.granted {
 			k.granted[f] = math.Inf(-1)
 		}
