--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -22,6 +22,7 @@
 	set := flag.NewFlagSet("sim", flag.ContinueOnError)
 	scenario := set.String("scenario", "storm", "one of: "+strings.Join(names(lab.ScenarioNames()), ", "))
 	planners := set.Int("planners", 3, "3 for two levels, 0 for one")
+	forwarders := set.Int("forwarders", 0, "how many, or ingresses; 0 for 5, or 4 of one level")
 	schedules := set.Int("schedules", 20, "how many")
 	first := set.Uint64("seed", 1, "of the first schedule; the others follow")
 	length := set.Duration("for", 30*time.Second, "virtual time of each")
@@ -45,7 +46,7 @@
 	for range *jobs {
 		all.Go(func() {
 			for n := next.Add(1) - 1; n < uint64(*schedules); n = next.Add(1) - 1 {
-				cfg, err := sim.Make(*scenario, *planners > 0, *first+n, length.Seconds())
+				cfg, err := sim.MakeOf(*scenario, *planners > 0, *forwarders, *first+n, length.Seconds())
 				if err != nil {
 					mu.Lock()
 					fmt.Fprintln(os.Stderr, err)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -46,6 +46,7 @@
 	Spawn                Spawn
 	MemoryMB, Sockets    int
 	SlowS                float64 // added to the auditor's time limits, for tests that a slow machine must pass too
+	Quota                float64 // of the rule on quotas; 0: QuotaSlack in two levels, not judged in one
 	CapX                 float64 // of the rule on caps; 0: 2 in two levels, not judged in one
 	Direct               bool    // no links between clients, ingresses and nodes: for measurements of cost
 	// Discovery, if set, gives the address at which a party asks, in place of the stand-in roster.
@@ -448,7 +449,7 @@
 	if len(f.Planners) > 0 {
 		quota, caps = QuotaSlack, 2
 	}
-	caps = cmp.Or(f.cfg.CapX, caps)
+	quota, caps = cmp.Or(f.cfg.Quota, quota), cmp.Or(f.cfg.CapX, caps)
 	return audit.Rules{Quota: quota, Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25 + f.cfg.SlowS, AnswerS: 0.25 + f.cfg.SlowS,
 		HeldS: 0.03 + f.cfg.SlowS, OverlapS: 0.1 + f.cfg.SlowS, CeilingS: 0.15, SlackUnit: 6, CapX: caps, FallMultiple: f.cfg.Node.FallMultiple, FallS: f.cfg.Node.FallS,
 		ColdSlack: 0.1, LateMost: 90*time.Millisecond + seconds(f.cfg.SlowS)}
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -128,7 +128,7 @@
 	if s.cfg.Planners > 0 {
 		quota, caps = lab.QuotaSlack, 2
 	}
-	caps = cmp.Or(s.cfg.CapX, caps)
+	quota, caps = cmp.Or(s.cfg.Quota, quota), cmp.Or(s.cfg.CapX, caps)
 	return audit.Rules{Classes: s.cfg.Classes, Plans: s.cfg.Plans, DrainS: 0.25, AnswerS: 0.1, OverlapS: 0.005, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Quota: quota,
 		Drift: Drift, FallMultiple: s.cfg.Node.FallMultiple, FallS: s.cfg.Node.FallS, ColdSlack: 0.1, Floors: s.cfg.Floors}
 }
