--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -23,6 +23,15 @@
 
 // The test binary is also the programs under test, so that they run with the race detector.
 func TestMain(m *testing.M) {
+	if os.Getenv("LAB_KIND") == "holder" { // a laboratory that starts a program and is killed
+		c := exec.Command("sleep", "600")
+		if err := spawned(c); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Println(c.Process.Pid)
+		select {}
+	}
 	if kind := os.Getenv("LAB_KIND"); kind != "" {
 		if err := program.Run(kind, os.Getenv("LAB_FILE")); err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -46,6 +55,33 @@
 		Params: fleet.Params{LeaseS: 1.2, BeatS: 0.15, SilenceS: 0.9, WaitS: 2, FailsafeS: 0.2}}
 }
 
+// Guards against programs that are left behind: they end with the laboratory that started them, also when it is killed.
+func TestProgramsEndWithTheLaboratory(t *testing.T) {
+	holder := spawn("holder", "")
+	out, err := holder.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := holder.Start(); err != nil {
+		t.Fatal(err)
+	}
+	var pid int
+	if _, err := fmt.Fscan(out, &pid); err != nil || pid == 0 {
+		t.Fatal(pid, err)
+	}
+	holder.Process.Kill()
+	holder.Wait()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if err != nil || strings.Contains(string(stat), ") Z ") {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the program runs on: %s", stat)
+		}
+	}
+}
+
 // The whole fleet as processes, with planners killed, paused, ended and cut off: the short form of the long run.
 func TestFleetOfProcesses(t *testing.T) {
 	if !fleet.Fenced {
--- a/internal/lab/net_test.go
+++ b/internal/lab/net_test.go
@@ -1,10 +1,15 @@
 package lab
 
 import (
+	"context"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
+
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/roster"
 )
 
 const patience = 20 * time.Second
@@ -75,6 +80,135 @@
 	}
 }
 
+// Guards the other ways that a link can go: one-way, refused, and what it tells of both ends.
+func TestLinkWays(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	far := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far <- c
+		}
+	}()
+	ended, unreached := make(chan string, 4), make(chan string, 4)
+	k, err := NewLinkWith(l.Addr().String(), Hooks{NearEnd: func(a string) { ended <- a }, Unreached: func(a string) { unreached <- a }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", k.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		return c
+	}
+	k.Set(Way{Cut: true, Back: true})
+	a := dial()
+	io.WriteString(a, "one")
+	b := <-far
+	b.SetDeadline(time.Now().Add(patience))
+	buf := make([]byte, 3)
+	if _, err := io.ReadFull(b, buf); err != nil || string(buf) != "one" {
+		t.Errorf("forth: %q, %v", buf, err)
+	}
+	io.WriteString(b, "two")
+	a.Close() // the far end does not see that, but the laboratory does
+	if got := <-ended; got != b.RemoteAddr().String() {
+		t.Errorf("%s has ended, want %s", got, b.RemoteAddr())
+	}
+	k.Heal()
+	if n, err := b.Read(buf); err == nil {
+		t.Errorf("%q after the cut", buf[:n])
+	}
+	if !k.CutSince(time.Now().Add(-patience)) || k.CutSince(time.Now()) {
+		t.Error("when it was cut is not known")
+	}
+	for _, refuse := range []bool{true, false} { // refused, and nobody there
+		k.Set(Way{Refuse: refuse})
+		if !refuse {
+			l.Close()
+		}
+		c := dial()
+		if n, err := c.Read(buf); err == nil {
+			t.Errorf("%q from nobody", buf[:n])
+		}
+		if got := <-unreached; got != c.LocalAddr().String() {
+			t.Errorf("%s reached nobody, want %s", got, c.LocalAddr())
+		}
+		c.Close()
+	}
+}
+
+// Guards the roster's ways: late, broken and whole lists, and that what a party is told is known no later than it can act.
+func TestRosterWays(t *testing.T) {
+	hist := audit.New()
+	r := NewRoster(hist)
+	defer r.Close()
+	addr, err := r.For("f0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan string, 20)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		roster.New(addr, 1, func(l roster.List) {
+			for _, s := range l.Servers {
+				got <- s.ID + " " + s.State
+			}
+			if l.Full {
+				got <- "whole"
+			}
+		}, func(string, ...any) {}).Run(ctx, nil)
+	}()
+	defer func() { cancel(); <-done }()
+	want := func(text string) {
+		t.Helper()
+		select {
+		case g := <-got:
+			if g != text {
+				t.Fatalf("told %q, want %q", g, text)
+			}
+		case <-time.After(patience):
+			t.Fatalf("never told %q", text)
+		}
+	}
+	set := func(id, state string) { r.Set(roster.Target{ID: id, Addr: "127.0.0.1:1", State: state}) }
+	set("a", "in_service")
+	want("a in_service")
+	r.Late(50 * time.Millisecond)
+	at := time.Now()
+	set("a", "terminating")
+	want("a terminating")
+	if time.Since(at) < 50*time.Millisecond {
+		t.Error("told too early")
+	}
+	r.Late(0)
+	set("b", "in_service")
+	want("b in_service")
+	set("a", "terminated")
+	want("a terminated")
+	r.Break()
+	set("c", "in_service")
+	for g := range got { // as a change or with the whole list
+		if g == "c in_service" {
+			break
+		}
+	}
+	if list := hist.ToldOf("f0"); !slices.Contains(list, "c") || slices.Contains(list, "a") {
+		t.Errorf("told of %v", list)
+	}
+}
+
 // Guards the same for datagrams: by direction, and lost, doubled and late as asked.
 func TestPeerNet(t *testing.T) {
 	var own []*net.UDPConn
--- a/test.sh
+++ b/test.sh
@@ -10,7 +10,7 @@
 bash -c "$build"
 go build -o bin/ ./cmd/...
 go test -race -count=1 ./...
-go test -tags unfenced -count=1 -run Unfenced ./internal/planner   # the same schedules must show breaches without fencing
+go test -tags unfenced -count=1 -run Unfenced ./internal/lab/sim   # the same schedules must show breaches without fencing
 for f in $(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",'); do
   lines=$(grep -c '[^[:space:]]' "$f")
   [ "$lines" -le 1200 ] || { echo "$f holds $lines lines, 1200 at most"; exit 1; }
