A connection that has just come is not closed for another before its command was read

Each newcomer closed the one before it, which had said nothing yet, while its command was on its way; and one beyond the surplus was closed without a word.

Change: a connection that has not spoken is left alone for 0.2 s; one beyond the surplus is refused in words, unread, and closed 2 s later at the latest. The bound on connections stands where it was, at what is accepted. TestNewClientsInABurstAreAllAnswered fails without it.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -23,8 +23,9 @@
 	lingerBytes  = 1 << 20         // and how many
 	idleMost     = 10.0            // seconds for which a connection may stand idle
 	acceptRetry  = 5 * time.Millisecond
-	acceptSlack  = 8  // connections accepted that the loop has not come to
-	reservedFDs  = 32 // for the listener, discovery, peers, the slack and the runtime
+	youngS       = 0.2 // seconds in which the first command of a new connection may be on its way
+	acceptSlack  = 8   // connections accepted that the loop has not come to
+	reservedFDs  = 32  // for the listener, discovery, peers, the slack and the runtime
 )
 
 // slot is the place of one answer in its connection's order.
@@ -87,7 +88,9 @@
 // the memory either. What has never spoken is its reader's to answer.
 func (s *clientSet) sweep(in *Ingress) {
 	for c := range s.all {
-		if c.spoke && c.idle() && in.now-c.usedAt > idleMost && silent(c.raw) {
+		if c.ending && c.idle() && in.now-c.usedAt > lingerMost.Seconds() {
+			in.closeClient(c)
+		} else if c.spoke && c.idle() && in.now-c.usedAt > idleMost && silent(c.raw) {
 			in.closeClient(c)
 		}
 	}
@@ -114,6 +117,11 @@
 	return 2
 }
 
+// young tells that a connection has just come and has said nothing yet: to close it may lose a request.
+func (c *client) young(in *Ingress) bool {
+	return !c.spoke && !c.ending && in.now-c.usedAt < youngS
+}
+
 // full tells that more connections are open, the newcomer aside, than may be served, after those of the
 // lowest rank, and of them those unused for longest, were closed to make room.
 func (s *clientSet) full(in *Ingress, newcomer *client) bool {
@@ -127,7 +135,7 @@
 		}
 		var first *client
 		for c := range s.all {
-			if c == newcomer || !c.idle() {
+			if c == newcomer || !c.idle() || c.young(in) {
 				continue
 			}
 			if first == nil || c.rank() < first.rank() || c.rank() == first.rank() && c.usedAt < first.usedAt {
@@ -176,14 +184,17 @@
 }
 
 func (in *Ingress) addClient(c *client) {
-	c.surplus = in.clients.full(in, c)
-	if in.leaving || c.surplus && in.clients.open() >= in.clients.most+in.clients.surplus {
-		in.note("client turned away: too many connections", "open", in.clients.open())
+	c.usedAt = in.now
+	if in.leaving {
 		in.closeClient(c)
 		return
 	}
-	c.usedAt = in.now
+	c.surplus = in.clients.full(in, c)
 	in.clients.all[c] = struct{}{}
+	if c.surplus && in.clients.open() > in.clients.most+in.clients.surplus { // refused unread, but in words
+		in.note("client turned away: too many connections", "open", in.clients.open())
+		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), true)
+	}
 }
 
 // read parses what the client sends, and posts each command with the time of its last byte. Its
--- a/internal/ingress/clients_test.go
+++ b/internal/ingress/clients_test.go
@@ -103,6 +103,11 @@
 	}
 	silent := r.client()
 	r.until("both are open", func() bool { return r.in.clients.open() == 2 })
+	r.do(func() { // the first command of a connection that has just come may be on its way
+		for c := range r.in.clients.all {
+			c.usedAt -= 2 * youngS
+		}
+	})
 	third := r.client()
 	if third.send("PING"); third.line() != "+PONG" || silent.line() != "" {
 		t.Error("the silent connection made no room")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -639,6 +639,32 @@
 	}
 }
 
+// Guards against requests lost where many connections come at once and all others are at work: one that had just come was
+// closed for the next, before its command was read, and one beyond the surplus without a word.
+func TestNewClientsInABurstAreAllAnswered(t *testing.T) {
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most, r.in.clients.surplus = 1, 2 })
+	busy := r.client()
+	busy.send(look("a")...)
+	get(t, r.mod.requests)
+	var burst []*wire
+	for range 6 {
+		burst = append(burst, r.client())
+	}
+	r.do(func() {}) // all have come, none has spoken
+	for i, c := range burst {
+		c.send(look(fmt.Sprint("b", i))...)
+	}
+	for i, c := range burst {
+		if got := c.line(); got != "-BUSY 1000" {
+			t.Errorf("number %d of the burst: %q", i, got)
+		}
+	}
+	r.do(func() { r.in.Fail("a") })
+	if got := busy.line(); got != "-ERR failed" {
+		t.Errorf("the one at work: %q", got)
+	}
+}
+
 // agent is a discovery that answers whole lists and watches with the given lines; a watch whose lines
 // end with "" stays open.
 type agent struct {
