--- a/internal/agent/etcd_test.go
+++ b/internal/agent/etcd_test.go
@@ -36,7 +36,7 @@
 // etcd is the stand-in cluster, and a client of its own.
 type etcd struct {
 	t   *testing.T
-	srv *standin.Server
+	srv *standin.Cluster
 	cli *clientv3.Client
 }
 
--- a/internal/etcdsource/standin_test.go
+++ b/internal/etcdsource/standin_test.go
@@ -52,7 +52,7 @@
 }
 
 // startStandIn starts a cluster in a state.
-func startStandIn(t *testing.T, h etcd.Head, kvs ...etcd.KV) *etcd.Server {
+func startStandIn(t *testing.T, h etcd.Head, kvs ...etcd.KV) *etcd.Cluster {
 	t.Helper()
 	s, err := etcd.New()
 	if err != nil {
@@ -63,7 +63,7 @@
 	return s
 }
 
-func follow(t *testing.T, s *etcd.Server) (*Source, *recorder) {
+func follow(t *testing.T, s *etcd.Cluster) (*Source, *recorder) {
 	t.Helper()
 	r := &recorder{whole: make(chan string, 100), change: make(chan string, 100), broken: make(chan string, 100), bad: make(chan string, 100),
 		alive: make(chan struct{}, 1)}
--- /dev/null
+++ b/internal/lab/certs/certs.go
@@ -0,0 +1,73 @@
+// Package certs issues certificates for tests and for fleets on loopback.
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"eiderspread/internal/link"
+)
+
+const valid = 24 * time.Hour
+
+// Authority issues certificates into a folder.
+type Authority struct {
+	dir    string
+	cert   *x509.Certificate
+	key    *ecdsa.PrivateKey
+	serial int64
+}
+
+func (a *Authority) write(name, kind string, der []byte) error {
+	return os.WriteFile(filepath.Join(a.dir, name), pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
+
+// New makes an authority; its certificate is the folder's ca.crt.
+func New(dir, name string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	a := &Authority{dir: dir, key: key, serial: 1}
+	a.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(valid), KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	return a, a.write("ca.crt", "CERTIFICATE", der)
+}
+
+// Issue writes a certificate of a name, for servers on 127.0.0.1 and for clients, and tells where it lies.
+func (a *Authority) Issue(name string) (link.Identity, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return link.Identity{}, err
+	}
+	a.serial++
+	c := &x509.Certificate{SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(valid),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return link.Identity{}, err
+	}
+	text, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return link.Identity{}, err
+	}
+	if err := a.write(name+".crt", "CERTIFICATE", der); err != nil {
+		return link.Identity{}, err
+	}
+	return link.Identity{Cert: filepath.Join(a.dir, name+".crt"), Key: filepath.Join(a.dir, name+".key"), CA: filepath.Join(a.dir, "ca.crt")},
+		a.write(name+".key", "PRIVATE KEY", text)
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -83,7 +83,7 @@
 
 // freeAddr finds an address that nobody listens on.
 func freeAddr() (string, error) {
-	nextPort.CompareAndSwap(0, uint32(os.Getpid())*37+1)
+	nextPort.CompareAndSwap(0, uint32(os.Getpid())*401+1)
 	for range ports {
 		addr := fmt.Sprintf("127.0.0.1:%d", portsFrom+nextPort.Add(1)%ports)
 		if l, err := net.Listen("tcp", addr); err == nil {
--- a/internal/planner/server_test.go
+++ b/internal/planner/server_test.go
@@ -2,16 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
 	"log/slog"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -21,6 +14,7 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/ingress"
+	"eiderspread/internal/lab/certs"
 	"eiderspread/internal/link"
 	"eiderspread/internal/settings"
 	"eiderspread/policy"
@@ -28,56 +22,26 @@
 
 const patience = 20 * time.Second
 
-// authority issues certificates into a folder.
+// authority issues certificates into a folder of the test's.
 type authority struct {
-	t    *testing.T
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func (a *authority) write(name, kind string, der []byte) string {
-	path := filepath.Join(a.dir, name)
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		a.t.Fatal(err)
-	}
-	return path
+	t *testing.T
+	*certs.Authority
 }
 
 func newAuthority(t *testing.T, name string) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := &authority{t: t, dir: t.TempDir(), key: key}
-	a.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &key.PublicKey, key)
+	a, err := certs.New(t.TempDir(), name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.write("ca.crt", "CERTIFICATE", der)
-	return a
+	return &authority{t, a}
 }
 
 func (a *authority) issue(name string) link.Identity {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	c := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
-	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	text, err := x509.MarshalPKCS8PrivateKey(key)
+	id, err := a.Issue(name)
 	if err != nil {
 		a.t.Fatal(err)
 	}
-	return link.Identity{Cert: a.write(name+".crt", "CERTIFICATE", der), Key: a.write(name+".key", "PRIVATE KEY", text),
-		CA: filepath.Join(a.dir, "ca.crt")}
+	return id
 }
 
 func serve(t *testing.T, id link.Identity) *Server {
--- a/internal/standin/etcd/etcd.go
+++ b/internal/standin/etcd/etcd.go
@@ -1,26 +1,44 @@
-// Package etcd is the project's own stand-in for an etcd cluster, written from the published API: keys with revisions,
-// transactions, compaction, leases and watches, in memory, on a loopback address. Beside what a cluster promises it
-// does on command what breaks those promises or tries a client's patience: it stalls without a word, loses history, is
-// put back to an older state, and answers as a member that lags.
-//
-// What it is not yet: several members, past revisions in reads, authentication, TLS.
+// Package etcd is the project's own stand-in for an etcd cluster, written from the published API: one state (package store)
+// behind several members on loopback addresses, each with its own point in the history that it has applied. Beside what a
+// cluster promises it does on command what breaks those promises or tries a client's patience: leaders change, members lag,
+// are cut off in a minority or lie, history is compacted, the state is put back or wiped, tokens run out.
+// docs/etcd-standin.md is its design note.
 package etcd
 
 import (
-	"bytes"
+	"bufio"
 	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"net"
-	"slices"
-	"sort"
+	"os"
 	"sync"
 	"time"
 
 	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
 	"go.etcd.io/etcd/api/v3/mvccpb"
-	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"eiderspread/internal/standin/etcd/store"
 )
 
+// Config says what cluster to make. Zero values stand for the defaults.
+type Config struct {
+	Listen         []string          // addresses of the members; none: Members of its own choice on loopback
+	Members        int               // 1 if 0 and Listen is empty
+	File           string            // an append-only file that keeps what is committed; empty: memory alone
+	TLS            *tls.Config       // for clients
+	Users          map[string]string // passwords by user; empty: no authentication
+	TokenTTL       time.Duration     // 5 minutes
+	Election       time.Duration     // without a leader before another is elected, 200 ms
+	RequestTimeout time.Duration     // of what needs a leader, 2 s
+	FragmentBytes  int               // of a message to a watch that takes fragments, 1.5 MiB
+	Progress       time.Duration     // how often watches that want it are told how far they are, 10 minutes
+}
+
 // Head tells which state of which cluster an answer is of.
 type Head struct {
 	Cluster  uint64
@@ -34,594 +52,572 @@
 	Revision   int64 // of its last change
 }
 
-// Server is one cluster of one member. Its methods may be called by any goroutine.
-type Server struct {
-	pb.UnimplementedKVServer
-	pb.UnimplementedWatchServer
-	pb.UnimplementedLeaseServer
-
-	mu        sync.Mutex
-	addr      string
-	srv       *grpc.Server
-	head      Head
-	keys      map[string]*mvccpb.KeyValue
-	events    []*mvccpb.Event // after the compacted revision, in order; bounded by Compact alone: runs are short
-	compacted int64
-	changed   chan struct{} // closed and replaced with each change
-	leases    map[int64]*lease
-	nextLease int64
-	reads     int
-	watches   int
-
-	// Script is what goes wrong; see SetScript.
-	script Script
-}
-
-// Script makes a Server do what a cluster would not. Its functions run without locks.
+// Script makes a Cluster do what a cluster would not. Its functions run without locks.
 type Script struct {
 	Silent    bool                                     // no progress is told
 	AfterRead func()                                   // after each read of keys
 	OnWatch   func(w pb.Watch_WatchServer, from int64) // after a watch's creation, before its events
+	OnSend    func(r *pb.WatchResponse) error          // before each message of events; an error breaks the stream
 }
 
-type lease struct {
-	ttl   time.Duration
-	ends  *time.Timer
-	holds map[string]bool
-}
+// Cluster is a cluster of one or more members. Its methods may be called by any goroutine.
+type Cluster struct {
+	cfg Config
 
-// New starts a cluster without keys at a loopback address of its own.
-func New() (*Server, error) {
-	s := &Server{head: Head{Cluster: 1, Revision: 1, Term: 2}, keys: map[string]*mvccpb.KeyValue{}, changed: make(chan struct{}),
-		leases: map[int64]*lease{}, addr: "127.0.0.1:0"}
-	return s, s.Start()
+	mu        sync.Mutex
+	id        uint64
+	term      uint64
+	st        *store.Store
+	members   []*member
+	leader    int // -1: none
+	elections int // outdates timers
+	changed   chan struct{}
+	start     time.Time
+	skew      time.Duration // of the cluster's clock
+	expiry    *time.Timer
+	tokens    map[string]token // bounded by sweep
+	lastToken int
+	file      *os.File
+	fileErr   error
+	reads     int
+	watches   int
+	writes    int
+	changes   int // of leaders
+	script    Script
 }
 
-// Addr is where clients connect; the same after a restart.
-func (s *Server) Addr() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.addr
+type token struct {
+	user string
+	ends time.Duration
 }
 
-// Start serves again after a Stop, with the state as it was.
-func (s *Server) Start() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l, err := net.Listen("tcp", s.addr)
-	if err != nil {
-		return err
+// member is one endpoint. Its fields belong to Cluster.mu.
+type member struct {
+	pb.UnimplementedKVServer
+	pb.UnimplementedWatchServer
+	pb.UnimplementedLeaseServer
+	pb.UnimplementedAuthServer
+	pb.UnimplementedMaintenanceServer
+	pb.UnimplementedClusterServer
+
+	c      *Cluster
+	number int
+	addr   string
+	srv    *grpc.Server // nil: down
+	cut    bool         // from the other members
+	lags   bool         // applies nothing
+	lies   bool         // answers as if it were up to date
+	lostAt time.Time    // since when it has no leader
+	term   uint64
+	view   store.View
+}
+
+// New starts a cluster of one member without keys at a loopback address of its own.
+func New() (*Cluster, error) { return Open(Config{}) }
+
+// Open starts a cluster, with what its file holds if it names one.
+func Open(cfg Config) (*Cluster, error) {
+	if len(cfg.Listen) == 0 {
+		for range max(cfg.Members, 1) {
+			cfg.Listen = append(cfg.Listen, "127.0.0.1:0")
+		}
 	}
-	s.addr = l.Addr().String()
-	s.srv = grpc.NewServer()
-	pb.RegisterKVServer(s.srv, s)
-	pb.RegisterWatchServer(s.srv, s)
-	pb.RegisterLeaseServer(s.srv, s)
-	go s.srv.Serve(l)
-	return nil
-}
-
-// Stop ends the server as a crash would; its state stays.
-func (s *Server) Stop() {
-	s.mu.Lock()
-	srv := s.srv
-	s.srv = nil
-	s.mu.Unlock()
-	if srv != nil {
-		srv.Stop()
+	def := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
 	}
-}
-
-// Wipe puts a new, empty cluster in the place of this one. Call it while stopped, as operators would.
-func (s *Server) Wipe() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.restore(Head{Cluster: s.head.Cluster + 1, Revision: 1, Term: 2}, nil)
-}
-
-// Restore puts a state in the place of what is there, with no history before it.
-func (s *Server) Restore(h Head, kvs ...KV) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.restore(h, kvs)
-}
-
-func (s *Server) restore(h Head, kvs []KV) {
-	s.head, s.keys, s.events, s.compacted = h, map[string]*mvccpb.KeyValue{}, nil, h.Revision
-	for _, l := range s.leases {
-		l.ends.Stop()
+	def(&cfg.TokenTTL, 5*time.Minute)
+	def(&cfg.Election, 200*time.Millisecond)
+	def(&cfg.RequestTimeout, 2*time.Second)
+	def(&cfg.Progress, 10*time.Minute)
+	if cfg.FragmentBytes == 0 {
+		cfg.FragmentBytes = store.MaxRequest
+	}
+	c := &Cluster{cfg: cfg, id: 1, term: 2, leader: -1, changed: make(chan struct{}), start: time.Now(), tokens: map[string]token{}}
+	c.st = store.New(c.keep)
+	if cfg.File != "" {
+		if err := c.load(); err != nil {
+			return nil, err
+		}
 	}
-	s.leases = map[int64]*lease{}
-	for _, kv := range kvs {
-		s.keys[kv.Key] = &mvccpb.KeyValue{Key: []byte(kv.Key), Value: []byte(kv.Value), CreateRevision: kv.Revision, ModRevision: kv.Revision,
-			Version: 1}
+	c.expiry = time.AfterFunc(time.Hour, c.expire)
+	for i, addr := range cfg.Listen {
+		c.members = append(c.members, &member{c: c, number: i, addr: addr})
 	}
-	s.wake()
-}
-
-// SetScript says what goes wrong from now on.
-func (s *Server) SetScript(c Script) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.script = c
+	if err := c.Start(); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
 }
 
-// Reads counts the reads of keys, Watches the watches that were opened.
-func (s *Server) Reads() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reads
-}
+// now is the cluster's clock; c.mu is held.
+func (c *Cluster) now() time.Duration { return time.Since(c.start) + c.skew }
 
-// Watches counts the watches that were opened.
-func (s *Server) Watches() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.watches
+// Jump moves the cluster's clock, by which leases and tokens run out.
+func (c *Cluster) Jump(d time.Duration) {
+	c.mu.Lock()
+	c.skew += d
+	c.mu.Unlock()
+	c.expire()
 }
 
-// Head is the state as it is.
-func (s *Server) Head() Head {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.head
+// expire ends leases and tokens whose time is over, and comes back when the next is.
+func (c *Cluster) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.st.View()
+	next, ok := c.st.Expire(c.now())
+	if c.st.View() != before {
+		c.advance()
+	}
+	for id, t := range c.tokens {
+		if t.ends <= c.now() {
+			delete(c.tokens, id)
+		}
+	}
+	if !ok {
+		next = c.now() + time.Hour
+	}
+	c.expiry.Reset(min(max(next-c.now(), time.Millisecond), time.Hour))
 }
 
-// Set writes a key, Delete removes one, both as a client would.
-func (s *Server) Set(key, value string) {
-	s.Put(context.Background(), &pb.PutRequest{Key: []byte(key), Value: []byte(value)})
-}
+// ---- the file ----
 
-// Delete removes a key.
-func (s *Server) Delete(key string) {
-	s.DeleteRange(context.Background(), &pb.DeleteRangeRequest{Key: []byte(key)})
+// keep writes a commit before anybody is answered; c.mu is held.
+func (c *Cluster) keep(r store.Record) {
+	if c.file == nil {
+		return
+	}
+	text, err := json.Marshal(r)
+	if err == nil {
+		_, err = c.file.Write(append(text, '\n'))
+	}
+	if err == nil {
+		err = c.file.Sync()
+	}
+	if err != nil && c.fileErr == nil {
+		c.fileErr = fmt.Errorf("%s: %w", c.cfg.File, err)
+	}
 }
 
-// CompactAll forgets all history.
-func (s *Server) CompactAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.compacted, s.events = s.head.Revision, nil
+// Err is what went wrong with the file, if anything did: what is committed after it is kept in memory alone.
+func (c *Cluster) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fileErr
 }
 
-// State is all keys as they stand, in order, with the revision that they are of.
-func (s *Server) State() ([]KV, int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []KV
-	for k, v := range s.keys {
-		list = append(list, KV{k, string(v.Value), v.ModRevision})
+// load takes the file in. A torn last line is cut off; any other fault is an error.
+func (c *Cluster) load() error {
+	f, err := os.OpenFile(c.cfg.File, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return err
+	}
+	in, good, n := bufio.NewReader(f), int64(0), 0
+	for {
+		line, err := in.ReadBytes('\n')
+		if err != nil { // the last line, torn or empty
+			break
+		}
+		n++
+		var r store.Record
+		if err := json.Unmarshal(line, &r); err != nil {
+			f.Close()
+			return fmt.Errorf("%s, line %d: %w", c.cfg.File, n, err)
+		}
+		c.st.Replay(c.now(), r)
+		good += int64(len(line))
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
-	return list, s.head.Revision
+	if err := f.Truncate(good); err != nil {
+		f.Close()
+		return err
+	}
+	if _, err := f.Seek(good, 0); err != nil {
+		f.Close()
+		return err
+	}
+	c.file = f
+	return nil
 }
 
-func (s *Server) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
+// ---- members ----
 
-func (s *Server) header() *pb.ResponseHeader {
-	return &pb.ResponseHeader{ClusterId: s.head.Cluster, MemberId: 1, Revision: s.head.Revision, RaftTerm: s.head.Term}
-}
+// Addr is where clients reach the first member; the same after a restart.
+func (c *Cluster) Addr() string { return c.Addrs()[0] }
 
-// within tells whether a key lies in [from, end); an empty end means from alone, "\0" all behind it.
-func within(key, from, end []byte) bool {
-	switch {
-	case len(end) == 0:
-		return bytes.Equal(key, from)
-	case len(end) == 1 && end[0] == 0:
-		return bytes.Compare(key, from) >= 0
+// Addrs are the members' addresses.
+func (c *Cluster) Addrs() (list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.members {
+		list = append(list, m.addr)
 	}
-	return bytes.Compare(key, from) >= 0 && bytes.Compare(key, end) < 0
+	return list
 }
 
-// ---- KV ----
-
-func (s *Server) rangeOf(r *pb.RangeRequest) (*pb.RangeResponse, error) {
-	switch {
-	case r.Revision > s.head.Revision:
-		return nil, rpctypes.ErrGRPCFutureRev
-	case r.Revision > 0 && r.Revision < s.head.Revision: // no past is kept
-		return nil, rpctypes.ErrGRPCCompacted
-	}
-	out := &pb.RangeResponse{Header: s.header()}
-	for _, kv := range s.keys {
-		if within(kv.Key, r.Key, r.RangeEnd) {
-			out.Kvs = append(out.Kvs, kv)
+// Start has all members that are down serve again, with the state as it was.
+func (c *Cluster) Start() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.members {
+		if err := c.startMember(m); err != nil {
+			return err
 		}
 	}
-	out.Count = int64(len(out.Kvs))
-	slices.SortFunc(out.Kvs, func(a, b *mvccpb.KeyValue) int { return bytes.Compare(a.Key, b.Key) })
-	if r.Limit > 0 && out.Count > r.Limit {
-		out.Kvs, out.More = out.Kvs[:r.Limit], true
-	}
-	if r.CountOnly {
-		out.Kvs = nil
+	if c.elections == 0 || len(c.members) == 1 { // a cluster that begins has its leader at once
+		c.lead(0)
+	} else {
+		c.elect()
 	}
-	return out, nil
+	return nil
 }
 
-// Range implements the KV service: the state as it is, by key.
-func (s *Server) Range(_ context.Context, r *pb.RangeRequest) (*pb.RangeResponse, error) {
-	s.mu.Lock()
-	out, err := s.rangeOf(r)
-	after := s.script.AfterRead
-	if r.CountOnly {
-		after = nil
-	} else {
-		s.reads++
-	}
-	s.mu.Unlock()
-	if after != nil {
-		after()
+// StartMember starts one member if it is down.
+func (c *Cluster) StartMember(i int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.startMember(c.members[i]); err != nil {
+		return err
 	}
-	return out, err
+	c.elect()
+	return nil
 }
 
-// put and remove change keys at a revision; s.mu is held.
-func (s *Server) put(r *pb.PutRequest, rev int64) error {
-	if r.Lease != 0 && s.leases[r.Lease] == nil {
-		return rpctypes.ErrGRPCLeaseNotFound
+func (c *Cluster) startMember(m *member) error {
+	if m.srv != nil {
+		return nil
 	}
-	old := s.keys[string(r.Key)]
-	kv := &mvccpb.KeyValue{Key: r.Key, Value: r.Value, CreateRevision: rev, ModRevision: rev, Version: 1, Lease: r.Lease}
-	if old != nil {
-		kv.CreateRevision, kv.Version = old.CreateRevision, old.Version+1
-		if l := s.leases[old.Lease]; l != nil {
-			delete(l.holds, string(r.Key))
+	var l net.Listener
+	var err error
+	for range 200 { // an address that was just left may be in use for a moment
+		if l, err = net.Listen("tcp", m.addr); err == nil {
+			break
 		}
+		time.Sleep(5 * time.Millisecond)
 	}
-	if r.Lease != 0 {
-		s.leases[r.Lease].holds[string(r.Key)] = true
+	if err != nil {
+		return err
 	}
-	s.keys[string(r.Key)] = kv
-	s.events = append(s.events, &mvccpb.Event{Type: mvccpb.PUT, Kv: kv, PrevKv: old})
+	m.addr = l.Addr().String()
+	opts := []grpc.ServerOption{grpc.MaxRecvMsgSize(store.MaxRequest + 512<<10), grpc.UnaryInterceptor(m.unary), grpc.StreamInterceptor(m.stream)}
+	if c.cfg.TLS != nil {
+		opts = append(opts, grpc.Creds(credentials.NewTLS(c.cfg.TLS)))
+	}
+	m.srv = grpc.NewServer(opts...)
+	pb.RegisterKVServer(m.srv, m)
+	pb.RegisterWatchServer(m.srv, m)
+	pb.RegisterLeaseServer(m.srv, m)
+	pb.RegisterAuthServer(m.srv, m)
+	pb.RegisterMaintenanceServer(m.srv, m)
+	pb.RegisterClusterServer(m.srv, m)
+	m.lostAt = time.Now()
+	go m.srv.Serve(l)
 	return nil
 }
 
-func (s *Server) remove(r *pb.DeleteRangeRequest, rev int64) (n int64) {
-	var gone []string
-	for k := range s.keys {
-		if within([]byte(k), r.Key, r.RangeEnd) {
-			gone = append(gone, k)
-		}
-	}
-	sort.Strings(gone)
-	for _, k := range gone {
-		old := s.keys[k]
-		if l := s.leases[old.Lease]; l != nil {
-			delete(l.holds, k)
-		}
-		delete(s.keys, k)
-		s.events = append(s.events, &mvccpb.Event{Type: mvccpb.DELETE, Kv: &mvccpb.KeyValue{Key: []byte(k), ModRevision: rev}, PrevKv: old})
+// Stop ends all members as a crash would; the state stays.
+func (c *Cluster) Stop() {
+	for i := range c.members {
+		c.StopMember(i)
 	}
-	return int64(len(gone))
 }
 
-// commit takes what was written at the next revision, if anything was.
-func (s *Server) commit(rev int64) {
-	if n := len(s.events); n > 0 && s.events[n-1].Kv.ModRevision == rev && rev > s.head.Revision {
-		s.head.Revision = rev
-		s.wake()
+// Close ends the cluster for good.
+func (c *Cluster) Close() error {
+	c.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expiry.Stop()
+	if c.file == nil {
+		return c.fileErr
 	}
+	return errors.Join(c.fileErr, c.file.Close())
 }
 
-// Put implements the KV service.
-func (s *Server) Put(_ context.Context, r *pb.PutRequest) (*pb.PutResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	rev := s.head.Revision + 1
-	if err := s.put(r, rev); err != nil {
-		return nil, err
+// StopMember ends one member as a crash would.
+func (c *Cluster) StopMember(i int) {
+	c.mu.Lock()
+	m := c.members[i]
+	srv := m.srv
+	m.srv = nil
+	if srv != nil {
+		c.elect()
 	}
-	s.commit(rev)
-	return &pb.PutResponse{Header: s.header()}, nil
+	c.mu.Unlock()
+	if srv != nil {
+		srv.Stop()
+	}
+}
+
+// Cut takes a member from the others, or brings it back. Its clients still reach it.
+func (c *Cluster) Cut(i int, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members[i].cut = on
+	c.elect()
 }
 
-// DeleteRange implements the KV service.
-func (s *Server) DeleteRange(_ context.Context, r *pb.DeleteRangeRequest) (*pb.DeleteRangeResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	rev := s.head.Revision + 1
-	n := s.remove(r, rev)
-	s.commit(rev)
-	return &pb.DeleteRangeResponse{Header: s.header(), Deleted: n}, nil
+// Lag has a member apply nothing more, or catch up.
+func (c *Cluster) Lag(i int, on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members[i].lags = on
+	c.advance()
 }
 
-func (s *Server) holds(c *pb.Compare) bool {
-	kv := s.keys[string(c.Key)]
-	if kv == nil {
-		kv = &mvccpb.KeyValue{}
+// Lie has a member answer, also what needs the cluster's agreement, from an older revision and term as if that were all there
+// is; a revision of 0 ends it.
+func (c *Cluster) Lie(i int, rev int64, term uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[i]
+	m.lies = rev > 0
+	if m.lies {
+		m.view.Revision, m.view.Compacted, m.term = rev, min(m.view.Compacted, rev), term
 	}
-	order := 0
-	compare := func(a, b int64) int {
-		switch {
-		case a < b:
-			return -1
-		case a > b:
-			return 1
-		}
-		return 0
-	}
-	switch c.Target {
-	case pb.Compare_CREATE:
-		order = compare(kv.CreateRevision, c.GetCreateRevision())
-	case pb.Compare_MOD:
-		order = compare(kv.ModRevision, c.GetModRevision())
-	case pb.Compare_VERSION:
-		order = compare(kv.Version, c.GetVersion())
-	case pb.Compare_LEASE:
-		order = compare(kv.Lease, c.GetLease())
-	case pb.Compare_VALUE:
-		if len(kv.Key) == 0 {
-			return false // no value of a key that is not there compares
-		}
-		order = bytes.Compare(kv.Value, c.GetValue())
-	}
-	switch c.Result {
-	case pb.Compare_EQUAL:
-		return order == 0
-	case pb.Compare_NOT_EQUAL:
-		return order != 0
-	case pb.Compare_LESS:
-		return order < 0
-	}
-	return order > 0
-}
-
-// Txn implements the KV service: all that it writes is one revision.
-func (s *Server) Txn(_ context.Context, r *pb.TxnRequest) (*pb.TxnResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := &pb.TxnResponse{Succeeded: true}
-	for _, c := range r.Compare {
-		out.Succeeded = out.Succeeded && s.holds(c)
-	}
-	ops := r.Success
-	if !out.Succeeded {
-		ops = r.Failure
-	}
-	puts := map[string]bool{}
-	for _, op := range ops { // what is refused is refused before anything is done
-		if p := op.GetRequestPut(); p != nil {
-			if puts[string(p.Key)] {
-				return nil, rpctypes.ErrGRPCDuplicateKey
-			}
-			puts[string(p.Key)] = true
-			if p.Lease != 0 && s.leases[p.Lease] == nil {
-				return nil, rpctypes.ErrGRPCLeaseNotFound
-			}
+	c.advance()
+}
+
+// ChangeLeader has the leader step down: for the time of an election there is none, then another one.
+func (c *Cluster) ChangeLeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.leader
+	c.leader = -1
+	c.electAfter(was)
+}
+
+// together tells that a member can reach the majority; c.mu is held.
+func (m *member) together() bool { return m.srv != nil && !m.cut && m.c.majority() }
+
+func (c *Cluster) majority() bool {
+	n := 0
+	for _, m := range c.members {
+		if m.srv != nil && !m.cut {
+			n++
 		}
 	}
-	rev := s.head.Revision + 1
-	for _, op := range ops {
-		res := &pb.ResponseOp{}
-		switch {
-		case op.GetRequestRange() != nil:
-			got, err := s.rangeOf(op.GetRequestRange())
-			if err != nil {
-				return nil, err
-			}
-			res.Response = &pb.ResponseOp_ResponseRange{ResponseRange: got}
-		case op.GetRequestPut() != nil:
-			s.put(op.GetRequestPut(), rev)
-			res.Response = &pb.ResponseOp_ResponsePut{ResponsePut: &pb.PutResponse{Header: s.header()}}
-		case op.GetRequestDeleteRange() != nil:
-			n := s.remove(op.GetRequestDeleteRange(), rev)
-			res.Response = &pb.ResponseOp_ResponseDeleteRange{ResponseDeleteRange: &pb.DeleteRangeResponse{Header: s.header(), Deleted: n}}
-		}
-		out.Responses = append(out.Responses, res)
-	}
-	s.commit(rev)
-	out.Header = s.header()
-	return out, nil
-}
-
-// Compact implements the KV service.
-func (s *Server) Compact(_ context.Context, r *pb.CompactionRequest) (*pb.CompactionResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case r.Revision <= s.compacted:
-		return nil, rpctypes.ErrGRPCCompacted
-	case r.Revision > s.head.Revision:
-		return nil, rpctypes.ErrGRPCFutureRev
-	}
-	s.compacted = r.Revision
-	s.events = slices.DeleteFunc(s.events, func(e *mvccpb.Event) bool { return e.Kv.ModRevision <= r.Revision })
-	return &pb.CompactionResponse{Header: s.header()}, nil
-}
-
-// ---- Watch ----
-
-// watch is one watch of a stream.
-type watch struct {
-	id   int64
-	r    *pb.WatchCreateRequest
-	next int64 // the first revision that it has not been told
-}
-
-// stream is one connection's watches. All that it is told goes out in one order by one goroutine, so that progress,
-// which says that all up to a revision has been told, says so behind it.
-type stream struct {
-	raw    pb.Watch_WatchServer
-	open   []*watch            // with Server.mu held
-	due    []*pb.WatchResponse // answers to requests, with Server.mu held
-	asked  bool                // progress is asked for, with Server.mu held
-	wakeup chan struct{}       // of one place
-}
-
-func (w *stream) wake() {
-	select {
-	case w.wakeup <- struct{}{}:
-	default:
-	}
-}
-
-// Watch implements the Watch service.
-func (s *Server) Watch(raw pb.Watch_WatchServer) error {
-	w := &stream{raw: raw, wakeup: make(chan struct{}, 1)}
-	sender := make(chan struct{})
-	go func() {
-		defer close(sender)
-		s.follow(w)
-	}()
-	defer func() { <-sender }()
-	for id := int64(0); ; {
-		r, err := raw.Recv()
-		if err != nil {
-			return err
-		}
-		s.mu.Lock()
-		switch {
-		case r.GetCreateRequest() != nil:
-			k := &watch{id: id, r: r.GetCreateRequest(), next: r.GetCreateRequest().StartRevision}
-			id++
-			s.watches++
-			if k.next == 0 {
-				k.next = s.head.Revision + 1
-			}
-			created := &pb.WatchResponse{Header: s.header(), WatchId: k.id, Created: true}
-			if script := s.script.OnWatch; script != nil { // the sender has nothing to send for it yet
-				s.mu.Unlock()
-				raw.Send(created)
-				script(raw, k.next)
-				s.mu.Lock()
-			} else {
-				w.due = append(w.due, created)
-			}
-			w.open = append(w.open, k)
-		case r.GetCancelRequest() != nil:
-			gone := r.GetCancelRequest().WatchId
-			w.open = slices.DeleteFunc(w.open, func(k *watch) bool { return k.id == gone })
-			w.due = append(w.due, &pb.WatchResponse{Header: s.header(), WatchId: gone, Canceled: true})
-		case r.GetProgressRequest() != nil:
-			w.asked = !s.script.Silent
-		}
-		s.mu.Unlock()
-		w.wake()
+	return n > len(c.members)/2
+}
+
+// elect looks whether the leader can stay, and has another one elected after a while if not; c.mu is held.
+func (c *Cluster) elect() {
+	if c.leader >= 0 && c.members[c.leader].together() {
+		c.advance()
+		return
 	}
+	c.leader = -1
+	c.electAfter(-1)
 }
 
-// follow tells a stream's watches of what happens, one transaction a message.
-func (s *Server) follow(w *stream) {
-	for {
-		s.mu.Lock()
-		due := w.due
-		w.due = nil
-		for _, k := range slices.Clone(w.open) {
-			due = append(due, s.news(k)...)
-			if k.next <= s.compacted {
-				w.open = slices.DeleteFunc(w.open, func(o *watch) bool { return o == k })
+// electAfter has a leader elected after an election's time, another one than not if there is one; c.mu is held.
+func (c *Cluster) electAfter(not int) {
+	now := time.Now()
+	for _, m := range c.members {
+		if m.lostAt.IsZero() {
+			m.lostAt = now
+		}
+	}
+	c.advance()
+	c.elections++
+	this := c.elections
+	time.AfterFunc(c.cfg.Election, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.elections != this || c.leader >= 0 {
+			return
+		}
+		choice := -1
+		for k := range c.members {
+			i := (k + this) % len(c.members)
+			if c.members[i].together() && (choice < 0 || choice == not) {
+				choice = i
 			}
 		}
-		if w.asked {
-			w.asked = false
-			due = append(due, &pb.WatchResponse{Header: s.header(), WatchId: -1})
+		if choice >= 0 {
+			c.lead(choice)
 		}
-		changed := s.changed
-		s.mu.Unlock()
-		for _, r := range due {
-			if w.raw.Send(r) != nil {
-				return
+	})
+}
+
+// lead makes a member the leader of the next term; c.mu is held.
+func (c *Cluster) lead(i int) {
+	if c.elections > 0 {
+		c.term++
+		c.changes++
+		c.st.Extend(c.now())
+	}
+	c.elections++
+	c.leader = i
+	c.advance()
+}
+
+// led tells that a member has a leader; c.mu is held.
+func (m *member) led() bool { return m.c.leader >= 0 && m.together() }
+
+// advance has every member that can apply what was committed, drops what no member needs any more, and wakes whoever waits;
+// c.mu is held.
+func (c *Cluster) advance() {
+	floor := c.st.View().Compacted
+	for _, m := range c.members {
+		if m.led() {
+			m.lostAt = time.Time{}
+			if !m.lies {
+				m.term = c.term
+				if !m.lags {
+					m.view = c.st.View()
+				}
 			}
+		} else if m.lostAt.IsZero() {
+			m.lostAt = time.Now()
 		}
+		floor = min(floor, max(m.view.Compacted, 1))
+	}
+	c.st.Trim(floor)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// wait blocks until ok holds, and returns with c.mu held and nil, or without it and with an error.
+func (m *member) wait(ctx context.Context, ok func() bool, why error) error {
+	c := m.c
+	late := time.NewTimer(c.cfg.RequestTimeout)
+	defer late.Stop()
+	c.mu.Lock()
+	for !ok() {
+		changed := c.changed
+		c.mu.Unlock()
 		select {
 		case <-changed:
-		case <-w.wakeup:
-		case <-w.raw.Context().Done():
-			return
+		case <-late.C:
+			return why
+		case <-ctx.Done():
+			return ctx.Err()
 		}
+		c.mu.Lock()
 	}
+	return nil
 }
 
-// news is what a watch has not been told yet; s.mu is held.
-func (s *Server) news(k *watch) (due []*pb.WatchResponse) {
-	if k.next <= s.compacted {
-		return []*pb.WatchResponse{{Header: s.header(), WatchId: k.id, Canceled: true, CompactRevision: s.compacted + 1,
-			CancelReason: rpctypes.ErrCompacted.Error()}}
-	}
-	at := int64(0)
-	for _, e := range s.events {
-		if e.Kv.ModRevision < k.next || !within(e.Kv.Key, k.r.Key, k.r.RangeEnd) {
-			continue
-		}
-		if e.Kv.ModRevision != at {
-			at = e.Kv.ModRevision
-			due = append(due, &pb.WatchResponse{Header: s.header(), WatchId: k.id})
-		}
-		told := &mvccpb.Event{Type: e.Type, Kv: e.Kv}
-		if k.r.PrevKv {
-			told.PrevKv = e.PrevKv
-		}
-		last := due[len(due)-1]
-		last.Events = append(last.Events, told)
-	}
-	k.next = max(k.next, s.head.Revision+1)
-	return due
+// ---- the state, for tests ----
+
+// Wipe puts a new, empty cluster in the place of this one. Call it while stopped, as operators would.
+func (c *Cluster) Wipe() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restore(Head{Cluster: c.id + 1, Revision: 1, Term: 2}, nil)
 }
 
-// ---- Leases ----
+// Restore puts a state in the place of what is there, with no history before it. The file does not keep it.
+func (c *Cluster) Restore(h Head, kvs ...KV) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restore(h, kvs)
+}
 
-// LeaseGrant implements the Lease service.
-func (s *Server) LeaseGrant(_ context.Context, r *pb.LeaseGrantRequest) (*pb.LeaseGrantResponse, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nextLease++
-	id := r.ID
-	if id == 0 {
-		id = s.nextLease
+func (c *Cluster) restore(h Head, kvs []KV) {
+	var list []*mvccpb.KeyValue
+	for _, kv := range kvs {
+		list = append(list, &mvccpb.KeyValue{Key: []byte(kv.Key), Value: []byte(kv.Value), CreateRevision: kv.Revision, ModRevision: kv.Revision, Version: 1})
 	}
-	if s.leases[id] != nil {
-		return nil, rpctypes.ErrGRPCLeaseExist
+	c.id, c.term = h.Cluster, h.Term
+	c.st.Reset(h.Revision, list)
+	for _, m := range c.members {
+		m.view, m.term, m.lies = c.st.View(), h.Term, false
 	}
-	ttl := time.Duration(r.TTL) * time.Second
-	s.leases[id] = &lease{ttl: ttl, holds: map[string]bool{}, ends: time.AfterFunc(ttl, func() { s.revoke(id) })}
-	return &pb.LeaseGrantResponse{Header: s.header(), ID: id, TTL: r.TTL}, nil
+	c.advance()
 }
 
-func (s *Server) revoke(id int64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := s.leases[id]
-	if l == nil {
-		return false
-	}
-	l.ends.Stop()
-	delete(s.leases, id)
-	rev := s.head.Revision + 1
-	for k := range l.holds {
-		s.remove(&pb.DeleteRangeRequest{Key: []byte(k)}, rev)
-	}
-	s.commit(rev)
-	return true
+// SetScript says what goes wrong from now on.
+func (c *Cluster) SetScript(s Script) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.script = s
 }
 
-// LeaseRevoke implements the Lease service.
-func (s *Server) LeaseRevoke(_ context.Context, r *pb.LeaseRevokeRequest) (*pb.LeaseRevokeResponse, error) {
-	if !s.revoke(r.ID) {
-		return nil, rpctypes.ErrGRPCLeaseNotFound
-	}
-	return &pb.LeaseRevokeResponse{Header: &pb.ResponseHeader{}}, nil
+// Counts tells what clients have done, and how often a leader was elected.
+type Counts struct {
+	Reads, Watches, Writes, Leaders int
 }
 
-// LeaseKeepAlive implements the Lease service.
-func (s *Server) LeaseKeepAlive(w pb.Lease_LeaseKeepAliveServer) error {
-	for {
-		r, err := w.Recv()
-		if err != nil {
-			return err
-		}
-		s.mu.Lock()
-		out := &pb.LeaseKeepAliveResponse{Header: s.header(), ID: r.ID}
-		if l := s.leases[r.ID]; l != nil && l.ends.Stop() {
-			l.ends.Reset(l.ttl)
-			out.TTL = int64(l.ttl / time.Second)
+// Counts tells what clients have done.
+func (c *Cluster) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Counts{c.reads, c.watches, c.writes, c.changes}
+}
+
+// Reads counts the reads of keys.
+func (c *Cluster) Reads() int { return c.Counts().Reads }
+
+// Head is the state as it is.
+func (c *Cluster) Head() Head {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Head{c.id, c.st.View().Revision, c.term}
+}
+
+// Set writes a key, Delete removes one, both whether there is a leader or not.
+func (c *Cluster) Set(key, value string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.st.Put(&pb.PutRequest{Key: []byte(key), Value: []byte(value)})
+	c.advance()
+}
+
+// Delete removes a key.
+func (c *Cluster) Delete(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.st.Delete(&pb.DeleteRangeRequest{Key: []byte(key)})
+	c.advance()
+}
+
+// Do makes several changes as one revision: an empty value deletes.
+func (c *Cluster) Do(values map[string]string) {
+	var ops []*pb.RequestOp
+	for k, v := range values {
+		if v == "" {
+			ops = append(ops, &pb.RequestOp{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(k)}}})
+		} else {
+			ops = append(ops, &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(k), Value: []byte(v)}}})
 		}
-		s.mu.Unlock()
-		if err := w.Send(out); err != nil {
-			return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(ops) > 0 { // nested, as a list holds 128 at most
+		var outer []*pb.RequestOp
+		for len(ops) > 0 && len(outer) < store.MaxTxnOps {
+			n := min(len(ops), store.MaxTxnOps)
+			outer = append(outer, &pb.RequestOp{Request: &pb.RequestOp_RequestTxn{RequestTxn: &pb.TxnRequest{Success: ops[:n]}}})
+			ops = ops[n:]
 		}
+		c.st.Txn(&pb.TxnRequest{Success: outer})
+	}
+	c.advance()
+}
+
+// CompactAll forgets all history.
+func (c *Cluster) CompactAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.st.Compact(c.st.View().Revision)
+	c.advance()
+}
+
+// State is all keys as they stand, in order, with the revision that they are of.
+func (c *Cluster) State() ([]KV, int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	got, err := c.st.Range(&pb.RangeRequest{Key: []byte{0}, RangeEnd: []byte{0}}, c.st.View())
+	if err != nil {
+		return nil, 0
+	}
+	var list []KV
+	for _, kv := range got.Kvs {
+		list = append(list, KV{string(kv.Key), string(kv.Value), kv.ModRevision})
 	}
+	return list, c.st.View().Revision
 }
--- /dev/null
+++ b/internal/standin/etcd/services.go
@@ -0,0 +1,374 @@
+package etcd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+)
+
+// header is that of an answer from a member's own point; c.mu is held.
+func (m *member) header() *pb.ResponseHeader {
+	return &pb.ResponseHeader{ClusterId: m.c.id, MemberId: uint64(m.number) + 1, Revision: m.view.Revision, RaftTerm: m.term}
+}
+
+// ---- what holds for every call ----
+
+func first(ctx context.Context, key string) string {
+	md, _ := metadata.FromIncomingContext(ctx)
+	if v := md.Get(key); len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
+
+func wantsLeader(ctx context.Context) bool {
+	return first(ctx, rpctypes.MetadataRequireLeaderKey) == rpctypes.MetadataHasLeader
+}
+
+// allowed tells whether a call's token is good.
+func (c *Cluster) allowed(ctx context.Context) error {
+	if len(c.cfg.Users) == 0 {
+		return nil
+	}
+	id := first(ctx, rpctypes.TokenFieldNameGRPC)
+	if id == "" {
+		return rpctypes.ErrGRPCUserEmpty
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok := c.tokens[id]; !ok || t.ends <= c.now() {
+		return rpctypes.ErrGRPCInvalidAuthToken
+	}
+	return nil
+}
+
+// free are the calls that want no token.
+func free(method string) bool { return strings.HasSuffix(method, "/Authenticate") }
+
+func (m *member) unary(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	if wantsLeader(ctx) && m.leaderless() {
+		return nil, rpctypes.ErrGRPCNoLeader
+	}
+	if !free(info.FullMethod) {
+		if err := m.c.allowed(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return next(ctx, req)
+}
+
+// leaderless tells that a member has missed its leader for longer than an election takes.
+func (m *member) leaderless() bool {
+	m.c.mu.Lock()
+	defer m.c.mu.Unlock()
+	return !m.led() && !m.lies && !m.lostAt.IsZero() && time.Since(m.lostAt) > m.c.cfg.Election
+}
+
+// stream ends streams that want a leader once it is lost; watches check their tokens themselves.
+func (m *member) stream(srv any, s grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+	if !strings.HasSuffix(info.FullMethod, "/Watch") {
+		if err := m.c.allowed(s.Context()); err != nil {
+			return err
+		}
+	}
+	if !wantsLeader(s.Context()) {
+		return next(srv, s)
+	}
+	if m.leaderless() {
+		return rpctypes.ErrGRPCNoLeader
+	}
+	ctx, cancel := context.WithCancelCause(s.Context())
+	defer cancel(nil)
+	go func() {
+		t := time.NewTicker(max(m.c.cfg.Election/4, time.Millisecond))
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				if m.leaderless() {
+					cancel(rpctypes.ErrGRPCNoLeader)
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	err := next(srv, &ledStream{s, ctx})
+	if cause := context.Cause(ctx); cause == rpctypes.ErrGRPCNoLeader {
+		return cause
+	}
+	return err
+}
+
+// ledStream is a stream whose context ends with its member's leader.
+type ledStream struct {
+	grpc.ServerStream
+	ctx context.Context
+}
+
+func (s *ledStream) Context() context.Context { return s.ctx }
+
+// ---- KV ----
+
+// agreed waits until a member can answer what needs the cluster's agreement: it has a leader, and has applied all that was
+// committed when the call came. It returns with c.mu held and nil, or without it.
+func (m *member) agreed(ctx context.Context) error {
+	m.c.mu.Lock()
+	rev, id := m.c.st.View().Revision, m.c.id
+	m.c.mu.Unlock()
+	return m.wait(ctx, func() bool { return m.lies || m.led() && (m.view.Revision >= rev || m.c.id != id) }, rpctypes.ErrGRPCTimeout)
+}
+
+// leading waits for a leader, for a write. It returns with c.mu held and nil, or without it.
+func (m *member) leading(ctx context.Context) error {
+	if err := m.wait(ctx, m.led, rpctypes.ErrGRPCTimeout); err != nil {
+		return err
+	}
+	m.c.writes++
+	return nil
+}
+
+// Range implements the KV service.
+func (m *member) Range(ctx context.Context, r *pb.RangeRequest) (*pb.RangeResponse, error) {
+	c := m.c
+	if r.Serializable {
+		c.mu.Lock()
+	} else if err := m.agreed(ctx); err != nil {
+		return nil, err
+	}
+	out, err := c.st.Range(r, m.view)
+	if err == nil {
+		out.Header = m.header()
+	}
+	after := c.script.AfterRead
+	if r.CountOnly {
+		after = nil
+	} else {
+		c.reads++
+	}
+	c.mu.Unlock()
+	if after != nil {
+		after()
+	}
+	return out, err
+}
+
+// wrote ends a write: its commit is applied, and its answer says so. c.mu is held.
+func (m *member) wrote() *pb.ResponseHeader {
+	c := m.c
+	c.advance()
+	next, ok := c.st.Expire(c.now())
+	if ok {
+		c.expiry.Reset(max(next-c.now(), time.Millisecond))
+	}
+	h := m.header()
+	h.Revision, h.RaftTerm = c.st.View().Revision, c.term
+	return h
+}
+
+// Put implements the KV service.
+func (m *member) Put(ctx context.Context, r *pb.PutRequest) (*pb.PutResponse, error) {
+	if err := m.leading(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	out, err := m.c.st.Put(r)
+	if err != nil {
+		return nil, err
+	}
+	out.Header = m.wrote()
+	return out, nil
+}
+
+// DeleteRange implements the KV service.
+func (m *member) DeleteRange(ctx context.Context, r *pb.DeleteRangeRequest) (*pb.DeleteRangeResponse, error) {
+	if err := m.leading(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	out, err := m.c.st.Delete(r)
+	if err != nil {
+		return nil, err
+	}
+	out.Header = m.wrote()
+	return out, nil
+}
+
+// Txn implements the KV service.
+func (m *member) Txn(ctx context.Context, r *pb.TxnRequest) (*pb.TxnResponse, error) {
+	if err := m.leading(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	out, err := m.c.st.Txn(r)
+	if err != nil {
+		return nil, err
+	}
+	out.Header = m.wrote()
+	return out, nil
+}
+
+// Compact implements the KV service.
+func (m *member) Compact(ctx context.Context, r *pb.CompactionRequest) (*pb.CompactionResponse, error) {
+	if err := m.leading(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	if err := m.c.st.Compact(r.Revision); err != nil {
+		return nil, err
+	}
+	return &pb.CompactionResponse{Header: m.wrote()}, nil
+}
+
+// ---- Lease ----
+
+// LeaseGrant implements the Lease service.
+func (m *member) LeaseGrant(ctx context.Context, r *pb.LeaseGrantRequest) (*pb.LeaseGrantResponse, error) {
+	if err := m.leading(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	id, err := m.c.st.Grant(m.c.now(), r.ID, r.TTL)
+	if err != nil {
+		return nil, err
+	}
+	_, ttl, _ := m.c.st.Lease(m.c.now(), id)
+	return &pb.LeaseGrantResponse{Header: m.wrote(), ID: id, TTL: ttl}, nil
+}
+
+// LeaseRevoke implements the Lease service.
+func (m *member) LeaseRevoke(ctx context.Context, r *pb.LeaseRevokeRequest) (*pb.LeaseRevokeResponse, error) {
+	if err := m.leading(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	if err := m.c.st.Revoke(r.ID); err != nil {
+		return nil, err
+	}
+	return &pb.LeaseRevokeResponse{Header: m.wrote()}, nil
+}
+
+// LeaseKeepAlive implements the Lease service.
+func (m *member) LeaseKeepAlive(w pb.Lease_LeaseKeepAliveServer) error {
+	for {
+		r, err := w.Recv()
+		if err != nil {
+			return err
+		}
+		if err := m.leading(w.Context()); err != nil {
+			return err
+		}
+		out := &pb.LeaseKeepAliveResponse{ID: r.ID, TTL: m.c.st.KeepAlive(m.c.now(), r.ID), Header: m.header()}
+		m.c.mu.Unlock()
+		if err := w.Send(out); err != nil {
+			return err
+		}
+	}
+}
+
+// LeaseTimeToLive implements the Lease service.
+func (m *member) LeaseTimeToLive(ctx context.Context, r *pb.LeaseTimeToLiveRequest) (*pb.LeaseTimeToLiveResponse, error) {
+	if err := m.agreed(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	left, granted, keys := m.c.st.Lease(m.c.now(), r.ID)
+	out := &pb.LeaseTimeToLiveResponse{Header: m.header(), ID: r.ID, TTL: int64(left / time.Second), GrantedTTL: granted}
+	if granted == 0 {
+		out.TTL = -1
+	}
+	if r.Keys {
+		for _, key := range keys {
+			out.Keys = append(out.Keys, []byte(key))
+		}
+	}
+	return out, nil
+}
+
+// LeaseLeases implements the Lease service.
+func (m *member) LeaseLeases(ctx context.Context, _ *pb.LeaseLeasesRequest) (*pb.LeaseLeasesResponse, error) {
+	if err := m.agreed(ctx); err != nil {
+		return nil, err
+	}
+	defer m.c.mu.Unlock()
+	out := &pb.LeaseLeasesResponse{Header: m.header()}
+	for _, id := range m.c.st.Leases() {
+		out.Leases = append(out.Leases, &pb.LeaseStatus{ID: id})
+	}
+	return out, nil
+}
+
+// ---- Auth, Maintenance, Cluster: what client and tools use of them ----
+
+const tokensMost = 10000
+
+// Authenticate implements the Auth service.
+func (m *member) Authenticate(_ context.Context, r *pb.AuthenticateRequest) (*pb.AuthenticateResponse, error) {
+	c := m.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.cfg.Users) == 0 {
+		return nil, rpctypes.ErrGRPCAuthNotEnabled
+	}
+	if want, ok := c.cfg.Users[r.Name]; !ok || want != r.Password {
+		return nil, rpctypes.ErrGRPCAuthFailed
+	}
+	if len(c.tokens) >= tokensMost {
+		clear(c.tokens)
+	}
+	c.lastToken++
+	id := fmt.Sprintf("%s.%d", r.Name, c.lastToken)
+	c.tokens[id] = token{r.Name, c.now() + c.cfg.TokenTTL}
+	return &pb.AuthenticateResponse{Header: m.header(), Token: id}, nil
+}
+
+// Forget ends all tokens.
+func (c *Cluster) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.tokens)
+}
+
+// Status implements the Maintenance service.
+func (m *member) Status(context.Context, *pb.StatusRequest) (*pb.StatusResponse, error) {
+	c := m.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := &pb.StatusResponse{Header: m.header(), Version: "3.7.0", RaftTerm: m.term, RaftIndex: uint64(c.st.View().Revision),
+		RaftAppliedIndex: uint64(m.view.Revision), StorageVersion: "3.7.0"}
+	if m.led() {
+		out.Leader = uint64(c.leader) + 1
+	} else {
+		out.Errors = []string{rpctypes.ErrorDesc(rpctypes.ErrGRPCNoLeader)}
+	}
+	return out, nil
+}
+
+// MemberList implements the Cluster service.
+func (m *member) MemberList(ctx context.Context, r *pb.MemberListRequest) (*pb.MemberListResponse, error) {
+	c := m.c
+	if r.Linearizable {
+		if err := m.agreed(ctx); err != nil {
+			return nil, err
+		}
+	} else {
+		c.mu.Lock()
+	}
+	defer c.mu.Unlock()
+	scheme := "http://"
+	if c.cfg.TLS != nil {
+		scheme = "https://"
+	}
+	out := &pb.MemberListResponse{Header: m.header()}
+	for _, o := range c.members {
+		out.Members = append(out.Members, &pb.Member{ID: uint64(o.number) + 1, Name: fmt.Sprint("m", o.number), ClientURLs: []string{scheme + o.addr}})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/standin/etcd/watch.go
@@ -0,0 +1,256 @@
+package etcd
+
+import (
+	"slices"
+	"time"
+
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+	"go.etcd.io/etcd/api/v3/mvccpb"
+	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
+	"google.golang.org/protobuf/proto"
+
+	"eiderspread/internal/standin/etcd/store"
+)
+
+// batchRevs revisions go in one message at most, to a watch that catches up.
+const batchRevs = 1000
+
+// watch is one watch of a stream.
+type watch struct {
+	id   int64
+	r    *pb.WatchCreateRequest
+	next int64 // the first revision that it has not been told
+}
+
+// stream is one connection's watches. All that it is told goes out in one order by one goroutine, so that progress, which
+// says that all up to a revision has been told, says so behind it.
+type stream struct {
+	m      *member
+	raw    pb.Watch_WatchServer
+	open   []*watch            // with Cluster.mu held
+	due    []*pb.WatchResponse // answers to requests, with Cluster.mu held; bounded by what the client asks before it reads
+	asked  bool                // progress is asked for, with Cluster.mu held
+	wakeup chan struct{}       // of one place
+}
+
+func (w *stream) wake() {
+	select {
+	case w.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// Watch implements the Watch service.
+func (m *member) Watch(raw pb.Watch_WatchServer) error {
+	c := m.c
+	w := &stream{m: m, raw: raw, wakeup: make(chan struct{}, 1)}
+	sent := make(chan error, 1)
+	go func() { sent <- w.follow() }()
+	type got struct {
+		r   *pb.WatchRequest
+		err error
+	}
+	in := make(chan got)
+	go func() {
+		for {
+			r, err := raw.Recv()
+			select {
+			case in <- got{r, err}:
+				if err != nil {
+					return
+				}
+			case <-raw.Context().Done():
+				return
+			}
+		}
+	}()
+	last := int64(0)
+	for {
+		var r *pb.WatchRequest
+		select {
+		case g := <-in:
+			if g.err != nil {
+				return g.err
+			}
+			r = g.r
+		case err := <-sent:
+			return err
+		case <-raw.Context().Done():
+			return raw.Context().Err()
+		}
+		switch {
+		case r.GetCreateRequest() != nil:
+			w.create(r.GetCreateRequest(), &last)
+		case r.GetCancelRequest() != nil:
+			id := r.GetCancelRequest().WatchId
+			c.mu.Lock()
+			before := len(w.open)
+			w.open = slices.DeleteFunc(w.open, func(k *watch) bool { return k.id == id })
+			if len(w.open) < before {
+				w.due = append(w.due, &pb.WatchResponse{Header: m.header(), WatchId: id, Canceled: true})
+			}
+			c.mu.Unlock()
+		case r.GetProgressRequest() != nil:
+			c.mu.Lock()
+			w.asked = !c.script.Silent
+			c.mu.Unlock()
+		}
+		w.wake()
+	}
+}
+
+// create opens a watch, or says why not.
+func (w *stream) create(r *pb.WatchCreateRequest, last *int64) {
+	m, c := w.m, w.m.c
+	denied := c.allowed(w.raw.Context())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refuse := func(id int64, why string) {
+		w.due = append(w.due, &pb.WatchResponse{Header: m.header(), WatchId: id, Created: true, Canceled: true, CancelReason: why})
+	}
+	if denied != nil {
+		refuse(r.WatchId, rpctypes.ErrorDesc(denied))
+		return
+	}
+	taken := func(id int64) bool { return slices.ContainsFunc(w.open, func(k *watch) bool { return k.id == id }) }
+	k := &watch{id: r.WatchId, r: r, next: r.StartRevision}
+	if k.id == 0 {
+		for k.id = *last; taken(k.id); k.id++ {
+		}
+		*last = k.id + 1
+	} else if taken(k.id) {
+		refuse(-1, "mvcc: duplicate watch ID provided on the WatchStream")
+		return
+	}
+	if len(r.Key) == 0 { // as the client words "all keys"
+		r.Key = []byte{0}
+	}
+	c.watches++
+	if k.next == 0 {
+		k.next = m.view.Revision + 1
+	}
+	created := &pb.WatchResponse{Header: m.header(), WatchId: k.id, Created: true}
+	if script := c.script.OnWatch; script != nil { // the sender has nothing to send for it yet
+		c.mu.Unlock()
+		w.raw.Send(created)
+		script(w.raw, k.next)
+		c.mu.Lock()
+	} else {
+		w.due = append(w.due, created)
+	}
+	w.open = append(w.open, k)
+}
+
+// follow tells a stream's watches of what happens, until one can't be told.
+func (w *stream) follow() error {
+	m, c := w.m, w.m.c
+	tick := time.NewTicker(c.cfg.Progress)
+	defer tick.Stop()
+	notify := false
+	for {
+		c.mu.Lock()
+		due := w.due
+		w.due = nil
+		for _, k := range slices.Clone(w.open) {
+			list, gone := w.news(k)
+			if gone {
+				w.open = slices.DeleteFunc(w.open, func(o *watch) bool { return o == k })
+			}
+			if notify && len(list) == 0 && k.r.ProgressNotify && !c.script.Silent {
+				list = append(list, &pb.WatchResponse{Header: m.header(), WatchId: k.id})
+			}
+			due = append(due, list...)
+		}
+		notify = false
+		if w.asked {
+			w.asked = false
+			due = append(due, &pb.WatchResponse{Header: m.header(), WatchId: -1})
+		}
+		changed, script := c.changed, c.script.OnSend
+		c.mu.Unlock()
+		for _, r := range due {
+			if script != nil && len(r.Events) > 0 {
+				if err := script(r); err != nil {
+					return err
+				}
+			}
+			if err := w.raw.Send(r); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-changed:
+		case <-w.wakeup:
+		case <-tick.C:
+			notify = true
+		case <-w.raw.Context().Done():
+			return w.raw.Context().Err()
+		}
+	}
+}
+
+// news is what a watch has not been told yet, up to its member's own point; gone tells that it ends. c.mu is held.
+func (w *stream) news(k *watch) (due []*pb.WatchResponse, gone bool) {
+	m := w.m
+	if k.next < m.view.Compacted {
+		return []*pb.WatchResponse{{Header: m.header(), WatchId: k.id, Canceled: true, CompactRevision: m.view.Compacted,
+			CancelReason: rpctypes.ErrorDesc(rpctypes.ErrGRPCCompacted)}}, true
+	}
+	var now *pb.WatchResponse
+	at, revs := int64(0), 0
+	for _, e := range m.c.st.Events(k.next, m.view.Revision) {
+		if !store.Within(e.Kv.Key, k.r.Key, k.r.RangeEnd) || slices.Contains(k.r.Filters, filterOf(e)) {
+			continue
+		}
+		if e.Kv.ModRevision != at {
+			at = e.Kv.ModRevision
+			if revs++; now == nil || revs > batchRevs {
+				now, revs = &pb.WatchResponse{Header: m.header(), WatchId: k.id}, 1
+				due = append(due, now)
+			}
+		}
+		told := &mvccpb.Event{Type: e.Type, Kv: e.Kv}
+		if k.r.PrevKv {
+			told.PrevKv = e.PrevKv
+		}
+		now.Events = append(now.Events, told)
+	}
+	k.next = max(k.next, m.view.Revision+1)
+	if k.r.Fragment {
+		var parts []*pb.WatchResponse
+		for _, r := range due {
+			parts = append(parts, fragments(r, m.c.cfg.FragmentBytes)...)
+		}
+		due = parts
+	}
+	return due, false
+}
+
+func filterOf(e *mvccpb.Event) pb.WatchCreateRequest_FilterType {
+	if e.Type == mvccpb.DELETE {
+		return pb.WatchCreateRequest_NODELETE
+	}
+	return pb.WatchCreateRequest_NOPUT
+}
+
+// fragments splits a message that is too large; all parts but the last say that more follow.
+func fragments(r *pb.WatchResponse, most int) (parts []*pb.WatchResponse) {
+	size := 0
+	var now *pb.WatchResponse
+	for _, e := range r.Events {
+		n := proto.Size(e)
+		if now == nil || size+n > most {
+			if now != nil {
+				now.Fragment = true
+			}
+			now, size = &pb.WatchResponse{Header: r.Header, WatchId: r.WatchId}, 0
+			parts = append(parts, now)
+		}
+		now.Events = append(now.Events, e)
+		size += n
+	}
+	if parts == nil {
+		return []*pb.WatchResponse{r}
+	}
+	return parts
+}
