Agents move to other endpoints on SIGHUP; how old a list is stands in every status

An agent that was told other endpoints or certificates had to be restarted, and nobody beside it could see how old its word was.

The source goes on behind its last revision at the new endpoints; list and version stay. An agent says with every line how long its most silent source has been silent; forwarders tell it in their status, one-program ingresses in one of their own (deploy/ingress.toml, off unless EDGE_OPERATOR names it), and log an error once when it is beyond 10 s. An older state is believed only from two members where two are named: one that lies does so as often as it is asked. Of several revisions in one answer the last word on a node is told, so that a mark taken back and set again during a break is no moment in which the node is up.

--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -23,13 +24,18 @@
 )
 
 func main() {
-	if err := run(); err != nil {
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "eiderspread:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(args []string) error {
+	set := flag.NewFlagSet("eiderspread", flag.ContinueOnError)
+	check := set.Bool("check", false, "check the configuration and the operator's file, and end")
+	if err := set.Parse(args); err != nil {
+		return err
+	}
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG names no configuration file")
@@ -37,8 +43,8 @@
 	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read when it is taken
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	cfg, err := ingress.ReadConfig(path)
-	if err != nil {
+	cfg, err := read(path)
+	if err != nil || *check {
 		return err
 	}
 	runtime.GOMAXPROCS(processors)
@@ -55,6 +61,15 @@
 	return ingress.Run(ctx, cfg, reread, log)
 }
 
+// read reads the configuration, and the operator's file if EDGE_OPERATOR names one.
+func read(path string) (ingress.Config, error) {
+	cfg, err := ingress.ReadConfig(path)
+	if file := os.Getenv("EDGE_OPERATOR"); file != "" && err == nil {
+		cfg.Operator, err = ingress.ReadOperator(file)
+	}
+	return cfg, err
+}
+
 // rereadOn reads the configuration again at each signal and hands it on. What can't be read is logged,
 // and the ingress goes on as it is.
 func rereadOn(hup <-chan os.Signal, done <-chan struct{}, path string, first ingress.Config,
@@ -65,7 +80,7 @@
 		case <-done:
 			return
 		}
-		cfg, err := ingress.ReadConfig(path)
+		cfg, err := read(path)
 		if err != nil {
 			log.Error("configuration not taken over", "error", err)
 			continue
--- a/cmd/eiderwatch/main.go
+++ b/cmd/eiderwatch/main.go
@@ -1,5 +1,5 @@
 // Command eiderwatch joins roster and etcd into one list of zone nodes and serves it in the roster's protocol; its
-// nodes commands write to etcd.
+// nodes commands write to etcd, and standin is an etcd to try them with.
 package main
 
 import (
@@ -26,6 +26,7 @@
   nodes FILE drain [-hold] [-why W] ID   mark a node as draining; with -hold only while this command runs
   nodes FILE undrain ID              take the mark back
   nodes FILE watch                   what changes, as it does
+  standin [flags]                    a stand-in for etcd on loopback, to try the others with; standin -h lists the flags
 `
 
 func main() {
@@ -56,16 +57,23 @@
 		if err != nil || *check {
 			return err
 		}
-		a, err := agent.Open(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+		a, err := agent.Open(cfg, log)
 		if err != nil {
 			return err
 		}
+		hup := make(chan os.Signal, 1) // one that waits stands for all
+		signal.Notify(hup, syscall.SIGHUP)
+		defer signal.Stop(hup)
+		go reloadOn(ctx, hup, set.Arg(0), a, log)
 		return a.Run(ctx)
 	case "nodes":
 		if len(rest) < 2 {
 			return fmt.Errorf("nodes wants a file and a command")
 		}
 		return nodes(ctx, rest[0], rest[1], rest[2:], out)
+	case "standin":
+		return standin(ctx, rest, out)
 	case "help", "-h", "--help":
 		fmt.Fprint(out, usage)
 		return nil
@@ -75,6 +83,26 @@
 	}
 }
 
+// reloadOn reads the agent's file again at each signal. What can't be read is logged, and the agent goes on as it is.
+func reloadOn(ctx context.Context, hup <-chan os.Signal, file string, a *agent.Agent, log *slog.Logger) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := agent.ReadFile(file)
+		if err != nil {
+			log.Error("file not taken over", "error", err)
+			continue
+		}
+		log.Info("file read again", "endpoints", cfg.Etcd.Endpoints)
+		if a.Reload(cfg) {
+			log.Warn("of the new file only endpoints, user, password and certificates are taken over before a restart")
+		}
+	}
+}
+
 // holdTTL is how long a held mark outlives the command that holds it.
 const holdTTL = 5
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,16 +11,17 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
 	"net/netip"
 
 	"eiderspread/internal/etcdsource"
-	"eiderspread/internal/fleet"
 	"eiderspread/internal/link"
 	"eiderspread/internal/member"
 	"eiderspread/internal/mono"
+	"eiderspread/internal/operator"
 	"eiderspread/internal/roster"
 )
 
@@ -61,7 +62,7 @@
 // ReadFile reads and checks the operator's file and all that it names.
 func ReadFile(path string) (Config, error) {
 	f := File{ProgressMS: 500, StaleMS: 2000, RosterMS: 5000, OrphanMS: 10000, TimeoutMS: 2000, RetryMS: 2000, FlapMS: 60000, FlapMostMS: 30000}
-	if err := fleet.Decode(path, &f); err != nil {
+	if err := operator.Decode(path, &f); err != nil {
 		return Config{}, err
 	}
 	c, err := f.check()
@@ -140,6 +141,15 @@
 	return a, nil
 }
 
+// Reload takes over from a configuration that was read again where etcd is and how one is known there. The list, its version
+// and all else stay; Reload says whether more differs, which a restart takes over.
+func (a *Agent) Reload(cfg Config) (more bool) {
+	a.source.Move(cfg.Etcd)
+	was := a.cfg
+	was.Etcd.Endpoints, was.Etcd.User, was.Etcd.Password, was.Etcd.TLS = cfg.Etcd.Endpoints, cfg.Etcd.User, cfg.Etcd.Password, cfg.Etcd.TLS
+	return !reflect.DeepEqual(was, cfg)
+}
+
 // Addr is where the list is served.
 func (a *Agent) Addr() string { return a.listen.Addr().String() }
 
@@ -189,6 +199,7 @@
 			do(a.clock.Now())
 		case <-t.C:
 			a.pub.publish(a.core.Tick(a.clock.Now()))
+			a.pub.aged(a.age())
 		case <-ctx.Done():
 			return nil
 		}
@@ -205,6 +216,14 @@
 	}
 }
 
+// age is for how long the source has been silent that has been so the longest, in seconds.
+func (a *Agent) age() (s float64) {
+	for _, src := range a.core.Sources() {
+		s = max(s, min(src.AgeS, 1e9))
+	}
+	return s
+}
+
 func (a *Agent) roster(now float64, l roster.List) {
 	var nodes []member.Node
 	for _, t := range l.Servers {
--- a/internal/agent/publish.go
+++ b/internal/agent/publish.go
@@ -13,7 +13,7 @@
 
 const (
 	kept   = 4096            // changes that a watch may be behind; one further behind gets the whole list
-	blanks = 2 * time.Second // an empty line comes so often while nothing changes
+	blanks = 2 * time.Second // a line without nodes comes so often while nothing changes
 )
 
 var words = map[member.State]string{member.Up: "in_service", member.Draining: "terminating", member.Gone: "terminated"}
@@ -25,6 +25,21 @@
 	list    map[string]roster.Target
 	changes []roster.List // the last kept
 	changed chan struct{} // closed and replaced with each change
+	ageS    float64       // of the source that has been silent the longest
+}
+
+// aged takes how old the word is of the source that has been silent the longest.
+func (p *publisher) aged(s float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ageS = s
+}
+
+// idle is what a watch is told while nothing changes: that the agent is there, and how old its word is.
+func (p *publisher) idle(version int64) roster.List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return roster.List{Version: version, Servers: []roster.Target{}, AgeS: p.ageS}
 }
 
 func newPublisher(start int64) *publisher {
@@ -43,7 +58,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version++
-	l := roster.List{Version: p.version}
+	l := roster.List{Version: p.version, AgeS: p.ageS}
 	for _, e := range entries {
 		t := target(e)
 		l.Servers = append(l.Servers, t)
@@ -67,7 +82,7 @@
 }
 
 func (p *publisher) wholeLocked() roster.List {
-	l := roster.List{Version: p.version, Full: true, Servers: []roster.Target{}}
+	l := roster.List{Version: p.version, Full: true, Servers: []roster.Target{}, AgeS: p.ageS}
 	for _, t := range p.list {
 		l.Servers = append(l.Servers, t)
 	}
@@ -117,7 +132,7 @@
 		select {
 		case <-changed:
 		case <-time.After(blanks):
-			if _, err := w.Write([]byte("\n")); err != nil || flush.Flush() != nil {
+			if out.Encode(p.idle(after)) != nil || flush.Flush() != nil {
 				return
 			}
 		case <-r.Context().Done():
--- a/internal/etcdsource/follow.go
+++ b/internal/etcdsource/follow.go
@@ -23,6 +23,8 @@
 	// confirmMost reads in a row must tell of a revision or a term that fell, before the view goes back: one member may
 	// be old, while a read that the cluster agrees on is not.
 	confirmMost = 3
+	// confirmMembers of them must have told it where more endpoints than one are named: one that lies, lies as often as it is asked.
+	confirmMembers = 2
 )
 
 // Header is what etcd says of an answer.
@@ -30,6 +32,7 @@
 	Cluster  uint64
 	Revision int64
 	Term     uint64
+	Member   uint64 // that answered
 }
 
 // KV is one key under the prefix, which is cut off; Deleted among changes only.
@@ -67,12 +70,14 @@
 	drains  map[string]bool
 	bad     map[string]string // keys whose value can't be read, and why
 	fell    int               // reads in a row that told of a lower revision
+	fellBy  map[uint64]bool   // the members that told it
+	members int               // so many must
 	Reads   int               // of the whole that were taken
 	Repeats int               // events that had been taken in already
 }
 
-func newFollower() *follower {
-	return &follower{nodes: map[string]value{}, drains: map[string]bool{}, bad: map[string]string{}}
+func newFollower(members int) *follower {
+	return &follower{nodes: map[string]value{}, drains: map[string]bool{}, bad: map[string]string{}, fellBy: map[uint64]bool{}, members: members}
 }
 
 // parseValue reads a node's value.
@@ -114,13 +119,15 @@
 	case h.Cluster != f.head.Cluster:
 		verdict = Replaced
 	case h.Term < f.head.Term, h.Revision < f.head.Revision:
-		if f.fell++; f.fell < confirmMost {
+		f.fellBy[h.Member] = true
+		if f.fell++; f.fell < confirmMost || len(f.fellBy) < f.members {
 			return Refused
 		}
 		verdict = Replaced
 	}
 	good := f.nodes
 	f.known, f.head, f.fell = true, h, 0
+	clear(f.fellBy)
 	f.nodes, f.drains, f.bad = map[string]value{}, map[string]bool{}, map[string]string{}
 	for _, kv := range kvs {
 		f.set(kv, good)
@@ -189,51 +196,46 @@
 
 var errOld = errors.New("etcd answers from an older state")
 
-// events takes in what a watch brought, and returns the words that changed, revision by revision: what one transaction
-// changed is one batch. An answer of another cluster or of an older term ends the watch. The header's revision is the store's
+// events takes in what one answer of a watch brought, and returns the words that changed. Of a node that changed in several of
+// its revisions the last word alone is told: a mark that was taken back and set again while the watch was down is no moment in
+// which the node was up. An answer of another cluster or of an older term ends the watch. The header's revision is the store's
 // when the answer was made: more events up to it may be on their way in further answers, so that only events and progress
 // move the view on.
-func (f *follower) events(h Header, kvs []KV) (batches [][]member.Node, err error) {
+func (f *follower) events(h Header, kvs []KV) (words []member.Node, err error) {
 	if h.Cluster != f.head.Cluster || h.Term < f.head.Term {
 		return nil, errOld
 	}
 	f.head.Term = h.Term
-	for len(kvs) > 0 {
-		rev, n := kvs[0].Revision, 0
-		for n < len(kvs) && kvs[n].Revision == rev {
-			n++
+	behind := f.head.Revision // what the view had when the answer came
+	seen := map[string]int{}
+	gone := map[string]bool{} // nodes that were listed and are not any more
+	for _, kv := range kvs {
+		if kv.Revision <= behind {
+			f.Repeats++
+			continue
 		}
-		batch := kvs[:n]
-		kvs = kvs[n:]
-		if rev <= f.head.Revision {
-			f.Repeats += n
+		f.head.Revision = max(f.head.Revision, kv.Revision)
+		key, isNode := strings.CutPrefix(kv.Key, nodesDir)
+		_, listed := f.nodes[key]
+		id, ok := f.set(kv, f.nodes)
+		if !ok {
 			continue
 		}
-		f.head.Revision = rev
-		var words []member.Node
-		seen := map[string]int{}
-		for _, kv := range batch {
-			_, listed := f.nodes[strings.TrimPrefix(kv.Key, nodesDir)]
-			id, ok := f.set(kv, f.nodes)
-			if !ok {
-				continue
-			}
-			w := f.word(id)
-			if kv.Deleted && listed && strings.HasPrefix(kv.Key, nodesDir) {
-				w.State = member.Gone
-			}
-			if i, twice := seen[id]; twice {
-				words[i] = w
-				continue
-			}
-			seen[id] = len(words)
-			words = append(words, w)
+		if isNode {
+			gone[id] = kv.Deleted && (listed || gone[id])
+		}
+		w := f.word(id)
+		if gone[id] {
+			w.State = member.Gone
 		}
-		if len(words) > 0 {
-			batches = append(batches, words)
+		if i, twice := seen[id]; twice {
+			words[i] = w
+			continue
 		}
+		seen[id] = len(words)
+		words = append(words, w)
 	}
-	return batches, nil
+	return words, nil
 }
 
 // progress takes in that nothing has changed up to a revision.
--- a/internal/etcdsource/source.go
+++ b/internal/etcdsource/source.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"go.etcd.io/etcd/api/v3/etcdserverpb"
 	"go.etcd.io/etcd/api/v3/mvccpb"
 	"go.etcd.io/etcd/api/v3/v3rpc/rpctypes"
 	clientv3 "go.etcd.io/etcd/client/v3"
@@ -33,7 +34,7 @@
 // Sink takes what the source learns, in order. It is called by one goroutine.
 type Sink interface {
 	Whole(nodes []member.Node, why string) // all, at one revision; why it was read anew
-	Change(nodes []member.Node)            // what one revision changed
+	Change(nodes []member.Node)            // what one answer changed: one revision or several, of which the last word on each node is told
 	Alive()                                // up to date, with nothing new
 	Broken(why error)                      // there may be gaps until the next Whole
 	Bad(key, why string)                   // a value that can't be read; its node keeps its last good one
@@ -52,6 +53,7 @@
 	sink Sink
 	f    *follower
 	told map[string]string // bad values that were told
+	move chan Config       // of one place: the newest that was asked for
 
 	mu     sync.Mutex
 	status Status
@@ -59,7 +61,29 @@
 
 // New makes a source; Run starts it.
 func New(cfg Config, sink Sink) *Source {
-	return &Source{cfg: cfg, sink: sink, f: newFollower(), told: map[string]string{}}
+	return &Source{cfg: cfg, sink: sink, f: newFollower(min(len(cfg.Endpoints), confirmMembers)), told: map[string]string{}, move: make(chan Config, 1)}
+}
+
+// Move has the source go on with other endpoints, user, password and certificates, from where it is: what it has told stays,
+// and only if the new endpoints are of another cluster, or lack what comes next, is the whole read again. Safe for concurrent use.
+func (s *Source) Move(cfg Config) {
+	for {
+		select {
+		case s.move <- cfg:
+			return
+		default:
+		}
+		select { // an older one that nobody has taken yet
+		case <-s.move:
+		default:
+		}
+	}
+}
+
+// moved takes new endpoints over.
+func (s *Source) moved(cfg Config) {
+	s.cfg.Endpoints, s.cfg.User, s.cfg.Password, s.cfg.TLS = cfg.Endpoints, cfg.User, cfg.Password, cfg.TLS
+	s.f.members = min(len(cfg.Endpoints), confirmMembers)
 }
 
 // Status is safe for concurrent use.
@@ -91,10 +115,32 @@
 	why := "start"
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := s.session(ctx, &why)
+		round, end := context.WithCancel(ctx)
+		next := make(chan Config, 1)
+		watched := make(chan struct{})
+		go func() {
+			defer close(watched)
+			select {
+			case cfg := <-s.move:
+				next <- cfg
+				end()
+			case <-round.Done():
+			}
+		}()
+		err := s.session(round, &why)
+		end()
+		<-watched
 		if ctx.Err() != nil {
 			return
 		}
+		select {
+		case cfg := <-next:
+			s.moved(cfg)
+			wait = s.cfg.RetryMost / 16
+			s.sink.Broken(errors.New("moved to other endpoints"))
+			continue
+		default:
+		}
 		s.note(func(st *Status) { st.Breaks++ })
 		s.sink.Broken(err)
 		if time.Since(began) > s.cfg.RetryMost {
@@ -102,6 +148,8 @@
 		}
 		select {
 		case <-time.After(wait/2 + rand.N(wait/2+1)):
+		case cfg := <-s.move:
+			s.moved(cfg)
 		case <-ctx.Done():
 		}
 		wait = min(2*wait, s.cfg.RetryMost)
@@ -163,7 +211,11 @@
 	for _, kv := range r.Kvs {
 		kvs = append(kvs, s.kv(kv, false))
 	}
-	return Header{r.Header.ClusterId, r.Header.Revision, r.Header.RaftTerm}, kvs, nil
+	return headerOf(r.Header), kvs, nil
+}
+
+func headerOf(h *etcdserverpb.ResponseHeader) Header {
+	return Header{Cluster: h.ClusterId, Revision: h.Revision, Term: h.RaftTerm, Member: h.MemberId}
 }
 
 func (s *Source) kv(kv *mvccpb.KeyValue, deleted bool) KV {
@@ -226,7 +278,7 @@
 				return r.Err()
 			}
 			heard = time.Now()
-			h := Header{r.Header.ClusterId, r.Header.Revision, r.Header.RaftTerm}
+			h := headerOf(r.Header)
 			if r.IsProgressNotify() {
 				if err := s.f.progress(h); err != nil {
 					return err
@@ -239,9 +291,9 @@
 			for _, e := range r.Events {
 				kvs = append(kvs, s.kv(e.Kv, e.Type == mvccpb.DELETE))
 			}
-			batches, err := s.f.events(h, kvs)
-			for _, b := range batches {
-				s.sink.Change(b)
+			words, err := s.f.events(h, kvs)
+			if len(words) > 0 {
+				s.sink.Change(words)
 			}
 			s.note(func(*Status) {})
 			s.tellBad()
--- a/internal/forward/file.go
+++ b/internal/forward/file.go
@@ -7,6 +7,7 @@
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/ingress"
 	"eiderspread/internal/link"
+	"eiderspread/internal/operator"
 )
 
 // File is a forwarder's operator's file, checked.
@@ -28,7 +29,7 @@
 		PlannersAt []string `toml:"planners_at"`
 		Names      []string
 	}
-	if err := fleet.Decode(path, &f); err != nil {
+	if err := operator.Decode(path, &f); err != nil {
 		return File{}, err
 	}
 	out, err := check(f.File, f.PlannersAt, f.Names)
--- a/internal/forward/remote.go
+++ b/internal/forward/remote.go
@@ -13,6 +13,7 @@
 
 	"eiderspread/internal/ingress"
 	"eiderspread/internal/link"
+	"eiderspread/internal/roster"
 	"eiderspread/policy"
 )
 
@@ -174,12 +175,15 @@
 	BytesOut uint64       `json:"bytes_out"`
 	Stats    Stats        `json:"stats"`
 	Cells    []CellStatus `json:"cells"`
+	List     roster.Age   `json:"list"` // how old the list of backends is
+	Old      bool         `json:"old"`  // too old to be trusted
 }
 
 func (r *Remote) status(w http.ResponseWriter, req *http.Request) {
 	got := make(chan Status, 1)
 	r.Post(func(now float64) {
-		st := Status{Kind: "forwarder", Number: r.cfg.Number, Stats: r.core.Stats, BytesIn: r.in, BytesOut: r.out}
+		st := Status{Kind: "forwarder", Number: r.cfg.Number, Stats: r.core.Stats, BytesIn: r.in, BytesOut: r.out, List: r.ListAge()}
+		st.Old = st.List.Old()
 		for _, c := range r.conns {
 			st.Links = append(st.Links, c != nil)
 			if c != nil {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -26,6 +26,7 @@
 
 	Known    targets
 	Settings settings.Settings
+	Operator Operator // of the operator's file, if there is one
 }
 
 const (
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"eiderspread/internal/roster"
 )
@@ -36,7 +37,30 @@
 			}
 		}
 	}()
-	roster.New(in.cfg.Discovery, in.cfg.Known.Version,
+	in.watcher.Run(ctx, moves)
+}
+
+// newWatcher makes the watcher of discovery; watchDiscovery's goroutine owns it but for its age.
+func (in *Ingress) newWatcher() *roster.Watcher {
+	return roster.New(in.cfg.Discovery, in.cfg.Known.Version,
 		func(t targets) { in.post(in.clock.Now(), func() { in.takeList(t) }) },
-		func(what string, args ...any) { in.post(in.clock.Now(), func() { in.note(what, args...) }) }).Run(ctx, moves)
+		func(what string, args ...any) { in.post(in.clock.Now(), func() { in.note(what, args...) }) })
+}
+
+// ListAge implements Host.
+func (in *Ingress) ListAge() roster.Age { return in.watcher.Age() }
+
+// ageEvery is how often the age of the list of backends is looked at, for the log alone.
+const ageEvery = 5 * time.Second
+
+// watchAge says so in the log, once each way, when the list of backends is too old to be trusted. The ingress goes on with it.
+func (in *Ingress) watchAge() {
+	switch age := in.ListAge(); {
+	case age.Old() && !in.oldList:
+		in.oldList = true
+		in.log.Error("the list of backends is old", "heard_s", age.HeardS, "told_s", age.ToldS)
+	case !age.Old() && in.oldList:
+		in.oldList = false
+		in.log.Info("the list of backends is fresh again")
+	}
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"eiderspread/internal/mono"
+	"eiderspread/internal/roster"
 	"eiderspread/policy"
 )
 
@@ -55,6 +56,7 @@
 	After(delayS float64, do func()) // runs do on the loop, so much later; loop only
 	Note(what string, args ...any)   // logs a fault of somebody else, at a bounded rate; loop only
 	Now() float64                    // loop only
+	ListAge() roster.Age             // how old the list of backends is; of any goroutine
 }
 
 // Ingress is one gateway on real sockets. Its loop alone owns the gateway and all that is not said
@@ -81,6 +83,8 @@
 	clients   clientSet
 	requests  map[string]*request
 	backends  backendSet
+	watcher   *roster.Watcher
+	oldList   bool // the list of backends was said to be old
 	peers     *peerLink
 	leaving   bool // the listener is closed, connections close between requests
 }
@@ -107,6 +111,12 @@
 	}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	if cfg.Operator.Status != "" {
+		if err := in.serveStatus(life); err != nil {
+			in.close()
+			return err
+		}
+	}
 	gate, err := make(life, in)
 	if err != nil {
 		in.close()
@@ -125,6 +135,7 @@
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
 	in.backends.init(cfg)
+	in.watcher = in.newWatcher()
 	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -156,6 +167,7 @@
 	in.gate = gate
 	in.takeList(in.cfg.Known)
 	go in.watchDiscovery(background, reread)
+	in.every(ageEvery, in.watchAge)
 	go in.accept(in.listener)
 	if in.peers != nil {
 		go in.peers.receive()
--- /dev/null
+++ b/internal/ingress/status.go
@@ -0,0 +1,73 @@
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"eiderspread/internal/operator"
+	"eiderspread/internal/roster"
+)
+
+// Operator is the operator's file of an ingress, deploy/ingress.toml: what the platform's configuration does not know. All
+// of it is off unless asked for.
+type Operator struct {
+	Status string // where the status is served, on loopback; empty: nowhere
+}
+
+// ReadOperator reads and checks the operator's file.
+func ReadOperator(path string) (Operator, error) {
+	var o Operator
+	if err := operator.Decode(path, &o); err != nil {
+		return o, err
+	}
+	if o.Status != "" {
+		if err := operator.Loopback("status", o.Status); err != nil {
+			return o, fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	return o, nil
+}
+
+// Status is what an ingress tells people.
+type Status struct {
+	Kind     string     `json:"kind"`
+	Name     string     `json:"name"`
+	List     roster.Age `json:"list"`     // how old the list of backends is
+	Old      bool       `json:"old"`      // too old to be trusted
+	Backends int        `json:"backends"` // that are known
+	Clients  int        `json:"clients"`  // connections
+	Requests int        `json:"requests"` // open
+	Leaving  bool       `json:"leaving"`
+}
+
+// serveStatus serves the status until ctx ends.
+func (in *Ingress) serveStatus(ctx context.Context) error {
+	l, err := net.Listen("tcp", in.cfg.Operator.Status)
+	if err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(in.status), ReadHeaderTimeout: time.Second}
+	go srv.Serve(l)
+	context.AfterFunc(ctx, func() { srv.Close() })
+	return nil
+}
+
+func (in *Ingress) status(w http.ResponseWriter, r *http.Request) {
+	got := make(chan Status, 1)
+	in.Post(func(float64) {
+		age := in.ListAge()
+		got <- Status{Kind: "ingress", Name: in.cfg.Name, List: age, Old: age.Old(), Backends: len(in.backends.byID), Clients: in.clients.open(),
+			Requests: len(in.requests), Leaving: in.leaving}
+	})
+	select {
+	case st := <-got:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(st)
+	case <-r.Context().Done():
+	case <-time.After(time.Second):
+	}
+}
--- a/internal/planner/file.go
+++ b/internal/planner/file.go
@@ -7,6 +7,7 @@
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/ingress"
 	"eiderspread/internal/link"
+	"eiderspread/internal/operator"
 )
 
 // File is a planner's operator's file, checked.
@@ -27,7 +28,7 @@
 		Listen  string
 		Allowed []string
 	}
-	if err := fleet.Decode(path, &f); err != nil {
+	if err := operator.Decode(path, &f); err != nil {
 		return File{}, err
 	}
 	out, err := check(f.File, f.Listen, f.Allowed)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"eiderspread/policy"
@@ -33,6 +34,7 @@
 	Version int64    `json:"version"`
 	Full    bool     `json:"full"`
 	Servers []Target `json:"servers"`
+	AgeS    float64  `json:"age_s,omitempty"` // how old the word was of the source that has been silent the longest; an agent tells it
 }
 
 // Target is one backend of a List. StartedMS is Unix time in milliseconds, 0 for long ago.
@@ -99,11 +101,44 @@
 	addr    string
 	version int64 // the last that was taken in
 	whole   bool  // changes may be missing: only the whole list tells
+	age     age
+}
+
+// Age is how old a watcher's word is, in seconds: since the last line of a watch, and how old that line was by its own account.
+type Age struct {
+	HeardS float64 `json:"heard_s"`
+	ToldS  float64 `json:"told_s"`
+}
+
+// Old tells that nothing of what a list says should be trusted to be of now.
+func (a Age) Old() bool { return a.HeardS+a.ToldS > oldS }
+
+// oldS is some five times what a roster or an agent may be silent for.
+const oldS = 10
+
+// age is written by the watcher and read by anybody.
+type age struct {
+	mu    sync.Mutex
+	heard time.Time
+	told  float64
+}
+
+func (a *age) note(told float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.heard, a.told = time.Now(), told
+}
+
+// Age is safe for concurrent use.
+func (w *Watcher) Age() Age {
+	w.age.mu.Lock()
+	defer w.age.mu.Unlock()
+	return Age{time.Since(w.age.heard).Seconds(), w.age.told}
 }
 
 // New makes a watcher of discovery at addr that goes on behind a version, or with one below 0 from the whole list on.
 func New(addr string, version int64, take func(List), note func(string, ...any)) *Watcher {
-	return &Watcher{take: take, note: note, addr: addr, version: version, whole: version < 0,
+	return &Watcher{take: take, note: note, addr: addr, version: version, whole: version < 0, age: age{heard: time.Now()},
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
 }
@@ -188,6 +223,7 @@
 		}
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
+			w.age.note(0)
 			continue
 		}
 		t, err := Parse(line)
@@ -199,7 +235,10 @@
 			return err
 		}
 		w.version = t.Version
-		w.take(t)
+		w.age.note(t.AgeS)
+		if t.Full || len(t.Servers) > 0 {
+			w.take(t)
+		}
 	}
 	if errors.Is(lines.Err(), bufio.ErrTooLong) {
 		w.whole = true
@@ -228,6 +267,7 @@
 	})
 	w.whole = false
 	w.version = t.Version
+	w.age.note(t.AgeS)
 	w.take(t)
 	return nil
 }
