--- /dev/null
+++ b/cmd/eiderwatch/lab.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/etcdfleet"
+)
+
+// runLab runs a fleet whose membership comes from the stand-in for etcd through agents, while etcd breaks, and has the auditor
+// judge. eiderfleet and eiderspread must lie beside this program.
+func runLab(args []string, w io.Writer) error {
+	set := flag.NewFlagSet("lab", flag.ContinueOnError)
+	forwarders := set.Int("forwarders", 20, "forwarders, or one-program ingresses with -planners 0")
+	planners := set.Int("planners", 3, "planners; 0 for a fleet of one level")
+	nodes := set.Int("nodes", 6, "zone nodes")
+	members := set.Int("members", 3, "members of the etcd cluster")
+	length := set.Duration("for", time.Minute, "how long clients ask")
+	every := set.Duration("every", 600*time.Millisecond, "mean time between two faults")
+	seed := set.Uint64("seed", 1, "of accounts, traffic and faults")
+	scale := set.Float64("scale", 1, "of the number of accounts")
+	dir := set.String("dir", "", "where files and logs go (a new folder)")
+	quiet := set.Bool("quiet", false, "do not print each fault")
+	if err := set.Parse(args); err != nil {
+		return err
+	}
+	if *dir == "" {
+		var err error
+		if *dir, err = os.MkdirTemp("", "eiderwatch"); err != nil {
+			return err
+		}
+	}
+	if err := os.MkdirAll(*dir, 0o700); err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	n := func(x int) int { return max(1, int(float64(x)**scale)) }
+	sc := lab.Scenario{Length: *length, Accounts: lab.Accounts(n(20), n(10), n(3), *forwarders, 4, *seed),
+		FleetConfig: lab.FleetConfig{Forwarders: *forwarders, Planners: *planners, Nodes: *nodes, Classes: lab.LabClasses, Plans: lab.LabPlans,
+			Node: lab.LabNode, Seed: *seed, Dir: *dir, Spawn: spawner(self)}}
+	if err := lab.Make("etcd", &sc, etcdfleet.Kinds, *every); err != nil {
+		return err
+	}
+	rig, err := etcdfleet.New(*dir, *members)
+	if err != nil {
+		return err
+	}
+	defer rig.Close()
+	rig.Use(&sc.FleetConfig)
+	etcdfleet.Play(rig)
+	fmt.Fprintf(w, "etcd: %d cores, %d members, %d forwarders, %d planners, %d nodes, %d accounts, %v, seed %d, %d faults; logs in %s\n", runtime.NumCPU(),
+		*members, *forwarders, *planners, sc.Nodes, len(sc.Accounts), *length, *seed, len(sc.Faults), *dir)
+	log := w
+	if *quiet {
+		log = io.Discard
+	}
+	var views error
+	f, rep, err := lab.RunWith(sc, log, func() { views = rig.Print(w) })
+	if err != nil {
+		return err
+	}
+	rep.Print(w)
+	fmt.Fprintf(w, "the laboratory was %v late at worst\n", f.Hist.Late.Round(time.Millisecond))
+	if err := rep.Verdict(); err != nil {
+		return err
+	}
+	return views
+}
+
+// spawner starts the programs under test: this one, and those that lie beside it.
+func spawner(self string) lab.Spawn {
+	return func(kind, file string) *exec.Cmd {
+		switch kind {
+		case "agent":
+			return exec.Command(self, "run", file)
+		case "ingress":
+			c := exec.Command(filepath.Join(filepath.Dir(self), "eiderspread"))
+			c.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+			return c
+		}
+		return exec.Command(filepath.Join(filepath.Dir(self), "eiderfleet"), kind, file)
+	}
+}
--- a/cmd/eiderwatch/main.go
+++ b/cmd/eiderwatch/main.go
@@ -26,6 +26,7 @@
   nodes FILE drain [-hold] [-why W] ID   mark a node as draining; with -hold only while this command runs
   nodes FILE undrain ID              take the mark back
   nodes FILE watch                   what changes, as it does
+  lab [flags]                        a fleet on the stand-in while etcd breaks, with an audit; lab -h lists the flags
   standin [flags]                    a stand-in for etcd on loopback, to try the others with; standin -h lists the flags
 `
 
@@ -72,6 +73,8 @@
 			return fmt.Errorf("nodes wants a file and a command")
 		}
 		return nodes(ctx, rest[0], rest[1], rest[2:], out)
+	case "lab":
+		return runLab(rest, out)
 	case "standin":
 		return standin(ctx, rest, out)
 	case "help", "-h", "--help":
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"time"
@@ -36,7 +37,9 @@
 type File struct {
 	Listen       string
 	Status       string
-	Roster       string // empty: etcd alone
+	Roster       string  // empty: etcd alone
+	State        string  // file that keeps what is known across restarts; empty: none
+	StartMS      float64 `toml:"start_ms"`
 	Endpoints    []string
 	Prefix       string
 	User         string
@@ -54,14 +57,16 @@
 
 // Config is the file, checked.
 type Config struct {
-	Listen, Status, Roster string
-	Etcd                   etcdsource.Config
-	Member                 member.Config
+	Listen, Status, Roster, State string
+
+	StartS float64 // a start waits so long for all sources, before it serves by those that are current
+	Etcd   etcdsource.Config
+	Member member.Config
 }
 
 // ReadFile reads and checks the operator's file and all that it names.
 func ReadFile(path string) (Config, error) {
-	f := File{ProgressMS: 500, StaleMS: 2000, RosterMS: 5000, OrphanMS: 10000, TimeoutMS: 2000, RetryMS: 2000, FlapMS: 60000, FlapMostMS: 30000}
+	f := File{ProgressMS: 500, StaleMS: 2000, RosterMS: 5000, OrphanMS: 10000, TimeoutMS: 2000, RetryMS: 2000, FlapMS: 60000, FlapMostMS: 30000, StartMS: 3000}
 	if err := operator.Decode(path, &f); err != nil {
 		return Config{}, err
 	}
@@ -74,7 +79,7 @@
 
 func (f File) check() (Config, error) {
 	ms := func(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
-	c := Config{Listen: f.Listen, Status: f.Status, Roster: f.Roster,
+	c := Config{Listen: f.Listen, Status: f.Status, Roster: f.Roster, State: f.State, StartS: f.StartMS / 1e3,
 		Etcd: etcdsource.Config{Endpoints: f.Endpoints, Prefix: f.Prefix, User: f.User, Progress: ms(f.ProgressMS), Timeout: ms(f.TimeoutMS),
 			RetryMost: ms(f.RetryMS)},
 		Member: member.Config{StaleS: map[string]float64{etcdName: f.StaleMS / 1e3}, OrphanS: f.OrphanMS / 1e3, FlapS: f.FlapMS / 1e3,
@@ -85,7 +90,7 @@
 		}
 	}
 	for name, x := range map[string]float64{"progress_ms": f.ProgressMS, "stale_ms": f.StaleMS, "roster_stale_ms": f.RosterMS, "orphan_ms": f.OrphanMS,
-		"timeout_ms": f.TimeoutMS, "retry_ms": f.RetryMS, "flap_ms": f.FlapMS, "flap_most_ms": f.FlapMostMS} {
+		"timeout_ms": f.TimeoutMS, "retry_ms": f.RetryMS, "flap_ms": f.FlapMS, "flap_most_ms": f.FlapMostMS, "start_ms": f.StartMS} {
 		if !(x >= 1 && x <= 3.6e6) {
 			return c, fmt.Errorf("%s must be 1 to 3600000", name)
 		}
@@ -108,6 +113,14 @@
 		}
 		c.Etcd.Password = strings.TrimSpace(string(text))
 	}
+	if f.State != "" {
+		if _, err := recall(f.State); err != nil {
+			return c, err
+		}
+		if i, err := os.Stat(filepath.Dir(f.State)); err != nil || !i.IsDir() {
+			return c, fmt.Errorf("state: %s is no folder", filepath.Dir(f.State))
+		}
+	}
 	var err error
 	if c.Etcd.TLS, err = link.Identity(f.TLS).Config(); err != nil {
 		return c, fmt.Errorf("tls: %w", err)
@@ -126,15 +139,32 @@
 	done   chan struct{}
 	source *etcdsource.Source
 	listen net.Listener
+
+	keeper  *keeper // nil: nothing is kept
+	dirty   bool    // what is known has changed since it was kept
+	serveBy float64 // from then on the list is served by those sources that are current
 }
 
 // Open makes an agent and its listener.
 func Open(cfg Config, log *slog.Logger) (*Agent, error) {
 	a := &Agent{cfg: cfg, log: log, clock: mono.New(), events: make(chan func(float64), eventQueue), done: make(chan struct{})}
-	a.core = member.New(cfg.Member, a.clock.Now(), nil)
-	a.pub = newPublisher(time.Now().UnixMilli())
+	was, err := memory{}, error(nil)
+	if cfg.State != "" {
+		if was, err = recall(cfg.State); err != nil {
+			return nil, err
+		}
+		a.keeper = &keeper{path: cfg.State, next: make(chan memory, 1), note: func(err error) { log.Error("what is known is not kept", "error", err) }}
+	}
+	now := a.clock.Now()
+	a.core = member.New(cfg.Member, now, was.Known.List)
+	a.core.Remember(was.Known)
+	a.pub = newPublisher(max(time.Now().UnixMilli(), was.Version+1))
+	a.serveBy = now + cfg.StartS
+	for _, e := range a.core.List() {
+		a.pub.list[e.ID] = target(e)
+	}
+	a.pub.ready = len(was.Known.List) > 0
 	a.source = etcdsource.New(cfg.Etcd, sink{a})
-	var err error
 	if a.listen, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -183,11 +213,17 @@
 		defer st.Close()
 		go st.Serve(l)
 	}
+	if a.keeper != nil {
+		kept := make(chan struct{})
+		end := make(chan struct{})
+		go func() { defer close(kept); a.keeper.run(end) }()
+		defer func() { close(end); <-kept }()
+	}
 	go a.source.Run(ctx)
 	if a.cfg.Roster != "" {
 		w := roster.New(a.cfg.Roster, -1, func(l roster.List) { a.post(func(now float64) { a.roster(now, l) }) },
 			func(what string, args ...any) { a.log.Warn("roster: "+what, args...) })
-		w.Alive = func() { a.post(func(now float64) { a.pub.publish(a.core.Resumed(now, rosterName)) }) }
+		w.Alive = func() { a.post(func(now float64) { a.publish(a.core.Resumed(now, rosterName)) }) }
 		go w.Run(ctx, nil)
 	}
 	t := time.NewTicker(tick)
@@ -197,9 +233,12 @@
 		select {
 		case do := <-a.events:
 			do(a.clock.Now())
+			a.keep()
 		case <-t.C:
-			a.pub.publish(a.core.Tick(a.clock.Now()))
+			a.publish(a.core.Tick(a.clock.Now()))
 			a.pub.aged(a.age())
+			a.keep()
+			a.begin()
 		case <-ctx.Done():
 			return nil
 		}
@@ -216,6 +255,33 @@
 	}
 }
 
+// publish tells of changes.
+func (a *Agent) publish(changed []member.Entry) {
+	a.dirty = a.dirty || len(changed) > 0
+	a.pub.publish(changed)
+	a.begin()
+}
+
+// begin has the list served for the first time once all sources are current, or one is and the time to wait is over: an ingress
+// must not be told an empty list by an agent that has just come, nor one without what another source has to say against it.
+func (a *Agent) begin() {
+	all, any := true, false
+	for _, s := range a.core.Sources() {
+		all, any = all && s.Current, any || s.Current
+	}
+	if all || any && a.clock.Now() >= a.serveBy {
+		a.pub.serve()
+	}
+}
+
+// keep hands what is known to the keeper if it has changed.
+func (a *Agent) keep() {
+	if a.keeper != nil && a.dirty && a.pub.begun() {
+		a.dirty = false
+		a.keeper.keep(memory{a.pub.at(), a.core.Memory()})
+	}
+}
+
 // age is for how long the source has been silent that has been so the longest, in seconds.
 func (a *Agent) age() (s float64) {
 	for _, src := range a.core.Sources() {
@@ -235,10 +301,11 @@
 		}
 		nodes = append(nodes, n)
 	}
+	a.dirty = true // words, if not the list
 	if l.Full {
-		a.pub.publish(a.core.Whole(now, rosterName, nodes))
+		a.publish(a.core.Whole(now, rosterName, nodes))
 	} else {
-		a.pub.publish(a.core.Change(now, rosterName, nodes))
+		a.publish(a.core.Change(now, rosterName, nodes))
 	}
 }
 
@@ -247,13 +314,19 @@
 
 func (s sink) Whole(nodes []member.Node, why string) {
 	s.a.log.Info("etcd read whole", "nodes", len(nodes), "why", why)
-	s.a.post(func(now float64) { s.a.pub.publish(s.a.core.Whole(now, etcdName, nodes)) })
+	s.a.post(func(now float64) {
+		s.a.dirty = true
+		s.a.publish(s.a.core.Whole(now, etcdName, nodes))
+	})
 }
 func (s sink) Change(nodes []member.Node) {
-	s.a.post(func(now float64) { s.a.pub.publish(s.a.core.Change(now, etcdName, nodes)) })
+	s.a.post(func(now float64) {
+		s.a.dirty = true
+		s.a.publish(s.a.core.Change(now, etcdName, nodes))
+	})
 }
 func (s sink) Alive() {
-	s.a.post(func(now float64) { s.a.pub.publish(s.a.core.Resumed(now, etcdName)) })
+	s.a.post(func(now float64) { s.a.publish(s.a.core.Resumed(now, etcdName)) })
 }
 func (s sink) Broken(why error) {
 	s.a.log.Warn("etcd watch broken", "error", why)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -52,6 +52,7 @@
 // the agent, gets the whole list.
 func TestPublisher(t *testing.T) {
 	p := newPublisher(1000)
+	p.serve()
 	srv := httptest.NewServer(p)
 	defer srv.Close()
 	next := func(after int64) (*bufio.Reader, func()) {
--- a/internal/agent/publish.go
+++ b/internal/agent/publish.go
@@ -26,6 +26,27 @@
 	changes []roster.List // the last kept
 	changed chan struct{} // closed and replaced with each change
 	ageS    float64       // of the source that has been silent the longest
+	ready   bool          // the list is good to be served
+}
+
+// serve has the list served from now on.
+func (p *publisher) serve() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ready = true
+}
+
+func (p *publisher) begun() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ready
+}
+
+// at is the version that was told last.
+func (p *publisher) at() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
 }
 
 // aged takes how old the word is of the source that has been silent the longest.
@@ -108,6 +129,10 @@
 		http.NotFound(w, r)
 		return
 	}
+	if !p.begun() {
+		http.Error(w, "the list is not known yet", http.StatusServiceUnavailable)
+		return
+	}
 	out := json.NewEncoder(w)
 	if r.URL.Query().Get("watch") == "" {
 		out.Encode(p.whole())
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -22,10 +22,11 @@
 	Quotas   = "quotas kept"
 	Caps     = "caps kept"
 	Ceilings = "ceilings kept"
+	Stale    = "none on a stale word"
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings}
+var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
@@ -42,6 +43,7 @@
 	CapX                float64        // times a cap on open attempts that may be out; 0: no bound is stated
 	Drift               float64        // what the fastest of the clocks makes of a second; 0 stands for 1
 	FallMultiple, FallS float64        // of the rule on cold nodes
+	StaleS              float64        // for which a word of membership counts as fresh; 0: not judged
 	ColdSlack           float64        // share of the budget that chance and the network's delays may add
 	Floors              map[string]int // by rule: occasions under which a run shows nothing
 	LateMost            time.Duration  // lateness of the laboratory from which on a run is void; 0: no bound
@@ -169,6 +171,7 @@
 		rep.attempts(h, rules, classes[byID[key][0].Class], byID[key], tries[key])
 	}
 	rep.drains(h, rules, tries)
+	rep.stale(h, rules)
 	rep.cold(h, rules)
 	rep.caps(h, rules, plans)
 	inside := rep.quotas(h, rules, plans)
--- a/internal/lab/audit/history.go
+++ b/internal/lab/audit/history.go
@@ -92,6 +92,8 @@
 	Attempts []*Attempt
 	Tries    []*Try
 	Told     []Told
+	True     []Told  // what sources of membership hold, by source in place of the party
+	Blind    []Blind // when parties could hear nothing of a source
 	Outages  []Outage
 	Restarts []Outage
 	Faults   []Fault
@@ -176,6 +178,35 @@
 	h.do(func() { h.Told = append(h.Told, Told{party, node, state, h.Now()}) })
 }
 
+// Blind is a time in which a party could hear nothing of a source.
+type Blind struct {
+	Party, Source string
+	From, To      time.Duration // To 0: it goes on
+}
+
+// Holds records that a source holds a node to stand so from now on.
+func (h *History) Holds(source, node, state string) {
+	h.do(func() { h.True = append(h.True, Told{source, node, state, h.Now()}) })
+}
+
+// Blinded records that parties can hear nothing of a source from now on, until the function that it returns is called.
+func (h *History) Blinded(source string, parties []string) (end func()) {
+	from := 0
+	h.do(func() {
+		from = len(h.Blind)
+		for _, p := range parties {
+			h.Blind = append(h.Blind, Blind{p, source, h.Now(), 0})
+		}
+	})
+	return func() {
+		h.do(func() {
+			for i := range parties {
+				h.Blind[from+i].To = h.Now()
+			}
+		})
+	}
+}
+
 // ToldOf lists the nodes that a party was told of and that are not gone as far as it knows.
 func (h *History) ToldOf(party string) (list []string) {
 	h.do(func() {
--- /dev/null
+++ b/internal/lab/audit/stale.go
@@ -0,0 +1,104 @@
+package audit
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// EtcdSource and RosterSource name the sources of membership; a roster tells each party at its own time, so that its source is
+// named with the party.
+const EtcdSource = "etcd"
+
+// RosterSource is the roster as one party hears it.
+func RosterSource(party string) string { return rosterPrefix + party }
+
+const rosterPrefix = "roster "
+
+// staleSlack is for the way of a word from its source to a party, and for what the laboratory notes a moment late.
+const staleSlack = 100 * time.Millisecond
+
+// stale looks for nodes that were told as up although no source held that, by what the party could have heard of it: a word
+// counts for StaleS, and for as long as the party can hear nothing newer. Sources join by the strictest word: up if one says
+// so and none says otherwise.
+func (rep *Report) stale(h *History, rules Rules) {
+	if rules.StaleS <= 0 {
+		return
+	}
+	held := map[string]map[string][]Told{} // by source and node, in order of time
+	truths := slices.Clone(h.True)
+	for _, t := range h.Told {
+		if strings.HasPrefix(t.Party, rosterPrefix) {
+			truths = append(truths, t)
+		}
+	}
+	for _, t := range truths {
+		if held[t.Party] == nil {
+			held[t.Party] = map[string][]Told{}
+		}
+		held[t.Party][t.Node] = append(held[t.Party][t.Node], t)
+	}
+	blind := map[string][]Blind{}
+	for _, b := range h.Blind {
+		blind[b.Party+"/"+b.Source] = append(blind[b.Party+"/"+b.Source], b)
+	}
+	// words are the states that a source held of a node between two moments, the one before the first included.
+	words := func(list []Told, from, to time.Duration) (states []string) {
+		i := sort.Search(len(list), func(i int) bool { return list[i].At > from })
+		if i == 0 {
+			states = append(states, "")
+		} else {
+			states = append(states, list[i-1].State)
+		}
+		for ; i < len(list) && list[i].At <= to; i++ {
+			states = append(states, list[i].State)
+		}
+		return states
+	}
+	// fresh are the states that a party may take from a source at a moment.
+	fresh := func(party, source, node string, at time.Duration) (states []string) {
+		list, from := held[source][node], at-seconds(rules.StaleS)
+		to := at + staleSlack
+		for _, b := range blind[party+"/"+source] { // in order of time
+			if b.From > at || b.To != 0 && b.To < from {
+				continue
+			}
+			// What was held at the break stays the party's last word until it hears again.
+			states = append(states, words(list, b.From-staleSlack, b.From+staleSlack)...)
+			if b.To == 0 || b.To > at {
+				return append(states, words(list, min(from, b.From), b.From)...)
+			}
+			from = max(from, b.To)
+		}
+		return append(states, words(list, from, to)...)
+	}
+	type key struct{ party, node string }
+	last := map[key]string{}
+	for _, t := range h.Told {
+		k := key{t.Party, t.Node}
+		was, known := last[k]
+		last[k] = t.State
+		if t.State != "in_service" || was == t.State || held[RosterSource(t.Party)] == nil {
+			continue
+		}
+		if known {
+			rep.saw(Stale, "a node came back")
+		} else {
+			rep.saw(Stale, "a node came in")
+		}
+		etcd, roster := fresh(t.Party, EtcdSource, t.Node, t.At), fresh(t.Party, RosterSource(t.Party), t.Node, t.At)
+		ok := slices.ContainsFunc(etcd, func(e string) bool {
+			return slices.ContainsFunc(roster, func(r string) bool { return joined(e, r) })
+		})
+		if !ok {
+			rep.breach(Stale, t.At, "%s was told that %s is up; etcd held %q, its roster %q", t.Party, t.Node, etcd, roster)
+		}
+	}
+}
+
+// joined tells whether a node is up by two sources' words; "" stands for none.
+func joined(a, b string) bool {
+	up := func(s string) bool { return s == "in_service" }
+	return (up(a) || up(b)) && (up(a) || a == "") && (up(b) || b == "")
+}
--- /dev/null
+++ b/internal/lab/etcdfleet/rig.go
@@ -0,0 +1,483 @@
+// Package etcdfleet is the laboratory's membership from etcd: a stand-in cluster of several members, an agent beside each
+// program, and relays between agents and programs that note what each was told. Its faults break etcd while the fleet works.
+package etcdfleet
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/certs"
+	"eiderspread/internal/roster"
+	"eiderspread/internal/standin/etcd"
+)
+
+const (
+	prefix   = "/eiderspread/lab/"
+	user     = "eiderwatch"
+	secret   = "snow on the tracks"
+	staleMS  = 1200
+	etcdStar = 0.3 // seconds a leaderless etcd takes to elect
+)
+
+// Rig is the membership of one fleet. Its methods may be called by any goroutine.
+type Rig struct {
+	Etcd *etcd.Cluster
+
+	hist    *audit.History
+	links   [2][]*lab.Link // to each member, for agents of even and of odd numbers
+	ca      *certs.Authority
+	dir     string
+	mu      sync.Mutex
+	agents  []*agent
+	nodes   map[string]string // values of nodes, by id
+	marks   map[string]bool
+	held    map[string]string // what etcd holds of each node, as the history was told
+	current []time.Duration   // from the mending of a fault to views that equal the truth
+	failed  []string          // views that did not come to equal it
+	met     map[string]int    // faults, by name
+}
+
+type agent struct {
+	party  string
+	side   int
+	listen string // of the agent itself
+	status string
+	file   string
+	proc   *lab.Proc
+	turn   int // endpoints are given out in another order each time the file is written
+}
+
+// New starts a cluster of so many members.
+func New(dir string, members int) (*Rig, error) {
+	r := &Rig{dir: dir, nodes: map[string]string{}, marks: map[string]bool{}, held: map[string]string{}, met: map[string]int{}}
+	var err error
+	if r.ca, err = certs.New(dir, "laboratory"); err != nil {
+		return nil, err
+	}
+	id, err := r.ca.Issue("etcd")
+	if err != nil {
+		return nil, err
+	}
+	tls, err := id.Config()
+	if err != nil {
+		return nil, err
+	}
+	r.Etcd, err = etcd.Open(etcd.Config{Members: members, TLS: tls, Users: map[string]string{user: secret}, TokenTTL: 20 * time.Second,
+		Election: time.Duration(etcdStar * float64(time.Second)), RequestTimeout: time.Second, FragmentBytes: 400, BatchRevs: 3})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "password"), []byte(secret+"\n"), 0o600); err != nil {
+		return nil, err
+	}
+	for side := range r.links {
+		for _, addr := range r.Etcd.Addrs() {
+			k, err := lab.NewLink(addr)
+			if err != nil {
+				return nil, err
+			}
+			r.links[side] = append(r.links[side], k)
+		}
+	}
+	return r, nil
+}
+
+// Use has a fleet's membership come from the rig.
+func (r *Rig) Use(cfg *lab.FleetConfig) {
+	cfg.OneAddr, cfg.Discovery, cfg.Source, cfg.StaleS = true, r.discovery, r.source, 2.5
+}
+
+// Close ends all.
+func (r *Rig) Close() {
+	r.mu.Lock()
+	agents := slices.Clone(r.agents)
+	r.mu.Unlock()
+	for _, a := range agents {
+		a.proc.Kill()
+	}
+	for _, side := range r.links {
+		for _, k := range side {
+			k.Close()
+		}
+	}
+	r.Etcd.Close()
+}
+
+// ---- what etcd holds ----
+
+// change makes one change in etcd and notes what it holds of the nodes named: what is milder before the write, as it may be
+// told at once, and what is stricter behind it.
+func (r *Rig) change(ids []string, values map[string]string) {
+	for _, id := range ids {
+		if r.state(id) == "in_service" {
+			r.holds(id)
+		}
+	}
+	r.Etcd.Do(values)
+	for _, id := range ids {
+		r.holds(id)
+	}
+}
+
+// state is what etcd holds of a node by the rig's own book; r.mu is held.
+func (r *Rig) state(id string) string {
+	_, listed := r.nodes[id]
+	switch {
+	case r.marks[id]:
+		return "terminating"
+	case listed:
+		return "in_service"
+	case r.held[id] != "" && r.held[id] != "marked":
+		return "terminated"
+	}
+	return ""
+}
+
+func (r *Rig) holds(id string) {
+	if now := r.state(id); now != r.held[id] {
+		r.held[id] = now
+		if r.hist != nil {
+			r.hist.Holds(audit.EtcdSource, id, now)
+		}
+	}
+}
+
+// source takes a change of a node: one in three goes to etcd alone, one to the roster alone, one to both, by the node's id; a
+// node that goes is known to both to have gone.
+func (r *Rig) source(f *lab.Fleet, t roster.Target) (toRoster bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hist == nil {
+		r.hist = f.Hist
+	}
+	t.Addr = f.AddrFor("", t)
+	n, d := prefix+"nodes/"+t.ID, prefix+"drain/"+t.ID
+	where := sha256.Sum256([]byte(t.ID))[0] % 3
+	switch t.State {
+	case "in_service":
+		value, _ := json.Marshal(map[string]any{"addr": t.Addr, "zone": t.Zone, "weight": t.Weight, "started_ms": t.StartedMS})
+		r.nodes[t.ID] = string(value)
+		delete(r.marks, t.ID)
+		r.change([]string{t.ID}, map[string]string{n: string(value), d: ""})
+	case "terminated":
+		delete(r.nodes, t.ID)
+		delete(r.marks, t.ID)
+		r.change([]string{t.ID}, map[string]string{n: "", d: ""})
+	default:
+		if where == 0 {
+			return true
+		}
+		r.marks[t.ID] = true
+		r.change([]string{t.ID}, map[string]string{d: "{}"})
+		return where == 1
+	}
+	return true
+}
+
+// mark sets or takes back the marks of nodes, as one transaction.
+func (r *Rig) mark(on bool, ids ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	values := map[string]string{}
+	var own []string
+	for _, id := range ids {
+		_, listed := r.nodes[id]
+		if !listed && r.held[id] != "" {
+			continue // it has gone
+		}
+		if listed {
+			own = append(own, id)
+		}
+		if on {
+			if listed {
+				r.marks[id] = true
+			}
+			values[prefix+"drain/"+id] = "{}"
+		} else {
+			delete(r.marks, id)
+			values[prefix+"drain/"+id] = ""
+		}
+	}
+	r.change(own, values)
+}
+
+// refill puts all that should be there into a cluster that has been emptied or put back.
+func (r *Rig) refill() (kvs []etcd.KV) {
+	for id, v := range r.nodes {
+		kvs = append(kvs, etcd.KV{Key: prefix + "nodes/" + id, Value: v, Revision: 2})
+	}
+	for id := range r.marks {
+		kvs = append(kvs, etcd.KV{Key: prefix + "drain/" + id, Value: "{}", Revision: 2})
+	}
+	return kvs
+}
+
+// ---- agents and relays ----
+
+func (r *Rig) write(a *agent) error {
+	id, err := r.ca.Issue(a.party + "-" + strconv.Itoa(a.turn))
+	if err != nil {
+		return err
+	}
+	var ends []string
+	for _, k := range r.links[a.side] {
+		ends = append(ends, strconv.Quote("https://"+k.Addr()))
+	}
+	n := a.turn % len(ends)
+	ends = append(ends[n:], ends[:n]...)
+	a.turn++
+	text, err := os.ReadFile(a.file + ".head")
+	if err != nil {
+		return err
+	}
+	head := string(text) + fmt.Sprintf("endpoints = [%s]\n[tls]\ncert = %q\nkey = %q\nca = %q\n", strings.Join(ends, ", "), id.Cert, id.Key, id.CA)
+	return os.WriteFile(a.file, []byte(head), 0o600)
+}
+
+// discovery starts the agent of a party, and the relay that it asks.
+func (r *Rig) discovery(f *lab.Fleet, party string) (string, error) {
+	ros, err := f.Roster.For(audit.RosterSource(party))
+	if err != nil {
+		return "", err
+	}
+	a := &agent{party: party, file: filepath.Join(r.dir, "agent-"+party+".toml")}
+	n, _ := strconv.Atoi(party[1:])
+	a.side = n % 2
+	if a.listen, err = lab.FreeAddr(); err != nil {
+		return "", err
+	}
+	if a.status, err = lab.FreeAddr(); err != nil {
+		return "", err
+	}
+	head := fmt.Sprintf("listen = %q\nstatus = %q\nroster = %q\nstate = %q\nprefix = %q\nuser = %q\npassword_file = %q\n"+
+		"progress_ms = 300\nstale_ms = %d\nroster_stale_ms = 5000\norphan_ms = 60000\ntimeout_ms = 1000\nretry_ms = 600\nflap_ms = 1\nflap_most_ms = 1\n",
+		a.listen, a.status, ros, filepath.Join(r.dir, "agent-"+party+".state"), prefix, user, filepath.Join(r.dir, "password"), staleMS)
+	if err := os.WriteFile(a.file+".head", []byte(head), 0o600); err != nil {
+		return "", err
+	}
+	if err := r.write(a); err != nil {
+		return "", err
+	}
+	a.proc = f.NewProc("agent", "agent-"+party, a.file)
+	if err := a.proc.Start(); err != nil {
+		return "", err
+	}
+	r.mu.Lock()
+	r.agents = append(r.agents, a)
+	r.mu.Unlock()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if l, err := a.list(); err == nil && len(l.Servers) > 0 {
+			break
+		}
+		if time.Now().After(end) {
+			return "", fmt.Errorf("the agent of %s does not begin", party)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go http.Serve(l, &relay{f.Hist, party, a.listen})
+	return l.Addr().String(), nil
+}
+
+// list asks the agent itself.
+func (a *agent) list() (l roster.List, err error) {
+	client := http.Client{Timeout: 2 * time.Second}
+	resp, err := client.Get("http://" + a.listen + "/api/targets")
+	if err != nil {
+		return l, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return l, fmt.Errorf("the agent answers %s", resp.Status)
+	}
+	return l, json.NewDecoder(resp.Body).Decode(&l)
+}
+
+// relay passes on what an agent says to the program beside it and notes it: what a machine was told, and when.
+type relay struct {
+	hist  *audit.History
+	party string
+	to    string
+}
+
+func (y *relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	req, err := http.NewRequestWithContext(q.Context(), q.Method, "http://"+y.to+q.URL.RequestURI(), nil)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer resp.Body.Close()
+	w.WriteHeader(resp.StatusCode)
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	flush := http.NewResponseController(w)
+	for in := bufio.NewReader(resp.Body); ; {
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		var l roster.List
+		known := json.Unmarshal(line, &l) == nil
+		if known {
+			lab.TellUp(y.hist, y.party, l)
+		}
+		if _, err := w.Write(line); err != nil || flush.Flush() != nil {
+			return
+		}
+		if known && (l.Full || len(l.Servers) > 0) {
+			lab.TellRest(y.hist, y.party, l)
+		}
+	}
+}
+
+// ---- the views ----
+
+// want is the set of nodes that a party should see as up: by etcd's book and by what its roster has told it.
+func (r *Rig) want(party string, told map[string]string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := map[string]bool{}
+	for id := range r.held {
+		ids[id] = true
+	}
+	for id := range told {
+		ids[id] = true
+	}
+	var up []string
+	for id := range ids {
+		e, ros := r.held[id], told[id]
+		if (e == "in_service" || ros == "in_service") && (e == "" || e == "in_service") && (ros == "" || ros == "in_service") {
+			up = append(up, id)
+		}
+	}
+	sort.Strings(up)
+	return strings.Join(up, " ")
+}
+
+// rosterTold is what a party's roster has told its agent last, of each node.
+func (r *Rig) rosterTold() map[string]map[string]string {
+	defer r.hist.Lock()()
+	all := map[string]map[string]string{}
+	for _, t := range r.hist.Told {
+		if all[t.Party] == nil {
+			all[t.Party] = map[string]string{}
+		}
+		all[t.Party][t.Node] = t.State
+	}
+	return all
+}
+
+const equalMost = 15 * time.Second
+
+// equal waits until every agent's list is what the sources hold, and notes how long that took.
+func (r *Rig) equal(ctx context.Context, after string) {
+	began := time.Now()
+	r.mu.Lock()
+	left := slices.Clone(r.agents)
+	r.mu.Unlock()
+	why := ""
+	for time.Since(began) < equalMost && ctx.Err() == nil {
+		told := r.rosterTold()
+		left = slices.DeleteFunc(left, func(a *agent) bool {
+			l, err := a.list()
+			if err != nil {
+				why = a.party + ": " + err.Error()
+				return false
+			}
+			var up []string
+			for _, t := range l.Servers {
+				if t.State == "in_service" {
+					up = append(up, t.ID)
+				}
+			}
+			sort.Strings(up)
+			want := r.want(a.party, told[audit.RosterSource(a.party)])
+			why = fmt.Sprintf("%s sees %v, the truth is %s", a.party, up, want)
+			return strings.Join(up, " ") == want
+		})
+		if len(left) == 0 {
+			r.mu.Lock()
+			r.current = append(r.current, time.Since(began))
+			r.mu.Unlock()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if ctx.Err() == nil {
+		r.mu.Lock()
+		r.failed = append(r.failed, fmt.Sprintf("%v after %s: %s", equalMost, after, why))
+		r.mu.Unlock()
+	}
+}
+
+// sourceStatus is what an agent's status tells of etcd.
+type sourceStatus struct {
+	Etcd struct {
+		Reads, Repeats, Compacted, Replaced, Refused, Breaks int
+	} `json:"etcd"`
+}
+
+// Print tells what was met, and how long it took to be current again. It returns an error if a view did not come to equal the truth.
+func (r *Rig) Print(w io.Writer) error {
+	var sum sourceStatus
+	for _, a := range r.agents {
+		client := http.Client{Timeout: time.Second}
+		resp, err := client.Get("http://" + a.status + "/")
+		if err != nil {
+			continue
+		}
+		var st sourceStatus
+		json.NewDecoder(resp.Body).Decode(&st)
+		resp.Body.Close()
+		sum.Etcd.Reads += st.Etcd.Reads
+		sum.Etcd.Compacted += st.Etcd.Compacted
+		sum.Etcd.Replaced += st.Etcd.Replaced
+		sum.Etcd.Refused += st.Etcd.Refused
+		sum.Etcd.Breaks += st.Etcd.Breaks
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for k, n := range r.met {
+		list = append(list, fmt.Sprintf("%s %d", k, n))
+	}
+	sort.Strings(list)
+	fmt.Fprintf(w, "faults of etcd: %s\n", strings.Join(list, ", "))
+	n := r.Etcd.Counts()
+	fmt.Fprintf(w, "etcd: %d reads, %d watches, %d changes of leaders; agents (since their last starts): %d reads of the whole, %d sessions broken, "+
+		"%d compactions met, %d clusters replaced, %d old answers refused\n", n.Reads, n.Watches, n.Leaders, sum.Etcd.Reads, sum.Etcd.Breaks,
+		sum.Etcd.Compacted, sum.Etcd.Replaced, sum.Etcd.Refused)
+	if len(r.current) > 0 {
+		slices.Sort(r.current)
+		fmt.Fprintf(w, "views of all %d agents equal to the truth again after %v in the median, %v at worst, %d times\n", len(r.agents),
+			r.current[len(r.current)/2].Round(time.Millisecond), r.current[len(r.current)-1].Round(time.Millisecond), len(r.current))
+	}
+	if len(r.failed) > 0 {
+		return fmt.Errorf("%d views did not come to equal the truth, first: %s", len(r.failed), r.failed[0])
+	}
+	return nil
+}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -35,7 +35,7 @@
 type kind struct {
 	what   string
 	weight int                            // how often it is drawn, of all
-	level  int                            // 1: of one-level fleets alone, 2: of two-level ones alone, 0: of both
+	level  int                            // 1: of one-level fleets alone, 2: of two-level ones alone, 0: of both, 3: of those with sources of their own
 	target func(f *Fleet, x Fault) string // no two faults of a target overlap; nil: they may
 	do     func(f *Fleet, x Fault, wait func(time.Duration) bool)
 }
@@ -222,6 +222,16 @@
 	}},
 }
 
+// AddKind adds a kind of fault that another package of the laboratory knows how to do. Its weight is 1 and no two of a target
+// overlap, "" if they may. It is for package initialisation alone.
+func AddKind(name, what, target string, do func(f *Fleet, x Fault, wait func(time.Duration) bool)) {
+	k := kind{what: what, weight: 1, level: 3, do: do}
+	if target != "" {
+		k.target = one(target)
+	}
+	kinds[name] = k
+}
+
 // KindNames lists all kinds of faults for a fleet of that shape, or with two nil all of them, each with what it does.
 func KindNames() (list []string) {
 	for _, name := range slices.Sorted(maps.Keys(kinds)) {
@@ -233,19 +243,20 @@
 // Fits tells whether a kind of fault is one of a shape: of two levels, or of one. Kinds that are none on sockets fit two.
 func Fits(name string, two bool) bool {
 	k, ok := kinds[name]
-	return !ok && two || ok && (k.level == 0 || (k.level == 2) == two)
+	return !ok && two || ok && (k.level == 0 || k.level < 3 && (k.level == 2) == two)
 }
 
 // Schedule draws the faults of a run: one every so often in the mean, each for 0.5 to 3 s, so that they overlap. No kinds
 // stand for all that fit the shape.
 func Schedule(seed uint64, length, every time.Duration, two bool, names []string) (list []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	if len(names) == 0 {
+	given := len(names) > 0
+	if !given {
 		names = slices.Sorted(maps.Keys(kinds))
 	}
 	var draws []string
 	for _, name := range names {
-		if Fits(name, two) {
+		if Fits(name, two) || kinds[name].level == 3 && slices.Contains(names, name) && given {
 			for range max(kinds[name].weight, 1) {
 				draws = append(draws, name)
 			}
@@ -313,7 +324,7 @@
 			return
 		}
 		k, ok := kinds[x.Kind]
-		if !ok || k.level == 2 && len(f.Planners) == 0 || k.level == 1 && len(f.Planners) > 0 {
+		if !ok || k.level == 2 && len(f.Planners) == 0 || k.level == 1 && len(f.Planners) > 0 || k.level == 3 && f.cfg.Source == nil {
 			continue
 		}
 		all.Go(func() {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -52,6 +52,10 @@
 	Direct               bool    // no links between clients, ingresses and nodes: for measurements of cost
 	// Discovery, if set, gives the address at which a party asks, in place of the stand-in roster.
 	Discovery func(f *Fleet, party string) (string, error)
+	// Source, if set, is told of each change of a node before the stand-in roster is, and says whether the roster is to be told too.
+	Source  func(f *Fleet, t roster.Target) bool
+	OneAddr bool    // all parties see a node at one address
+	StaleS  float64 // of the rule on stale words; 0: not judged
 }
 
 // Fleet is a running fleet with its stand-ins.
@@ -219,6 +223,21 @@
 // Party is the roster's name of a forwarder.
 func (f *Fleet) Party(i int) string { return audit.Party(i) }
 
+// NewProc makes a program of the fleet that Stop does not know; what it says goes to a log in the fleet's folder.
+func (f *Fleet) NewProc(kind, name, file string) *Proc { return f.proc(kind, name, file, "", "") }
+
+// Dir is the fleet's folder.
+func (f *Fleet) Dir() string { return f.cfg.Dir }
+
+// Seed is the fleet's.
+func (f *Fleet) Seed() uint64 { return f.cfg.Seed }
+
+// Claim runs do unless another fault of the target is under way.
+func (f *Fleet) Claim(target string, do func()) bool { return f.claim(target, do) }
+
+// FreeAddr finds an address on loopback that nobody listens on, and that nobody is given.
+func FreeAddr() (string, error) { return freeAddr() }
+
 func (f *Fleet) proc(kind, name, file, listen, status string) *Proc {
 	return &Proc{Name: name, Listen: listen, Status: status, log: filepath.Join(f.cfg.Dir, name+".log"),
 		cmd: func() *exec.Cmd { return f.cfg.Spawn(kind, file) }}
@@ -326,7 +345,7 @@
 		return t.Addr
 	}
 	side := 0
-	if n, err := strconv.Atoi(strings.TrimPrefix(party, "f")); err == nil {
+	if n, err := strconv.Atoi(strings.TrimPrefix(party, "f")); err == nil && !f.cfg.OneAddr {
 		side = n % len(links)
 	}
 	return links[side].Addr()
@@ -389,9 +408,15 @@
 	if n.born() {
 		started = n.started.UnixMilli()
 	}
-	f.Roster.Set(roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1, StartedMS: started})
+	t := roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1, StartedMS: started}
+	if f.cfg.Source == nil || f.cfg.Source(f, t) {
+		f.Roster.Set(t)
+	}
 }
 
+// AddrFor is the address at which a party sees a node.
+func (f *Fleet) AddrFor(party string, t roster.Target) string { return f.addrFor(party, t) }
+
 // without takes a node out of those that run, and tells whether it was among them.
 func (f *Fleet) without(n *Node) bool {
 	f.mu.Lock()
@@ -465,7 +490,7 @@
 	quota, caps = cmp.Or(f.cfg.Quota, quota), cmp.Or(f.cfg.CapX, caps)
 	return audit.Rules{Quota: quota, QuotaS: QuotaSeconds(f.cfg.Exact, f.cfg.Classes), Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25 + f.cfg.SlowS, AnswerS: 0.25 + f.cfg.SlowS,
 		HeldS: 0.03 + f.cfg.SlowS, OverlapS: 0.1 + f.cfg.SlowS, CeilingS: 0.15, SlackUnit: 6, CapX: caps, FallMultiple: f.cfg.Node.FallMultiple, FallS: f.cfg.Node.FallS,
-		ColdSlack: 0.1, LateMost: 90*time.Millisecond + seconds(f.cfg.SlowS)}
+		ColdSlack: 0.1, StaleS: f.cfg.StaleS, LateMost: 90*time.Millisecond + seconds(f.cfg.SlowS)}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -568,6 +593,27 @@
 	}
 }
 
+// HUP has the program read its files again.
+func (p *Proc) HUP() { p.signal(syscall.SIGHUP) }
+
+// RSS is the program's resident memory in bytes, 0 if it does not run.
+func (p *Proc) RSS() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.run.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	if f := strings.Fields(string(text)); len(f) > 1 {
+		pages, _ := strconv.ParseInt(f[1], 10, 64)
+		return pages * int64(os.Getpagesize())
+	}
+	return 0
+}
+
 // Kill ends the program at once and waits for its end.
 func (p *Proc) Kill() {
 	p.signal(syscall.SIGKILL)
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -182,3 +182,12 @@
 		}
 	}
 }
+
+// Break resets all open connections; new ones are taken as before.
+func (k *Link) Break() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		reset(c)
+	}
+}
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -78,7 +78,7 @@
 		Edits: edit("internal/roster/roster.go", `"terminating": policy.Draining`, `"terminating": policy.Up`),
 		Runs:  []string{labOne + "drains", labTwo + "drains"}},
 	{Name: "what changed is passed on whole", Rule: "drains kept", Unit: "./internal/ingress",
-		Edits: edit("internal/roster/roster.go", "\t\tw.version = t.Version\n\t\tw.take(t)\n\t}", "\t\tw.version = t.Version\n\t\tif t.Full || t.Version%2 == 0 {\n\t\t\tw.take(t)\n\t\t}\n\t}"),
+		Edits: edit("internal/roster/roster.go", "if t.Full || len(t.Servers) > 0 {", "if t.Full || len(t.Servers) > 0 && t.Version%2 == 0 {"),
 		Runs:  []string{labOne + "drains", labTwo + "drains"}},
 	// ---- The ingress: what an attempt's end means ----
 	{Name: "silence to the end may have run", Rule: "no effect twice", Unit: "./internal/ingress",
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -169,9 +169,9 @@
 			return
 		}
 		l := r.All(party)
-		r.tellUp(party, l)
+		TellUp(r.hist, party, l)
 		json.NewEncoder(w).Encode(l)
-		r.tell(party, l)
+		TellRest(r.hist, party, l)
 		return
 	}
 	var after int64
@@ -180,13 +180,13 @@
 	for {
 		due, wait, changed, breaks, silent := r.due(party, after)
 		for _, l := range due {
-			r.tellUp(party, l)
+			TellUp(r.hist, party, l)
 			if out.Encode(l) != nil {
 				return
 			}
 			after = l.Version
 			w.(http.Flusher).Flush()
-			r.tell(party, l)
+			TellRest(r.hist, party, l)
 		}
 		select {
 		case <-changed:
@@ -203,28 +203,28 @@
 	}
 }
 
-// tellUp records what is about to be written of nodes that are up: a party may send as soon as it can have read it.
-func (r *Roster) tellUp(party string, l roster.List) {
+// TellUp records what is about to be written of nodes that are up: a party may send as soon as it can have read it.
+func TellUp(hist *audit.History, party string, l roster.List) {
 	for _, t := range l.Servers {
 		if t.State == "in_service" {
-			r.hist.Tell(party, t.ID, t.State)
+			hist.Tell(party, t.ID, t.State)
 		}
 	}
 }
 
-// tell records what was written of nodes that are not. Of a whole list, what it does not hold is gone.
-func (r *Roster) tell(party string, l roster.List) {
+// TellRest records what was written of nodes that are not. Of a whole list, what it does not hold is gone.
+func TellRest(hist *audit.History, party string, l roster.List) {
 	listed := map[string]bool{}
 	for _, t := range l.Servers {
 		listed[t.ID] = true
 		if t.State != "in_service" {
-			r.hist.Tell(party, t.ID, t.State)
+			hist.Tell(party, t.ID, t.State)
 		}
 	}
 	if l.Full {
-		for _, id := range r.hist.ToldOf(party) {
+		for _, id := range hist.ToldOf(party) {
 			if !listed[id] {
-				r.hist.Tell(party, id, "terminated")
+				hist.Tell(party, id, "terminated")
 			}
 		}
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -86,6 +86,11 @@
 
 // Run starts a fleet, lets clients and faults loose on it and has the auditor judge.
 func Run(sc Scenario, log io.Writer) (*Fleet, *audit.Report, error) {
+	return RunWith(sc, log, func() {})
+}
+
+// RunWith is Run that calls ended while the fleet still runs, when clients and faults have come to their end.
+func RunWith(sc Scenario, log io.Writer, ended func()) (*Fleet, *audit.Report, error) {
 	f, err := StartFleet(sc.FleetConfig)
 	if err != nil {
 		f.Stop()
@@ -114,6 +119,7 @@
 	f.clients.Run(ctx)
 	<-faults
 	<-measured
+	ended()
 	time.Sleep(500 * time.Millisecond) // for nodes to notice what was given up
 	rules := f.Rules()
 	rules.Floors = sc.Floors
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -255,6 +255,42 @@
 	}
 }
 
+// Memory is what a Core knows, to be kept across a restart of its program.
+type Memory struct {
+	List  []Node            // as it stands
+	Words map[string][]Node // by source; those without an address are on the id alone
+}
+
+// Memory is what is known now.
+func (c *Core) Memory() Memory {
+	m := Memory{Words: map[string][]Node{}}
+	for _, e := range c.List() {
+		m.List = append(m.List, e.Node)
+	}
+	for name, s := range c.sources {
+		for _, of := range []map[string]Node{s.words, s.marks, s.pending} {
+			for _, id := range slices.Sorted(maps.Keys(of)) {
+				m.Words[name] = append(m.Words[name], of[id])
+			}
+		}
+	}
+	return m
+}
+
+// Remember takes back what sources had said before a restart: their words are those of stale sources, until each has read the
+// whole again. Call it before anything else; the list that was kept goes to New.
+func (c *Core) Remember(m Memory) {
+	for name, words := range m.Words {
+		if s := c.sources[name]; s != nil {
+			for _, n := range words {
+				if !s.milder(n) {
+					s.set(n)
+				}
+			}
+		}
+	}
+}
+
 // Current tells whether a source is.
 func (c *Core) Current(name string) bool { return c.sources[name].current }
 
--- a/internal/standin/etcd/etcd.go
+++ b/internal/standin/etcd/etcd.go
@@ -35,6 +35,7 @@
 	TokenTTL       time.Duration     // 5 minutes
 	Election       time.Duration     // without a leader before another is elected, 200 ms
 	RequestTimeout time.Duration     // of what needs a leader, 2 s
+	BatchRevs      int               // revisions in one message to a watch that catches up, 1000
 	FragmentBytes  int               // of a message to a watch that takes fragments, 1.5 MiB
 	Progress       time.Duration     // how often watches that want it are told how far they are, 10 minutes
 }
@@ -131,6 +132,9 @@
 	def(&cfg.Election, 200*time.Millisecond)
 	def(&cfg.RequestTimeout, 2*time.Second)
 	def(&cfg.Progress, 10*time.Minute)
+	if cfg.BatchRevs == 0 {
+		cfg.BatchRevs = 1000
+	}
 	if cfg.FragmentBytes == 0 {
 		cfg.FragmentBytes = store.MaxRequest
 	}
@@ -552,6 +556,13 @@
 // Reads counts the reads of keys.
 func (c *Cluster) Reads() int { return c.Counts().Reads }
 
+// Compacted is the revision below which history is forgotten.
+func (c *Cluster) Compacted() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.st.View().Compacted
+}
+
 // Head is the state as it is.
 func (c *Cluster) Head() Head {
 	c.mu.Lock()
--- a/internal/standin/etcd/watch.go
+++ b/internal/standin/etcd/watch.go
@@ -12,9 +12,6 @@
 	"eiderspread/internal/standin/etcd/store"
 )
 
-// batchRevs revisions go in one message at most, to a watch that catches up.
-const batchRevs = 1000
-
 // watch is one watch of a stream.
 type watch struct {
 	id   int64
@@ -204,7 +201,7 @@
 		}
 		if e.Kv.ModRevision != at {
 			at = e.Kv.ModRevision
-			if revs++; now == nil || revs > batchRevs {
+			if revs++; now == nil || revs > m.c.cfg.BatchRevs {
 				now, revs = &pb.WatchResponse{Header: m.header(), WatchId: k.id}, 1
 				due = append(due, now)
 			}
