--- a/internal/agent/etcd_test.go
+++ b/internal/agent/etcd_test.go
@@ -137,6 +137,11 @@
 
 func startAgent(t *testing.T, endpoint, rosterAddr string) *Agent {
 	t.Helper()
+	a, _ := startWith(t, config(endpoint, rosterAddr))
+	return a
+}
+
+func config(endpoint, rosterAddr string) Config {
 	cfg := Config{Listen: "127.0.0.1:0", Roster: rosterAddr,
 		Etcd: etcdsource.Config{Endpoints: []string{"http://" + endpoint}, Prefix: prefix, Progress: 150 * time.Millisecond, Timeout: 2 * time.Second,
 			RetryMost: 300 * time.Millisecond},
@@ -144,6 +149,12 @@
 	if rosterAddr != "" {
 		cfg.Member.StaleS[rosterName] = 5
 	}
+	return cfg
+}
+
+// startWith starts an agent; stop ends it, as the test's end does.
+func startWith(t *testing.T, cfg Config) (a *Agent, stop func()) {
+	t.Helper()
 	a, err := Open(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -151,8 +162,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); a.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return a
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return a, stop
 }
 
 // same waits until the agent's view is etcd's, and returns how long that took.
--- /dev/null
+++ b/internal/agent/moves_test.go
@@ -0,0 +1,305 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+
+	"eiderspread/internal/lab"
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/lab/certs"
+	"eiderspread/internal/roster"
+	standin "eiderspread/internal/standin/etcd"
+)
+
+// until waits for what an agent serves to be so.
+func until(t *testing.T, a *Agent, what string, ok func(l roster.List) bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok(a.List()) {
+			return
+		}
+	}
+	t.Fatalf("%s: %v, %+v", what, served(a.List()), a.Source())
+}
+
+func state(l roster.List, id string) string {
+	for _, s := range l.Servers {
+		if s.ID == id {
+			return s.State
+		}
+	}
+	return ""
+}
+
+// Guards SIGHUP's part: an agent goes on at other members with other certificates, its list and version as they were and
+// without a new read; at another cluster it takes the whole, after a change in the very moment too.
+func TestMoves(t *testing.T) {
+	ca, err := certs.New(t.TempDir(), "lab")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "etcd.toml")
+	turn := 0
+	write := func(endpoints ...string) Config {
+		turn++
+		id, err := ca.Issue("w" + string(rune('a'+turn)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := "listen = \"127.0.0.1:0\"\nprefix = \"/t/\"\nendpoints = [\"https://" + strings.Join(endpoints, "\", \"https://") + "\"]\nprogress_ms = 150\n" +
+			"stale_ms = 800\nretry_ms = 300\n[tls]\ncert = \"" + id.Cert + "\"\nkey = \"" + id.Key + "\"\nca = \"" + id.CA + "\"\n"
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cfg
+	}
+	server, err := ca.Issue("etcd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tls, err := server.Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := standin.Open(standin.Config{Members: 3, TLS: tls, Election: 20 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Set("/t/nodes/a", nodeValue(1))
+	c.Set("/t/nodes/b", nodeValue(2))
+	addrs := c.Addrs()
+	a, _ := startWith(t, write(addrs[0]))
+	until(t, a, "start", func(l roster.List) bool { return len(l.Servers) == 2 })
+	version := a.List().Version
+	if a.Reload(write(addrs[1], addrs[2])) {
+		t.Error("more than endpoints and certificates is said to differ")
+	}
+	c.Set("/t/drain/a", "{}") // in the same moment
+	c.StopMember(0)           // where it was is gone
+	until(t, a, "after the move", func(l roster.List) bool { return state(l, "a") == "terminating" && len(l.Servers) == 2 })
+	if st := a.Source(); a.List().Version < version || st.Reads != 1 {
+		t.Errorf("version %d after %d, %+v", a.List().Version, version, st)
+	}
+	other, err := standin.Open(standin.Config{TLS: tls})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	other.Restore(standin.Head{Cluster: 9, Revision: 5, Term: 3}, standin.KV{Key: "/t/nodes/b", Value: nodeValue(2), Revision: 4})
+	version = a.List().Version
+	a.Reload(write(addrs[1]))
+	a.Reload(write(other.Addr())) // the last word counts
+	until(t, a, "at another cluster", func(l roster.List) bool { return len(l.Servers) == 1 && state(l, "b") == "in_service" })
+	if st := a.Source(); a.List().Version <= version || st.Replaced != 1 {
+		t.Errorf("version %d after %d, %+v", a.List().Version, version, st)
+	}
+	next := write(other.Addr())
+	next.Member.OrphanS++
+	if !a.Reload(next) {
+		t.Error("what a restart alone takes over is not said")
+	}
+}
+
+// Guards against tokens that run out at the worst moments: during the read after a compaction, and before a watch.
+func TestTokensRunOut(t *testing.T) {
+	c, err := standin.Open(standin.Config{Users: map[string]string{"u": "x"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Set("/t/nodes/a", nodeValue(1))
+	link, err := lab.NewLink(c.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	cfg := config(link.Addr(), "")
+	cfg.Etcd.User, cfg.Etcd.Password = "u", "x"
+	a, _ := startWith(t, cfg)
+	until(t, a, "start", func(l roster.List) bool { return len(l.Servers) == 1 })
+	forgotten := 0
+	c.SetScript(standin.Script{AfterRead: func() {
+		if forgotten++; forgotten < 4 {
+			c.Forget()
+		}
+	}, OnWatch: func(pb.Watch_WatchServer, int64) {}})
+	link.Cut()
+	c.Set("/t/drain/a", "{}")
+	c.Set("/t/nodes/b", nodeValue(2))
+	c.CompactAll()
+	c.Forget()
+	link.Heal()
+	until(t, a, "after the compaction", func(l roster.List) bool { return state(l, "a") == "terminating" && state(l, "b") == "in_service" })
+	c.Jump(time.Hour) // and the clock says that all have run out
+	link.Break()
+	c.Delete("/t/drain/a")
+	until(t, a, "after the hour", func(l roster.List) bool { return state(l, "a") == "in_service" })
+	if a.Source().Compacted == 0 || forgotten == 0 {
+		t.Errorf("%+v, forgotten %d times: the run shows nothing", a.Source(), forgotten)
+	}
+}
+
+// Guards an agent that is killed and comes back during a drain, while etcd, which told the drain, is out of reach: it knows it
+// still, and its version goes on although the clock was put back.
+func TestBackDuringADrain(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		e := startEtcd(t)
+		link, err := lab.NewLink(e.srv.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer link.Close()
+		ros := lab.NewRoster(audit.New())
+		defer ros.Close()
+		addr, err := ros.For("a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ros.Set(roster.Target{ID: "n", Addr: "127.0.0.1:1", State: "in_service", Weight: 1})
+		ros.Set(roster.Target{ID: "m", Addr: "127.0.0.1:2", State: "in_service", Weight: 1})
+		cfg := config(link.Addr(), addr)
+		cfg.StartS = 0.3
+		if kept {
+			cfg.State = filepath.Join(t.TempDir(), "state")
+		}
+		a, stop := startWith(t, cfg)
+		e.put("drain/n", "{}")
+		until(t, a, "the drain", func(l roster.List) bool { return state(l, "n") == "terminating" && state(l, "m") == "in_service" })
+		link.Cut()
+		stop()
+		version := a.List().Version
+		if kept {
+			m, err := recall(cfg.State)
+			if err != nil || m.Version != version {
+				t.Fatalf("%+v, %v, want version %d", m, err, version)
+			}
+			m.Version += 3.6e6 // as a clock that was an hour ahead would have had it
+			version = m.Version
+			text, _ := json.Marshal(m)
+			os.WriteFile(cfg.State, text, 0o600)
+		}
+		b, _ := startWith(t, cfg)
+		ros.Set(roster.Target{ID: "m", Addr: "127.0.0.1:2", State: "terminating", Weight: 1})
+		until(t, b, "back", func(l roster.List) bool { return state(l, "m") == "terminating" })
+		if got := state(b.List(), "n"); kept != (got == "terminating") {
+			t.Errorf("kept %v: the marked node is %q", kept, got) // without a file it can't be known
+		}
+		if kept && b.List().Version <= version {
+			t.Errorf("version %d after %d", b.List().Version, version)
+		}
+		link.Heal()
+		until(t, b, "etcd again", func(l roster.List) bool { return state(l, "n") == "terminating" })
+		e.del("drain/n")
+		until(t, b, "taken back", func(l roster.List) bool { return state(l, "n") == "in_service" })
+	}
+}
+
+// Guards ingresses against an agent that has just come: it serves nothing before its sources are current, then without the one
+// that does not come in time.
+func TestServesNothingBeforeItKnows(t *testing.T) {
+	e := startEtcd(t)
+	e.put("nodes/a", nodeValue(1))
+	link, err := lab.NewLink(e.srv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	link.Cut()
+	ros := lab.NewRoster(audit.New())
+	defer ros.Close()
+	addr, err := ros.For("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ros.Set(roster.Target{ID: "m", Addr: "127.0.0.1:2", State: "in_service", Weight: 1})
+	get := func(a *Agent) (int, roster.List) {
+		r, err := http.Get("http://" + a.Addr() + "/api/targets")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Body.Close()
+		var l roster.List
+		json.NewDecoder(r.Body).Decode(&l)
+		return r.StatusCode, l
+	}
+	cfg := config(link.Addr(), addr)
+	cfg.StartS = 3600
+	a, _ := startWith(t, cfg)
+	until(t, a, "the roster", func(l roster.List) bool { return state(l, "m") == "in_service" })
+	if code, _ := get(a); code != http.StatusServiceUnavailable {
+		t.Errorf("%d while etcd has said nothing", code)
+	}
+	link.Heal()
+	for code, l := get(a); code != http.StatusOK || len(l.Servers) != 2; code, l = get(a) {
+		if code == http.StatusOK && len(l.Servers) < 2 {
+			t.Fatalf("served too early: %+v", l)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	link.Cut()
+	cfg.StartS = 0.01
+	b, _ := startWith(t, cfg)
+	for code, l := get(b); code != http.StatusOK; code, l = get(b) {
+		if code == http.StatusOK && state(l, "m") == "" {
+			t.Fatalf("served %+v", l)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards what a machine beside the agent can know of its age: lines without nodes tell it, and a watcher sums it up.
+func TestAgeIsTold(t *testing.T) {
+	e := startEtcd(t)
+	e.put("nodes/a", nodeValue(1))
+	link, err := lab.NewLink(e.srv.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	a := startAgent(t, link.Addr(), "")
+	until(t, a, "start", func(l roster.List) bool { return len(l.Servers) == 1 })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	lists := make(chan roster.List, 100)
+	w := roster.New(a.Addr(), -1, func(l roster.List) { lists <- l }, func(string, ...any) {})
+	go w.Run(ctx, nil)
+	<-lists
+	link.Cut()
+	for end := time.Now().Add(patience); w.Age().ToldS < 2; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%+v", w.Age())
+		}
+	}
+	if !(roster.Age{HeardS: 2, ToldS: 9}).Old() || (roster.Age{HeardS: 2, ToldS: 2}).Old() {
+		t.Error("what is old is not said to be")
+	}
+	if len(lists) > 1 { // the watch's first line is the whole list
+		t.Errorf("%d lists: lines without nodes are taken for changes", len(lists))
+	}
+	r, err := http.Get("http://" + a.Addr() + "/api/targets?watch=1&after=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	in := bufio.NewReader(r.Body)
+	for range 2 {
+		line, err := in.ReadBytes('\n')
+		if l, perr := roster.Parse(line); err != nil || perr != nil || l.AgeS < 1 {
+			t.Errorf("%s, %v, %v", line, err, perr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/audit/stale_test.go
@@ -0,0 +1,94 @@
+package audit
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards the rule on stale words: what a party can have heard is excused, what nobody held any more is a breach.
+func TestStaleWords(t *testing.T) {
+	s := func(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+	base := func() *History {
+		h := NewAt(func() time.Duration { return time.Hour })
+		h.True = []Told{{EtcdSource, "z", "in_service", 0}}
+		h.Told = []Told{{RosterSource("f0"), "z", "in_service", 0}, {"f0", "z", "in_service", s(0.1)}}
+		return h
+	}
+	etcd := func(h *History, state string, at float64) {
+		h.True = append(h.True, Told{EtcdSource, "z", state, s(at)})
+	}
+	told := func(h *History, state string, at float64) { h.Told = append(h.Told, Told{"f0", "z", state, s(at)}) }
+	for name, tc := range map[string]struct {
+		bad  int
+		seen int
+		play func(h *History)
+	}{
+		"as it is": {0, 1, func(h *History) {}},
+		"back with its mark taken back": {0, 2, func(h *History) {
+			etcd(h, "terminating", 10)
+			told(h, "terminating", 10.1)
+			etcd(h, "in_service", 20)
+			told(h, "in_service", 20.1)
+		}},
+		"back although it is marked": {1, 2, func(h *History) {
+			etcd(h, "terminating", 10)
+			told(h, "terminating", 10.1)
+			told(h, "in_service", 20)
+		}},
+		"back although its roster says that it drains": {1, 2, func(h *History) {
+			h.Told = append(h.Told, Told{RosterSource("f0"), "z", "terminating", s(10)})
+			told(h, "terminating", 10.1)
+			told(h, "in_service", 20)
+		}},
+		"a moment late": {0, 2, func(h *History) {
+			etcd(h, "terminating", 10)
+			told(h, "terminating", 10.1)
+			etcd(h, "in_service", 20)
+			etcd(h, "terminating", 20.5)
+			told(h, "in_service", 21)
+		}},
+		"long past": {1, 2, func(h *History) {
+			etcd(h, "terminating", 10)
+			told(h, "terminating", 10.1)
+			etcd(h, "in_service", 20)
+			etcd(h, "terminating", 20.5)
+			told(h, "in_service", 24)
+		}},
+		"what was held when etcd fell silent still counts": {0, 2, func(h *History) {
+			h.Told = append(h.Told, Told{RosterSource("f0"), "z", "terminating", s(10)})
+			told(h, "terminating", 10.1)
+			h.Blind = []Blind{{"f0", EtcdSource, s(15), s(40)}}
+			etcd(h, "terminating", 16)
+			h.Told = append(h.Told, Told{RosterSource("f0"), "z", "in_service", s(30)})
+			told(h, "in_service", 30.1)
+		}},
+		"what came and went meanwhile does not": {1, 2, func(h *History) {
+			etcd(h, "terminating", 10)
+			told(h, "terminating", 10.1)
+			h.Blind = []Blind{{"f0", EtcdSource, s(15), s(20)}}
+			etcd(h, "in_service", 18)
+			etcd(h, "terminating", 19)
+			told(h, "in_service", 20.1)
+		}},
+		"gone from etcd": {1, 2, func(h *History) {
+			etcd(h, "terminated", 10)
+			told(h, "terminated", 10.1)
+			told(h, "in_service", 20)
+		}},
+		"nobody ever held it": {1, 2, func(h *History) {
+			h.Told = append(h.Told, Told{"f0", "y", "in_service", s(5)})
+		}},
+		"another party's roster": {1, 2, func(h *History) {
+			h.Told = append(h.Told, Told{RosterSource("f1"), "y", "in_service", s(1)}, Told{"f0", "y", "in_service", s(5)})
+		}},
+	} {
+		h := base()
+		tc.play(h)
+		rules := testRules()
+		rules.StaleS = 2.5
+		rep := Audit(h, rules)
+		if rep.Counts[Stale] != tc.bad || rep.Seen[Stale] != tc.seen {
+			t.Errorf("%s: %d breaches, %d occasions, want %d and %d: %+v", name, rep.Counts[Stale], rep.Seen[Stale], tc.bad, tc.seen, rep.Breaches)
+		}
+	}
+}
--- a/internal/lab/etcdfleet/faults.go
+++ b/internal/lab/etcdfleet/faults.go
@@ -42,12 +42,12 @@
 		return func() { r.Etcd.StartMember(i) }
 	}},
 	{"all restarted", func(r *Rig, x lab.Fault) func() {
-		seeing := r.blind(func(*agent) bool { return true })
+		seeing := r.blind(func(*beside) bool { return true })
 		r.Etcd.Stop()
 		return func() { r.Etcd.Start(); seeing() }
 	}},
 	{"replaced by another cluster", func(r *Rig, x lab.Fault) func() {
-		seeing := r.blind(func(*agent) bool { return true })
+		seeing := r.blind(func(*beside) bool { return true })
 		r.Etcd.Stop()
 		return func() {
 			r.mu.Lock()
@@ -59,7 +59,7 @@
 		}
 	}},
 	{"put back", func(r *Rig, x lab.Fault) func() {
-		seeing := r.blind(func(*agent) bool { return true })
+		seeing := r.blind(func(*beside) bool { return true })
 		r.Etcd.Stop()
 		return func() {
 			r.mu.Lock()
@@ -108,7 +108,7 @@
 }
 
 // blind notes that agents hear nothing of etcd from now on.
-func (r *Rig) blind(which func(*agent) bool) (seeing func()) {
+func (r *Rig) blind(which func(*beside) bool) (seeing func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var parties []string
@@ -122,7 +122,7 @@
 
 // cut takes agents of one side, or all, from etcd without a word.
 func (r *Rig) cut(side int, all bool) (mend func()) {
-	seeing := r.blind(func(a *agent) bool { return all || a.side == side })
+	seeing := r.blind(func(a *beside) bool { return all || a.side == side })
 	for s, list := range r.links {
 		if all || s == side {
 			for _, k := range list {
@@ -148,38 +148,42 @@
 // Play has the faults of this package act on a rig.
 func Play(r *Rig) { rig = r }
 
-func init() {
-	lab.AddKind("etcd trouble", "etcd breaks in two ways at once, and is mended", "etcd", func(f *lab.Fleet, x lab.Fault, wait func(time.Duration) bool) {
-		r := rig
-		one, two := inOrder[x.A%len(inOrder)], inOrder[x.B%len(inOrder)]
-		what := one.name
-		mends := []func(){one.do(r, x)}
+// round has etcd break in two ways at once, mends it, and waits until all views equal the truth.
+func (r *Rig) round(x lab.Fault, wait func(time.Duration) bool) {
+	one, two := inOrder[x.A%len(inOrder)], inOrder[x.B%len(inOrder)]
+	what := one.name
+	mends := []func(){one.do(r, x)}
+	r.mu.Lock()
+	r.met[one.name]++
+	r.mu.Unlock()
+	// The whole cluster stops, or is put back, for one trouble alone; a cut does not meet another.
+	heavy := func(name string) bool {
+		return slices.Contains([]string{"all restarted", "replaced by another cluster", "put back", "cut", "cut and compacted", "cut from all", "slow", "a liar"}, name)
+	}
+	if one.name != two.name && !(heavy(one.name) && heavy(two.name)) {
+		what += " and " + two.name
+		mends = append(mends, two.do(r, x))
 		r.mu.Lock()
-		r.met[one.name]++
+		r.met[two.name]++
 		r.mu.Unlock()
-		// The whole cluster stops, or is put back, for one trouble alone; a cut does not meet another.
-		heavy := func(name string) bool {
-			return slices.Contains([]string{"all restarted", "replaced by another cluster", "put back", "cut", "cut and compacted", "cut from all", "slow", "a liar"}, name)
-		}
-		if one.name != two.name && !(heavy(one.name) && heavy(two.name)) {
-			what += " and " + two.name
-			mends = append(mends, two.do(r, x))
-			r.mu.Lock()
-			r.met[two.name]++
-			r.mu.Unlock()
-		}
-		wait(2*x.For + time.Second)
-		for _, mend := range mends {
-			mend()
+	}
+	wait(2*x.For + time.Second)
+	for _, mend := range mends {
+		mend()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for wait(50 * time.Millisecond) {
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go func() {
-			for wait(50 * time.Millisecond) {
-			}
-			cancel()
-		}()
-		r.equal(ctx, what)
+		cancel()
+	}()
+	r.equal(ctx, what)
+}
+
+func init() {
+	lab.AddKind("etcd trouble", "etcd breaks in two ways at once, and is mended", "etcd", func(f *lab.Fleet, x lab.Fault, wait func(time.Duration) bool) {
+		rig.round(x, wait)
 	})
 	lab.AddKind("mark", "a node is marked in etcd, the mark is taken back and set again at once, and taken back", "", func(f *lab.Fleet, x lab.Fault, wait func(time.Duration) bool) {
 		nodes := f.Nodes()
--- a/internal/lab/etcdfleet/rig.go
+++ b/internal/lab/etcdfleet/rig.go
@@ -44,7 +44,7 @@
 	ca      *certs.Authority
 	dir     string
 	mu      sync.Mutex
-	agents  []*agent
+	agents  []*beside
 	nodes   map[string]string // values of nodes, by id
 	marks   map[string]bool
 	held    map[string]string // what etcd holds of each node, as the history was told
@@ -53,7 +53,8 @@
 	met     map[string]int    // faults, by name
 }
 
-type agent struct {
+// beside is one agent.
+type beside struct {
 	party  string
 	side   int
 	listen string // of the agent itself
@@ -230,7 +231,7 @@
 
 // ---- agents and relays ----
 
-func (r *Rig) write(a *agent) error {
+func (r *Rig) write(a *beside) error {
 	id, err := r.ca.Issue(a.party + "-" + strconv.Itoa(a.turn))
 	if err != nil {
 		return err
@@ -256,7 +257,7 @@
 	if err != nil {
 		return "", err
 	}
-	a := &agent{party: party, file: filepath.Join(r.dir, "agent-"+party+".toml")}
+	a := &beside{party: party, file: filepath.Join(r.dir, "agent-"+party+".toml")}
 	n, _ := strconv.Atoi(party[1:])
 	a.side = n % 2
 	if a.listen, err = lab.FreeAddr(); err != nil {
@@ -298,7 +299,7 @@
 }
 
 // list asks the agent itself.
-func (a *agent) list() (l roster.List, err error) {
+func (a *beside) list() (l roster.List, err error) {
 	client := http.Client{Timeout: 2 * time.Second}
 	resp, err := client.Get("http://" + a.listen + "/api/targets")
 	if err != nil {
@@ -402,7 +403,7 @@
 	why := ""
 	for time.Since(began) < equalMost && ctx.Err() == nil {
 		told := r.rosterTold()
-		left = slices.DeleteFunc(left, func(a *agent) bool {
+		left = slices.DeleteFunc(left, func(a *beside) bool {
 			l, err := a.list()
 			if err != nil {
 				why = a.party + ": " + err.Error()
