--- a/cmd/eiderwatch/lab.go
+++ b/cmd/eiderwatch/lab.go
@@ -64,17 +64,13 @@
 	if *quiet {
 		log = io.Discard
 	}
-	var views error
-	f, rep, err := lab.RunWith(sc, log, func() { views = rig.Print(w) })
+	f, rep, err := lab.RunWith(sc, log, func() { rig.Print(w) })
 	if err != nil {
 		return err
 	}
 	rep.Print(w)
 	fmt.Fprintf(w, "the laboratory was %v late at worst\n", f.Hist.Late.Round(time.Millisecond))
-	if err := rep.Verdict(); err != nil {
-		return err
-	}
-	return views
+	return rep.Verdict()
 }
 
 // spawner starts the programs under test: this one, and those that lie beside it.
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -23,10 +23,11 @@
 	Caps     = "caps kept"
 	Ceilings = "ceilings kept"
 	Stale    = "none on a stale word"
+	Views    = "views equal the truth"
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale}
+var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale, Views}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
--- a/internal/lab/etcdfleet/faults.go
+++ b/internal/lab/etcdfleet/faults.go
@@ -12,7 +12,7 @@
 )
 
 // Kinds are the faults of a run: those of etcd, those of agents, and a few of programs, nodes and the roster beside them.
-var Kinds = []string{"etcd trouble", "etcd trouble", "etcd trouble", "etcd trouble", "etcd trouble", "etcd trouble", "thousand", "mark", "mark", "mark", "mark", "agent", "agent hup", "drain", "drain", "crash",
+var Kinds = []string{"etcd trouble", "etcd trouble", "etcd trouble", "etcd trouble", "etcd trouble", "etcd trouble", "thousand", "unlisted", "mark", "mark", "mark", "mark", "agent", "agent hup", "drain", "drain", "crash",
 	"late roster", "silent roster", "broken roster", "forwarder", "kill", "sick"}
 
 // trouble is one way in which etcd breaks; it returns what mends it.
@@ -203,6 +203,16 @@
 			})
 		})
 	})
+	lab.AddKind("unlisted", "etcd lists a node no more, its roster does, and then again", "unlisted", func(f *lab.Fleet, x lab.Fault, wait func(time.Duration) bool) {
+		nodes := f.Nodes()
+		if len(nodes) < 4 {
+			return
+		}
+		n := nodes[x.A%len(nodes)]
+		rig.unlist(n.ID, true)
+		wait(x.For + time.Second)
+		rig.unlist(n.ID, false)
+	})
 	lab.AddKind("thousand", "a thousand nodes that nobody lists are marked in one transaction, and the marks taken back", "thousand", func(f *lab.Fleet, x lab.Fault, wait func(time.Duration) bool) {
 		var ids []string
 		for i := range 1000 {
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -6,6 +6,7 @@
 	simTwo  = "sim -shrink=false -schedules 24 -for 30s -planners 3 -scenario "
 	labOne  = "lab -forwarders 4 -planners 0 -nodes 6 -for 15s -scenario "
 	labTwo  = "lab -forwarders 5 -planners 3 -nodes 6 -for 15s -scenario "
+	labEtcd = "eiderwatch lab -quiet -forwarders 6 -planners 0 -for 60s -every 300ms -seed 4"
 	module  = "policy/policy.go"
 	state   = "policy/state.go"
 	core    = "internal/forward/core.go"
@@ -178,6 +179,19 @@
 		Edits: edit(host, "\t\t\th.count(r.cell, c.win.setOuts(now, f, r.customer, r.plan, outs[r.customer]))\n", ""), Runs: []string{simTwo + "lonely"}},
 	{Name: "a planner tells its module of earlier passes", Rule: "quotas kept", Unit: "./internal/planner",
 		Edits: edit(host, "\th.count(int(m.Cell), c.win.first(h.now, m.Name, int(m.Plan)))\n", "\tc.win.first(h.now, m.Name, int(m.Plan))\n"), Runs: []string{simTwo + "ceilings"}},
+	// ---- Membership from etcd ----
+	{Name: "a stale source takes nothing back", Rule: "none on a stale word", Unit: "./internal/member",
+		Edits: edit("internal/member/core.go", "if !s.current && s.milder(n) {", "if false {"), Runs: []string{labEtcd}},
+	{Name: "what was compacted away is read anew", Rule: "views equal the truth", Unit: "./internal/etcdsource",
+		Edits: edit("internal/etcdsource/source.go", "\t\t*why = fmt.Sprintf(\"revision %d was compacted away\", s.f.head.Revision+1)\n", ""), Runs: []string{labEtcd}},
+	{Name: "an older state is told three times", Rule: "none on a stale word", Unit: "./internal/etcdsource",
+		Edits: edit("internal/etcdsource/follow.go", "if f.fell++; f.fell < confirmMost || len(f.fellBy) < f.members {", "if false {"), Runs: []string{labEtcd}},
+	{Name: "what a read does not list is gone", Rule: "views equal the truth", Unit: "./internal/member",
+		Edits: edit("internal/member/core.go", "\t\tif !listed[id] {\n\t\t\tn.State = Gone", "\t\tif false {\n\t\t\tn.State = Gone"), Runs: []string{labEtcd}},
+	{Name: "the last word of an answer holds", Rule: "none on a stale word", Unit: "./internal/etcdsource",
+		Edits: edit("internal/etcdsource/follow.go", "\t\t\twords[i] = w\n", ""), Runs: []string{labEtcd}},
+	{Name: "an agent remembers what etcd told", Rule: "none on a stale word", Unit: "./internal/agent",
+		Edits: edit("internal/agent/agent.go", "\ta.core.Remember(was.Known)\n", ""), Runs: []string{labEtcd}},
 	// ---- Links ----
 	{Name: "a silent link ends", Rule: "no request lost", Unit: "./internal/link",
 		Why:   "promises that run out hold the rules without it; it bounds how long a takeover takes, which eiderfleet lab -deaths and -failsafes measure",
--- a/internal/lab/mutants/mutants.go
+++ b/internal/lab/mutants/mutants.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,7 +24,7 @@
 	Name  string // of the guard
 	Rule  string // that it is there for, as the auditor words it
 	Edits []Edit
-	Runs  []string // arguments of eiderfleet that bring the guard's occasions, the likeliest to object first
+	Runs  []string // arguments of eiderfleet, or eiderwatch with its own, that bring the guard's occasions, the likeliest to object first
 	Unit  string   // package whose own tests are to fail too, "" if none is
 	Why   string   // of one that no run catches: why it is there all the same
 }
@@ -91,7 +92,11 @@
 		return "", err
 	}
 	bin = filepath.Join(filepath.Dir(overlay), "bin")
-	c := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-o", bin+"/", "./cmd/eiderfleet", "./cmd/eiderspread")
+	args := []string{"build", "-overlay", overlay, "-o", bin + "/", "./cmd/eiderfleet", "./cmd/eiderspread"}
+	if slices.ContainsFunc(m.Runs, func(run string) bool { return strings.HasPrefix(run, watch) }) {
+		args = append(args, "./cmd/eiderwatch")
+	}
+	c := exec.CommandContext(ctx, "go", args...)
 	c.Dir = r.Root
 	if out, err := c.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("mutant %q does not build: %w: %s", m.Name, err, out)
@@ -132,7 +137,16 @@
 func (r Runner) run(ctx context.Context, bin, args, rule string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Most)
 	defer cancel()
-	list := strings.Fields(args)
+	if args, ok := strings.CutPrefix(args, watch); ok {
+		return r.run1(ctx, filepath.Join(bin, "eiderwatch"), strings.Fields(args), rule)
+	}
+	return r.run1(ctx, filepath.Join(bin, "eiderfleet"), strings.Fields(args), rule)
+}
+
+// watch stands before runs of eiderwatch.
+const watch = "eiderwatch "
+
+func (r Runner) run1(ctx context.Context, program string, list []string, rule string) (string, error) {
 	if list[0] == "lab" {
 		dir, err := os.MkdirTemp(r.Dir, "run")
 		if err != nil {
@@ -141,7 +155,7 @@
 		defer os.RemoveAll(dir)
 		list = append(list, "-dir", dir)
 	}
-	c := exec.CommandContext(ctx, filepath.Join(bin, "eiderfleet"), list...)
+	c := exec.CommandContext(ctx, program, list...)
 	out, err := c.CombinedOutput()
 	var exit *exec.ExitError
 	switch {
