--- a/cmd/eiderwatch/main_test.go
+++ b/cmd/eiderwatch/main_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -91,3 +94,46 @@
 	}
 	wait(false)
 }
+
+// Guards the stand-in by hand: what is written lasts across a restart, and wrong calls are one clear error.
+func TestStandin(t *testing.T) {
+	dir := t.TempDir()
+	for want, args := range map[string][]string{
+		"on loopback addresses alone": {"-listen", "10.0.0.1:1"},
+		"go together":                 {"-listen", "127.0.0.1:0", "-user", "x"},
+		"wants flags alone":           {"serve"},
+		"certificate":                 {"-listen", "127.0.0.1:0", "-cert", "nowhere"},
+		"no such file":                {"-listen", "127.0.0.1:0", "-file", filepath.Join(dir, "no", "such")},
+	} {
+		if err := run(context.Background(), append([]string{"standin"}, args...), io.Discard); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", args, err, want)
+		}
+	}
+	for _, want := range []string{"from revision 1 on", "from revision 2 on"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		in, out := io.Pipe()
+		ended := make(chan error, 1)
+		go func() {
+			ended <- run(ctx, []string{"standin", "-listen", "127.0.0.1:0,127.0.0.1:0", "-file", filepath.Join(dir, "log")}, out)
+			out.Close()
+		}()
+		line, err := bufio.NewReader(in).ReadString('\n')
+		if err != nil || !strings.Contains(line, want) {
+			t.Fatalf("%q, %v, want %q", line, err, want)
+		}
+		first := regexp.MustCompile(`127\.0\.0\.1:\d+`).FindString(line)
+		file := filepath.Join(dir, "etcd.toml")
+		if err := os.WriteFile(file, []byte("listen = \"127.0.0.1:1\"\nendpoints = [\"http://"+first+"\"]\nprefix = \"/t/\"\ntimeout_ms = 20000\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var got strings.Builder
+		run(ctx, []string{"nodes", file, "drain", "a"}, io.Discard)
+		if err := run(ctx, []string{"nodes", file, "list"}, &got); err != nil || !strings.Contains(got.String(), "drain/a") {
+			t.Errorf("%q, %v", got.String(), err)
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
