--- a/cmd/eiderwatch/lab.go
+++ b/cmd/eiderwatch/lab.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,6 +30,7 @@
 	seed := set.Uint64("seed", 1, "of accounts, traffic and faults")
 	scale := set.Float64("scale", 1, "of the number of accounts")
 	dir := set.String("dir", "", "where files and logs go (a new folder)")
+	troubles := set.String("troubles", "", "troubles of etcd to choose from, by commas; all of them: "+strings.Join(etcdfleet.Troubles(), ", "))
 	sizes := set.String("sizes", "", "in place of a run, measure agent and ingress at these numbers of nodes, by commas, -for each")
 	quiet := set.Bool("quiet", false, "do not print each fault")
 	if err := set.Parse(args); err != nil {
@@ -70,6 +72,14 @@
 		return err
 	}
 	defer rig.Close()
+	if *troubles != "" {
+		rig.Only = strings.Split(*troubles, ",")
+		for _, name := range rig.Only {
+			if !slices.Contains(etcdfleet.Troubles(), name) {
+				return fmt.Errorf("unknown trouble %q; known are %s", name, strings.Join(etcdfleet.Troubles(), ", "))
+			}
+		}
+	}
 	rig.Use(&sc.FleetConfig)
 	etcdfleet.Play(rig)
 	fmt.Fprintf(w, "etcd: %d cores, %d members, %d forwarders, %d planners, %d nodes, %d accounts, %v, seed %d, %d faults; logs in %s\n", runtime.NumCPU(),
--- a/internal/lab/etcdfleet/etcdfleet_test.go
+++ b/internal/lab/etcdfleet/etcdfleet_test.go
@@ -115,10 +115,7 @@
 	if played < len(inOrder)/2 || len(f.Hist.Views) < played-1 {
 		t.Errorf("%d troubles played, %d times current again: the run shows too little", played, len(f.Hist.Views))
 	}
-	if i := slices.IndexFunc(inOrder, func(x struct {
-		name string
-		do   trouble
-	}) bool {
+	if i := slices.IndexFunc(inOrder, func(x namedTrouble) bool {
 		return rig.met[x.name] == 0
 	}); i >= 0 && played == len(inOrder) {
 		t.Errorf("no %s", inOrder[i].name)
--- a/internal/lab/etcdfleet/faults.go
+++ b/internal/lab/etcdfleet/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"eiderspread/internal/lab"
@@ -18,11 +19,21 @@
 // trouble is one way in which etcd breaks; it returns what mends it.
 type trouble func(r *Rig, x lab.Fault) (mend func())
 
-// inOrder are all troubles; a round picks two.
-var inOrder = []struct {
+type namedTrouble struct {
 	name string
 	do   trouble
-}{
+}
+
+// Troubles are the names of all troubles, as flags word them.
+func Troubles() (list []string) {
+	for _, t := range inOrder {
+		list = append(list, strings.ReplaceAll(t.name, " ", "-"))
+	}
+	return list
+}
+
+// inOrder are all troubles; a round picks two.
+var inOrder = []namedTrouble{
 	{"cut and compacted", func(r *Rig, x lab.Fault) func() {
 		mend := r.cut(x.A%2, false)
 		return func() { r.Etcd.CompactAll(); mend() }
@@ -150,7 +161,11 @@
 
 // round has etcd break in two ways at once, mends it, and waits until all views equal the truth.
 func (r *Rig) round(x lab.Fault, wait func(time.Duration) bool) {
-	one, two := inOrder[x.A%len(inOrder)], inOrder[x.B%len(inOrder)]
+	list := inOrder
+	if len(r.Only) > 0 {
+		list = slices.DeleteFunc(slices.Clone(list), func(t namedTrouble) bool { return !slices.Contains(r.Only, strings.ReplaceAll(t.name, " ", "-")) })
+	}
+	one, two := list[x.A%len(list)], list[x.B%len(list)]
 	what := one.name
 	mends := []func(){one.do(r, x)}
 	r.mu.Lock()
--- a/internal/lab/etcdfleet/rig.go
+++ b/internal/lab/etcdfleet/rig.go
@@ -38,6 +38,7 @@
 // Rig is the membership of one fleet. Its methods may be called by any goroutine.
 type Rig struct {
 	Etcd *etcd.Cluster
+	Only []string // troubles to choose from, of Troubles; none: all. Set before a run
 
 	hist   *audit.History
 	links  [2][]*lab.Link // to each member, for agents of even and of odd numbers
