--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -2,18 +2,19 @@
 
 // Runs of which mutants name those that bring their occasions. Virtual time first: it is quick.
 const (
-	simOne  = "sim -shrink=false -schedules 24 -for 30s -planners 0 -scenario "
-	simTwo  = "sim -shrink=false -schedules 24 -for 30s -planners 3 -scenario "
-	labOne  = "lab -forwarders 4 -planners 0 -nodes 6 -for 15s -scenario "
-	labTwo  = "lab -forwarders 5 -planners 3 -nodes 6 -for 15s -scenario "
-	labEtcd = "eiderwatch lab -quiet -forwarders 6 -planners 0 -for 60s -every 300ms -seed 4"
-	module  = "policy/policy.go"
-	state   = "policy/state.go"
-	core    = "internal/forward/core.go"
-	host    = "internal/planner/host.go"
-	windows = "internal/planner/windows.go"
-	leases  = "internal/planner/leases.go"
-	in      = "internal/ingress/"
+	simOne      = "sim -shrink=false -schedules 24 -for 30s -planners 0 -scenario "
+	simTwo      = "sim -shrink=false -schedules 24 -for 30s -planners 3 -scenario "
+	labOne      = "lab -forwarders 4 -planners 0 -nodes 6 -for 15s -scenario "
+	labTwo      = "lab -forwarders 5 -planners 3 -nodes 6 -for 15s -scenario "
+	labEtcd     = "eiderwatch lab -quiet -forwarders 6 -planners 0 -for 60s -every 300ms -seed 4"
+	labEtcdLong = "eiderwatch lab -quiet -forwarders 6 -planners 0 -for 100s -every 300ms -seed 5"
+	module      = "policy/policy.go"
+	state       = "policy/state.go"
+	core        = "internal/forward/core.go"
+	host        = "internal/planner/host.go"
+	windows     = "internal/planner/windows.go"
+	leases      = "internal/planner/leases.go"
+	in          = "internal/ingress/"
 )
 
 func edit(file, old, new string) []Edit { return []Edit{{file, old, new}} }
@@ -189,7 +190,7 @@
 	{Name: "what a read does not list is gone", Rule: "views equal the truth", Unit: "./internal/member",
 		Edits: edit("internal/member/core.go", "\t\tif !listed[id] {\n\t\t\tn.State = Gone", "\t\tif false {\n\t\t\tn.State = Gone"), Runs: []string{labEtcd}},
 	{Name: "the last word of an answer holds", Rule: "none on a stale word", Unit: "./internal/etcdsource",
-		Edits: edit("internal/etcdsource/follow.go", "\t\t\twords[i] = w\n", "\t\t\t_ = i\n"), Runs: []string{labEtcd + " -troubles cut"}},
+		Edits: edit("internal/etcdsource/follow.go", "\t\t\twords[i] = w\n", "\t\t\t_ = i\n"), Runs: []string{labEtcdLong + " -troubles cut"}},
 	{Name: "an agent remembers what etcd told", Rule: "none on a stale word", Unit: "./internal/agent",
 		Edits: edit("internal/agent/agent.go", "\ta.core.Remember(was.Known)\n", ""), Runs: []string{labEtcd}},
 	// ---- Links ----
