A member of etcd that lags is left: the cluster is asked what revision it agrees on

Progress is told by a member as far as it is itself: an agent at one that lags took itself for up to date and heard of drains late. Every fourth question for progress a read that the cluster agrees on names the revision that a watch has to reach, else it ends and another endpoint is taken. The test fails without it.

--- a/internal/etcdsource/cluster_test.go
+++ b/internal/etcdsource/cluster_test.go
@@ -129,3 +129,28 @@
 		}
 	}
 }
+
+// Guards against a member that lags: it goes on telling progress, as far as it is. The cluster's own word shows that it is behind,
+// and the source goes to another.
+func TestMemberThatLags(t *testing.T) {
+	s, err := etcd.Open(etcd.Config{Members: 3, Election: 20 * time.Millisecond, RequestTimeout: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.Set("/p/nodes/a", a1)
+	src, r := followOf(t, s.Addrs())
+	get(t, r.whole)
+	get(t, r.alive)
+	get(t, r.alive)
+	for i := range 2 { // whichever two lag, the third has it
+		s.Lag((int(src.Status().Member)-1+i)%3, true)
+	}
+	s.Set("/p/drain/a", "{}")
+	if got := get(t, r.change); got != "a 127.0.0.1:1 draining" {
+		t.Errorf("by the third: %q", got)
+	}
+	if len(r.broken) == 0 {
+		t.Error("the watch at the member that lags was not ended: the run shows nothing")
+	}
+}
--- a/internal/etcdsource/source.go
+++ b/internal/etcdsource/source.go
@@ -257,7 +257,14 @@
 	}
 }
 
-// watch follows changes behind the view's revision. It ends with an error. From target on it is up to date.
+// agreeEvery times the time between two questions for progress, a watch asks what revision the cluster agrees on.
+const agreeEvery = 4
+
+// agreeTries of them in a row may fail.
+const agreeTries = 3
+
+// watch follows changes behind the view's revision. It ends with an error. From target on it is up to date. A member that lags tells
+// progress too, as far as it is: so the cluster is asked now and then how far it is, and a watch that does not come so far is ended.
 func (s *Source) watch(ctx context.Context, client *clientv3.Client, target int64) error {
 	ctx, cancel := context.WithCancel(clientv3.WithRequireLeader(ctx))
 	defer cancel()
@@ -266,8 +273,28 @@
 	ask := time.NewTicker(s.cfg.Progress)
 	defer ask.Stop()
 	heard := time.Now()
+	agreed := make(chan error, 1) // one question at a time
+	var asked Header              // what it brought; set before agreed is sent to
+	asks, asking, failed := 0, false, 0
+	targetAt := heard // when the target was set that is not reached yet
 	for {
 		select {
+		case err := <-agreed:
+			asking = false
+			if err != nil { // the member that was asked may be the one that lags: the next one is asked next time
+				if failed++; failed == agreeTries {
+					return fmt.Errorf("the cluster does not agree: %w", err)
+				}
+				break
+			}
+			failed = 0
+			if asked.Cluster != s.f.head.Cluster || asked.Revision < s.f.head.Revision || asked.Term < s.f.head.Term {
+				break // an older state, or another cluster's: the next session looks into it, if this watch ends
+			}
+			if s.f.head.Revision >= target {
+				targetAt = time.Now()
+			}
+			target = max(target, asked.Revision)
 		case r, ok := <-events:
 			switch {
 			case !ok:
@@ -284,7 +311,9 @@
 					return err
 				}
 				s.note(func(*Status) {})
-				s.sink.Alive()
+				if s.f.head.Revision >= target {
+					s.sink.Alive()
+				}
 				continue
 			}
 			kvs := make([]KV, 0, len(r.Events))
@@ -307,6 +336,17 @@
 			if silent := time.Since(heard); silent > 3*s.cfg.Progress {
 				return fmt.Errorf("the watch is silent for %v", silent.Round(time.Millisecond))
 			}
+			if behind := time.Since(targetAt); s.f.head.Revision < target && behind > 3*s.cfg.Progress {
+				return fmt.Errorf("the watch is at revision %d, the cluster agreed on %d %v ago", s.f.head.Revision, target, behind.Round(time.Millisecond))
+			}
+			if asks++; asks%agreeEvery == 0 && !asking {
+				asking = true
+				go func() {
+					h, _, err := s.get(ctx, client, true)
+					asked = h
+					agreed <- err
+				}()
+			}
 			go client.RequestProgress(ctx) // its answer comes as an event; it may block, until the watch ends
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/lab/etcdfleet/faults.go
+++ b/internal/lab/etcdfleet/faults.go
@@ -47,6 +47,11 @@
 		r.Etcd.Cut(i, true)
 		return func() { r.Etcd.Cut(i, false) }
 	}},
+	{"member lags", func(r *Rig, x lab.Fault) func() {
+		i := x.B % len(r.Etcd.Addrs())
+		r.Etcd.Lag(i, true)
+		return func() { r.Etcd.Lag(i, false) }
+	}},
 	{"member restarted", func(r *Rig, x lab.Fault) func() {
 		i := x.B % len(r.Etcd.Addrs())
 		r.Etcd.StopMember(i)
