A cap on open attempts holds for requests that waited for a server

A cap says how many may be out when a try is first sent on, so it is looked at there as well.

The scenarios capped and lonely are judged by the stated twice again; a breach names the moment of the excess.

--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -344,10 +344,11 @@
 		sort.Slice(list, func(i, j int) bool {
 			return list[i].at < list[j].at || list[i].at == list[j].at && list[i].by < list[j].by
 		})
-		out, most := 0, 0
+		out, most, at := 0, 0, time.Duration(0)
 		for _, e := range list {
-			out += e.by
-			most = max(most, out)
+			if out += e.by; out > most {
+				most, at = out, e.at
+			}
 		}
 		cap := plan[account].Parallel
 		rep.near("cap on open attempts", float64(most)/float64(cap))
@@ -355,7 +356,7 @@
 			rep.saw(Caps, "accounts at their cap")
 		}
 		if rules.CapX > 0 && float64(most) > rules.CapX*float64(cap) {
-			rep.breach(Caps, list[0].at, "%s had %d attempts out, its cap is %d", account, most, cap)
+			rep.breach(Caps, at, "%s had %d attempts out, its cap is %d", account, most, cap)
 		}
 	}
 }
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -48,8 +48,9 @@
 		Edits: edit(module, "\treturn units <= l.room\n", "\treturn true\n"), Runs: []string{simTwo + "ceilings"}},
 	{Name: "what was let in is taken off the window", Rule: "quotas kept", Unit: "./policy",
 		Edits: edit(module, "\t\tl.room = max(l.room-units, min(l.room, 0))\n", "\t\t_ = l\n"), Runs: []string{simTwo + "ceilings"}},
-	{Name: "cap on open attempts", Rule: "caps kept", Unit: "./policy",
-		Edits: edit(module, "if p.Parallel > 0 && c.out+l.outs(g.now, -1) >= p.Parallel {", "if false {"), Runs: []string{simTwo + "capped"}},
+	{Name: "cap on open attempts", Rule: "caps kept", Unit: "./policy", // when a request is let in, and when one that waited is sent
+		Edits: []Edit{{module, "if p.Parallel > 0 && c.out+l.outs(g.now, -1) >= p.Parallel {", "if false {"},
+			{module, " || p != nil && p.Parallel > 0 && r.attempts == nil && r.cust.out >= p.Parallel", " || p == nil && false"}}, Runs: []string{simTwo + "capped"}},
 	{Name: "ceilings", Rule: "ceilings kept", Unit: "./policy",
 		Edits: edit(module, "\treturn units <= c.ceil\n", "\treturn true\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
 	{Name: "the shared part of a ceiling", Rule: "ceilings kept", Unit: "./policy",
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -78,9 +78,9 @@
 			} // quotas are not judged: what is counted waits for a server for up to the long aim, and is sent on that much later
 		}, keyedS: 0.6, weather: 0.5, quota: -1, kinds: []string{"kill", "split", "all", "snow", "forwarder"}, every: 1500 * time.Millisecond, floors: trouble},
 	"capped": {what: "accounts at small caps on open attempts, slow nodes, and planners that die with attempts out",
-		kinds: []string{"kill", "kill", "snow", "snow", "slow"}, load: 2, every: 700 * time.Millisecond, plans: smallCaps, quota: -1, capX: 3, floors: map[string]int{audit.Caps: 2}},
+		kinds: []string{"kill", "kill", "snow", "snow", "slow"}, load: 2, every: 700 * time.Millisecond, plans: smallCaps, quota: -1, floors: map[string]int{audit.Caps: 2}},
 	"lonely": {what: "accounts at small caps, slow nodes, and forwarders that are cut off from all planners with attempts out",
-		kinds: []string{"lone", "lone", "snow", "slow"}, every: 700 * time.Millisecond, plans: smallCaps, quota: -1, capX: 3, floors: map[string]int{audit.Caps: 2}},
+		kinds: []string{"lone", "lone", "snow", "slow"}, every: 700 * time.Millisecond, plans: smallCaps, quota: -1, floors: map[string]int{audit.Caps: 2}},
 	"blinks": {what: "forwarders die and are back at once while planners are cut off from them", kinds: []string{"blink", "blink", "cut", "split", "kill"}, exact: true,
 		every: 300 * time.Millisecond, weather: 0.02},
 	"friday": {what: "Friday supper: floods on chaine, accounts that shift, a node that is sick", kinds: []string{"flood", "flood", "shift", "sick", "slow"},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -736,12 +736,12 @@
 	return s.inflight < 2 && (sum+work <= budget || sum == 0 && g.rng.Float64()*work <= budget*coldChance)
 }
 
-// full tells that as much is out as may be. A part of one that is free is rounded up while answers
-// are fast, and makes a pause while they are slow: many gateways that round up drive servers hard.
+// full tells that as much is out as may be, of the customer too before a first send. A part of one that is
+// free is rounded up while answers are fast, and makes a pause while they are slow: many round it up.
 func (g *Gateway) full(r *request) bool {
-	free := g.limit - float64(g.out)
-	part := free < 1 && g.stretch >= stretchHigh
-	return free <= 0 || part && g.now-g.sentAt < max(r.cls.lat, g.spent)/free
+	free, p := g.limit-float64(g.out), r.plan
+	part := free < 1 && g.stretch >= stretchHigh && g.now-g.sentAt < max(r.cls.lat, g.spent)/free
+	return free <= 0 || part || p != nil && p.Parallel > 0 && r.attempts == nil && r.cust.out >= p.Parallel
 }
 
 // choose picks the server for the request's next attempt, nil if none has room.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -132,6 +132,27 @@
 }
 
 // A restarted gateway may just have spent its split of the ceiling.
+// Guards the cap on open attempts against what waits: requests that were let in while nothing was out, and found no server
+// then, are sent no more at a time than the cap says.
+func TestWhatWaitsKeepsToTheCap(t *testing.T) {
+	g, r := gateway(t, alone)
+	g.Servers(100, nil, true)
+	for i := range 5 {
+		ask(g, 100, fmt.Sprint("r", i), "pay", "open", 1)
+	}
+	if n := len(r.of("send", "")); n != 0 {
+		t.Fatalf("%d sent without a server", n)
+	}
+	g.Servers(100.1, []Server{{ID: "s1", Zone: "a"}, {ID: "s2", Zone: "a"}, {ID: "s3", Zone: "a"}}, true)
+	if n := len(r.of("send", "")); n != 2 {
+		t.Fatalf("%d sent at once, the cap is 2", n)
+	}
+	g.Outcome(100.2, Outcome{ID: r.of("send", "")[0].id, Server: r.of("send", "")[0].server, Status: OK, SpentS: 0.1})
+	if n := len(r.of("send", "")); n != 3 {
+		t.Errorf("%d sent after one was served, want 3", n)
+	}
+}
+
 func TestCeilingSplitStartsEmpty(t *testing.T) {
 	g, r := gateway(t, nil)
 	sent := func() (n int) { return len(r.of("send", "")) }
