--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -53,9 +53,9 @@
 // ageEvery is how often the age of the list of backends is looked at, for the log alone.
 const ageEvery = 5 * time.Second
 
-// watchAge says so in the log, once each way, when the list of backends is too old to be trusted. The ingress goes on with it.
-func (in *Ingress) watchAge() {
-	switch age := in.ListAge(); {
+// sayAge says so in the log, once each way, when the list of backends is too old to be trusted. The ingress goes on with it.
+func (in *Ingress) sayAge(age roster.Age) {
+	switch {
 	case age.Old() && !in.oldList:
 		in.oldList = true
 		in.log.Error("the list of backends is old", "heard_s", age.HeardS, "told_s", age.ToldS)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -167,7 +167,7 @@
 	in.gate = gate
 	in.takeList(in.cfg.Known)
 	go in.watchDiscovery(background, reread)
-	in.every(ageEvery, in.watchAge)
+	in.every(ageEvery, func() { in.sayAge(in.ListAge()) })
 	go in.accept(in.listener)
 	if in.peers != nil {
 		go in.peers.receive()
