--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -64,6 +64,9 @@
 // read reads the configuration, and the operator's file if EDGE_OPERATOR names one.
 func read(path string) (ingress.Config, error) {
 	cfg, err := ingress.ReadConfig(path)
+	if cfg.Console == "" && err == nil {
+		cfg.Console, err = ingress.ConsoleAddr(os.Getenv("EDGE_CONSOLE"))
+	}
 	if file := os.Getenv("EDGE_OPERATOR"); file != "" && err == nil {
 		cfg.Operator, err = ingress.ReadOperator(file)
 	}
--- /dev/null
+++ b/internal/ingress/away.go
@@ -0,0 +1,60 @@
+package ingress
+
+import "time"
+
+// What an ingress does that operators have sent its clients away from: it says so at once, goes on serving, and closes
+// each connection when nothing is open on it. Nothing of it outlives the process.
+const (
+	awayTick  = 100 * time.Millisecond
+	awayFirst = 0.5  // seconds for which new connections go on coming after the front was told, and some more
+	awayRest  = 0.15 // so long a connection has rested before it is closed: its client has read its answer
+	awayLast  = 1.7  // from then on a connection ends with its next answer: at 4 s no request may be younger than 2 s
+)
+
+type awayState struct {
+	on    bool
+	since float64
+	timer *timer
+}
+
+// sendAway begins it; a second call changes nothing.
+func (in *Ingress) sendAway() {
+	if in.away.on || in.leaving {
+		return
+	}
+	in.log.Info("clients are sent away")
+	in.away = awayState{on: true, since: in.now}
+	in.taking.Store(false)
+	in.away.timer = in.after(awayFirst, in.thin)
+}
+
+// takeBack ends it.
+func (in *Ingress) takeBack() error {
+	if in.leaving {
+		return errNotReady
+	}
+	if in.away.on {
+		in.log.Info("clients are taken again")
+		in.stopTimer(in.away.timer)
+		in.away = awayState{}
+	}
+	in.taking.Store(true)
+	return nil
+}
+
+// thin closes what waits for nothing, again and again while clients are away: the front goes on asking.
+func (in *Ingress) thin() {
+	in.away.timer = in.after(awayTick.Seconds(), in.thin)
+	last := in.awayLast()
+	for c := range in.clients.all {
+		switch {
+		case c.idle() && in.now-c.usedAt > awayRest && silent(c.raw):
+			in.closeClient(c)
+		case last && c.asked:
+			c.halt()
+		}
+	}
+}
+
+// awayLast tells that a connection ends with its next answer.
+func (in *Ingress) awayLast() bool { return in.away.on && in.now-in.away.since >= awayLast }
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -41,8 +41,9 @@
 	raw     syscall.RawConn
 	permits chan struct{} // bounds the open commands; taken by the reader
 	quit    chan struct{} // closed with the connection
+	stop    chan struct{} // closed by halt: nothing more is to be read
 
-	// Its reader's.
+	// Its reader's, and the loop's once it is parked.
 	buf    buffer
 	errors int
 
@@ -56,6 +57,9 @@
 	ending   bool // the last answer is written, what still comes is read and dropped
 	lingered bool // for long enough
 	surplus  bool // beyond the bound: what it asks is refused while that holds
+	asked    bool // a call has come
+	halted   bool // its reader was told to stop
+	parked   bool // and has
 	closed   bool
 }
 
@@ -176,7 +180,7 @@
 			continue
 		}
 		c := &client{conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
-			buf: buffer{budget: &in.input}}
+			stop: make(chan struct{}), buf: buffer{budget: &in.input}}
 		conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in, words)
@@ -200,9 +204,19 @@
 // read parses what the client sends, and posts each command with the time of its last byte. Its
 // deadline runs while a command is unfinished, and until there was one at all.
 func (c *client) read(in *Ingress, words *vocabulary) {
-	defer c.buf.free()
+	parked := false
+	defer func() {
+		if !parked {
+			c.buf.free()
+		}
+	}()
 	timed := true
 	for {
+		if c.stopped() {
+			parked = true
+			in.post(in.clock.Now(), func() { in.park(c) })
+			return
+		}
 		room := c.buf.room()
 		if room == nil {
 			c.refuse(in, in.clock.Now(), errNoRoom)
@@ -218,6 +232,8 @@
 		unfinished := used < len(c.buf.b)
 		c.buf.drop(used)
 		switch {
+		case c.stopped() && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)):
+			continue
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.refuse(in, at, errors.New("no whole command in time"))
 			return
@@ -238,7 +254,7 @@
 // connection has ended or is about to.
 func (c *client) commands(in *Ingress, at float64, words *vocabulary) (used int, ok bool) {
 	var space [8][]byte
-	for used < len(c.buf.b) {
+	for used < len(c.buf.b) && !c.stopped() {
 		args, size, bad := parseCommand(c.buf.b[used:], space[:0])
 		if bad != nil {
 			c.refuse(in, at, fmt.Errorf("Protocol error: %w", bad))
@@ -249,6 +265,8 @@
 		}
 		select {
 		case c.permits <- struct{}{}:
+		case <-c.stop:
+			return used, true
 		case <-c.quit:
 			return 0, false
 		}
@@ -406,9 +424,58 @@
 		c.conn.CloseWrite()
 	case c.ending, in.leaving && len(c.slots) == 0:
 		in.closeClient(c)
+	case c.parked && len(c.slots) == 0:
+		in.settle(c)
+	}
+}
+
+// halt has the connection's reader stop between two commands. What it has read and not used, and what waits in the
+// socket, is left for whoever settles the connection.
+func (c *client) halt() {
+	if c.halted || c.closed {
+		return
+	}
+	c.halted = true
+	close(c.stop)
+	c.conn.SetReadDeadline(time.Unix(1, 0)) // the reader looks at stop after each deadline of its own
+}
+
+func (c *client) stopped() bool {
+	select {
+	case <-c.stop:
+		return true
+	default:
+		return false
 	}
 }
 
+// park takes over the connection of a reader that has stopped.
+func (in *Ingress) park(c *client) {
+	if c.closed {
+		c.buf.free()
+		return
+	}
+	if c.parked = true; c.idle() {
+		in.settle(c)
+	} // else once its answers are written
+}
+
+// settle ends a parked connection on which nothing is open. On bytes that nobody has read a close would reset it, and
+// might take the last answer with it: then its client hears the end first.
+func (in *Ingress) settle(c *client) {
+	if len(c.buf.b) == 0 && silent(c.raw) {
+		in.closeClient(c)
+		return
+	}
+	c.ending, c.lingered = true, true
+	c.conn.CloseWrite()
+	go func() {
+		c.conn.SetReadDeadline(time.Now().Add(lingerMost / 2))
+		io.Copy(io.Discard, io.LimitReader(c.conn, lingerBytes))
+		in.post(in.clock.Now(), func() { in.closeClient(c) })
+	}()
+}
+
 // clientGone takes a client's hang-up: nothing is owed for what it had asked.
 func (in *Ingress) clientGone(c *client) {
 	if c.closed {
@@ -432,6 +499,9 @@
 	in.input.give(c.held)
 	c.slots, c.pending, c.held = nil, nil, 0
 	close(c.quit)
+	if c.parked {
+		c.buf.free()
+	}
 	c.conn.Close()
 	delete(in.clients.all, c)
 	<-in.clients.room
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -16,6 +16,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Console   string // where operators call; empty: nowhere
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int // file descriptors that the process may hold
@@ -41,6 +42,17 @@
 	return !reflect.DeepEqual(c, from)
 }
 
+// ConsoleAddr checks the address of the operators' door; empty is none.
+func ConsoleAddr(addr string) (string, error) {
+	if addr == "" {
+		return "", nil
+	}
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return "", fmt.Errorf("console: %w", err)
+	}
+	return addr, nil
+}
+
 // ReadConfig reads the configuration file.
 func ReadConfig(path string) (Config, error) {
 	text, err := os.ReadFile(path)
@@ -56,8 +68,8 @@
 
 func parseConfig(text []byte) (Config, error) {
 	var f struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Console, Seed string
+		Limits                                 struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		}
@@ -70,7 +82,7 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, MemoryMB: f.Limits.MemoryMB,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, Known: f.Known}
 	if c.Sockets <= 0 {
 		c.Sockets = defaultSockets
@@ -81,6 +93,9 @@
 		}
 	}
 	var err error
+	if c.Console, err = ConsoleAddr(f.Console); err != nil {
+		return c, err
+	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -14,6 +14,14 @@
 
 // takeList applies a list to the pools and tells the module.
 func (in *Ingress) takeList(t targets) {
+	if in.held != nil {
+		t = in.held.Take(t)
+	}
+	in.applyList(t)
+}
+
+// applyList takes a list as it stands with what operators hold.
+func (in *Ingress) applyList(t targets) {
 	in.backends.apply(in, t)
 	in.gate.Servers(in.now, t.Policy(), t.Full)
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -10,8 +10,11 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
+	"eiderspread/internal/console"
+	"eiderspread/internal/held"
 	"eiderspread/internal/mono"
 	"eiderspread/internal/roster"
 	"eiderspread/policy"
@@ -84,7 +87,12 @@
 	requests  map[string]*request
 	backends  backendSet
 	watcher   *roster.Watcher
-	oldList   bool // the list of backends was said to be old
+	held      *held.Table // what operators took out; nil without a door
+	store     *held.Store // the same in a file; of the door's goroutines
+	console   *console.Server
+	away      awayState
+	taking    atomic.Bool // clients are taken; of all goroutines
+	oldList   bool        // the list of backends was said to be old
 	peers     *peerLink
 	leaving   bool // the listener is closed, connections close between requests
 }
@@ -143,9 +151,17 @@
 	if in.listener, err = net.ListenTCP("tcp", addr); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	if cfg.Console != "" {
+		in.held, in.store = held.New(), held.NewStore(storePath(cfg.Name))
+		if in.console, err = console.Listen(cfg.Console, &door{in}); err != nil {
+			in.listener.Close()
+			return nil, err
+		}
+	}
 	if cfg.Settings.Peers {
 		if in.peers, err = in.openPeers(); err != nil {
-			in.listener.Close()
+			in.peers = nil
+			in.close()
 			return nil, err
 		}
 	}
@@ -154,6 +170,9 @@
 
 func (in *Ingress) close() {
 	in.listener.Close()
+	if in.console != nil {
+		in.console.Close()
+	}
 	if in.peers != nil {
 		in.peers.close()
 	}
@@ -165,9 +184,13 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	in.gate = gate
+	if in.console != nil {
+		in.openDoor(background)
+	}
 	in.takeList(in.cfg.Known)
 	go in.watchDiscovery(background, reread)
 	in.every(ageEvery, func() { in.sayAge(in.ListAge()) })
+	in.taking.Store(true)
 	go in.accept(in.listener)
 	if in.peers != nil {
 		go in.peers.receive()
@@ -231,6 +254,7 @@
 // leave ends the time in which new connections are taken.
 func (in *Ingress) leave() {
 	in.leaving = true
+	in.taking.Store(false)
 	in.listener.Close()
 	in.clients.closeIdle(in)
 	in.after((drainMost - acceptAfterTerm).Seconds(), in.stop)
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -21,6 +21,10 @@
 
 // ping tells the front that this ingress can serve.
 func (in *Ingress) ping(c *client) {
+	if in.away.on {
+		in.answerAtOnce(c, redcon.AppendError(nil, "LOADING this ingress takes no clients"), false)
+		return
+	}
 	if !in.backends.ready() {
 		in.answerAtOnce(c, redcon.AppendError(nil, "LOADING no backends known yet"), false)
 		return
@@ -51,7 +55,7 @@
 		return
 	}
 	taken = true
-	c.surplus, c.spoke = false, true
+	c.surplus, c.spoke, c.asked = false, true, true
 	r := &request{call: q, client: c, slot: &slot{}, deadline: at + q.waitS}
 	r.slot.req = r
 	c.slots = append(c.slots, r.slot)
