A process is replaced while it serves: its sockets and idle connections go to the next one

Change: internal/takeover carries descriptors over a Unix socket in $TMPDIR; the old process stops taking before the new one begins (internal/ingress/handover.go), clients' connections follow as they become idle with what was read of an unfinished command, and a new process that dies gives all back. Readers can be halted between two commands; both halves of the memory are kept meanwhile.

--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"eiderspread/internal/ingress"
@@ -19,8 +18,6 @@
 	// There is one core: a second processor took 1.84 s of CPU a calm day against 1.71 and 1.73 s,
 	// at the same result.
 	processors = 1
-	// From this share of the memory limit on, the collector works as hard as it must.
-	memoryShare = 0.6
 )
 
 func main() {
@@ -48,9 +45,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(processors)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryShare))
-	}
+	ingress.LimitMemory(cfg.MemoryMB, ingress.MemoryShare)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("ingress", cfg.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/held/held.go
+++ b/internal/held/held.go
@@ -148,6 +148,15 @@
 // Holds returns a copy of what is kept.
 func (t *Table) Holds() Holds { return maps.Clone(t.holds) }
 
+// Listed is the whole list as discovery told it, without the holds.
+func (t *Table) Listed() roster.List {
+	l := roster.List{Version: t.version, Full: true}
+	for _, e := range t.listed {
+		l.Servers = append(l.Servers, e)
+	}
+	return l
+}
+
 // Count returns how many backends are held.
 func (t *Table) Count() (n int) {
 	for _, h := range t.holds {
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -60,6 +60,7 @@
 	asked    bool // a call has come
 	halted   bool // its reader was told to stop
 	parked   bool // and has
+	passing  bool // on its way to the process that replaces this one
 	closed   bool
 }
 
@@ -103,7 +104,7 @@
 // closeIdle closes each connection that waits for no answer.
 func (s *clientSet) closeIdle(in *Ingress) {
 	for c := range s.all {
-		if c.idle() && (c.ending || silent(c.raw)) {
+		if c.idle() && !c.passing && (c.ending || silent(c.raw)) {
 			in.closeClient(c)
 		}
 	}
@@ -153,12 +154,29 @@
 	}
 }
 
-// accept takes connections until the listener is closed.
-func (in *Ingress) accept(l *net.TCPListener) {
-	words := newVocabulary(in.cfg.Settings.Settings)
+// newClient makes a client of a connection that is not read yet. Its place in the room is the caller's to take.
+func (in *Ingress) newClient(conn *net.TCPConn) (*client, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &client{conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
+		stop: make(chan struct{}), buf: buffer{budget: &in.input}}, nil
+}
+
+// accept takes connections until the listener is closed, or pause and with it the listener's deadline.
+func (in *Ingress) accept(l *net.TCPListener, pause chan struct{}) {
 	for {
+		select {
+		case <-pause:
+			in.post(in.clock.Now(), func() { in.handedOver(pause) }) // behind all that was taken
+			return
+		default:
+		}
 		select {
 		case in.clients.room <- struct{}{}:
+		case <-pause:
+			continue
 		case <-in.done:
 			return
 		}
@@ -166,24 +184,25 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		var raw syscall.RawConn
+		var c *client
 		if err == nil {
-			if raw, err = conn.SyscallConn(); err != nil {
+			if c, err = in.newClient(conn); err != nil {
 				conn.Close()
 			}
 		}
 		at := in.clock.Now()
 		if err != nil {
 			<-in.clients.room
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				continue
+			}
 			in.post(at, func() { in.note("accept failed", "error", err) })
 			time.Sleep(acceptRetry) // out of descriptors: others must end first
 			continue
 		}
-		c := &client{conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
-			stop: make(chan struct{}), buf: buffer{budget: &in.input}}
 		conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
 		in.post(at, func() { in.addClient(c) })
-		go c.read(in, words)
+		go c.read(in)
 	}
 }
 
@@ -203,29 +222,34 @@
 
 // read parses what the client sends, and posts each command with the time of its last byte. Its
 // deadline runs while a command is unfinished, and until there was one at all.
-func (c *client) read(in *Ingress, words *vocabulary) {
+func (c *client) read(in *Ingress) {
 	parked := false
 	defer func() {
 		if !parked {
 			c.buf.free()
 		}
 	}()
-	timed := true
+	timed, left := true, len(c.buf.b) > 0 // left: by whoever read this connection before
 	for {
 		if c.stopped() {
 			parked = true
 			in.post(in.clock.Now(), func() { in.park(c) })
 			return
 		}
-		room := c.buf.room()
-		if room == nil {
-			c.refuse(in, in.clock.Now(), errNoRoom)
-			return
+		var err error
+		if !left {
+			room := c.buf.room()
+			if room == nil {
+				c.refuse(in, in.clock.Now(), errNoRoom)
+				return
+			}
+			var n int
+			n, err = c.conn.Read(room)
+			c.buf.grew(n)
 		}
-		n, err := c.conn.Read(room)
+		left = false
 		at := in.clock.Now()
-		c.buf.grew(n)
-		used, ok := c.commands(in, at, words)
+		used, ok := c.commands(in, at)
 		if !ok {
 			return
 		}
@@ -252,7 +276,7 @@
 
 // commands posts the whole commands that have come and returns their length, or false when the
 // connection has ended or is about to.
-func (c *client) commands(in *Ingress, at float64, words *vocabulary) (used int, ok bool) {
+func (c *client) commands(in *Ingress, at float64) (used int, ok bool) {
 	var space [8][]byte
 	for used < len(c.buf.b) && !c.stopped() {
 		args, size, bad := parseCommand(c.buf.b[used:], space[:0])
@@ -270,7 +294,7 @@
 		case <-c.quit:
 			return 0, false
 		}
-		if bad := c.command(in, at, words, args); bad != nil {
+		if bad := c.command(in, at, args); bad != nil {
 			if c.errors++; c.errors == errorsMost {
 				<-c.permits // the last answer takes none
 				c.refuse(in, at, bad)
@@ -303,12 +327,12 @@
 }
 
 // command posts one whole command, or returns what is wrong with it, worded for the client.
-func (c *client) command(in *Ingress, at float64, words *vocabulary, args [][]byte) error {
+func (c *client) command(in *Ingress, at float64, args [][]byte) error {
 	switch {
 	case len(args) == 0:
 		return errors.New("empty command")
 	case bytes.EqualFold(args[0], []byte("CALL.GET")), bytes.EqualFold(args[0], []byte("CALL.POST")):
-		call, err := words.parseCall(args)
+		call, err := in.words.Load().parseCall(args)
 		if err != nil {
 			return err
 		}
@@ -422,10 +446,12 @@
 	switch {
 	case c.ending && !c.lingered:
 		c.conn.CloseWrite()
-	case c.ending, in.leaving && len(c.slots) == 0:
+	case c.ending:
 		in.closeClient(c)
 	case c.parked && len(c.slots) == 0:
 		in.settle(c)
+	case in.leaving && in.heirs.stage == none && len(c.slots) == 0:
+		in.closeClient(c)
 	}
 }
 
@@ -463,6 +489,9 @@
 // settle ends a parked connection on which nothing is open. On bytes that nobody has read a close would reset it, and
 // might take the last answer with it: then its client hears the end first.
 func (in *Ingress) settle(c *client) {
+	if c.passing || in.pass(c) {
+		return
+	}
 	if len(c.buf.b) == 0 && silent(c.raw) {
 		in.closeClient(c)
 		return
--- /dev/null
+++ b/internal/ingress/handover.go
@@ -0,0 +1,353 @@
+package ingress
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"eiderspread/internal/roster"
+	"eiderspread/internal/takeover"
+)
+
+// How a process is replaced without a request turned back: see docs/operating-days.md. succession is the old process's
+// side, inheritance the new one's.
+
+const (
+	linkMost  = 2 * time.Second        // how long either side waits for the other's next word
+	passMost  = 200 * time.Millisecond // how long the loop may wait for a descriptor to be taken
+	pastTime  = 1                      // a deadline that has gone by, in Unix seconds
+	bothShare = 0.5                    // of memory and connections, that either process has while both run
+)
+
+// MemoryShare is the part of the memory limit from which on the collector works as hard as it must.
+const MemoryShare = 0.6
+
+// LimitMemory sets it.
+func LimitMemory(mb int, share float64) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb<<20) * share))
+	}
+}
+
+// succession is what an old process keeps of the link to its successor. Loop only, but for the link.
+type succession struct {
+	link   *takeover.Link
+	stage  stage
+	asked  *takeover.Listener
+	pause  chan struct{} // closed when the listener is to rest
+	queue  chan passing  // to the sender; as long as there may be connections, each of which is in it once
+	passed int
+}
+
+// passing is a connection on its way to the new process.
+type passing struct {
+	c    *client
+	rest []byte // what was read of it and not used
+}
+
+type stage int
+
+const (
+	none     stage = iota
+	stopping       // the successor is ready; the listener comes to rest
+	handed         // connections are passed on as they become idle
+)
+
+// inheritance is what a new process has from the old one until the link ends.
+type inheritance struct {
+	link     *takeover.Link
+	listener *net.TCPListener
+	peers    *net.UDPConn
+	held     int // of the input's budget, that the old one may still use
+}
+
+// inherit asks the process that this one replaces for its sockets; nil if there is none.
+func inherit(cfg Config) (*inheritance, error) {
+	path, err := takeover.Path(os.TempDir(), cfg.Name)
+	if err != nil {
+		return nil, nil // said where it is listened at
+	}
+	link, err := takeover.Dial(path)
+	if link == nil || err != nil {
+		return nil, err
+	}
+	h := &inheritance{link: link}
+	fds := 1
+	if cfg.Settings.Peers {
+		fds = 2
+	}
+	m, err := takeover.Message{}, link.Send(takeover.Hello, []byte{takeover.Version}, linkMost)
+	if err == nil {
+		m, err = link.Expect(takeover.Sockets, fds, linkMost)
+	}
+	if err == nil {
+		h.listener, err = takeover.TCPListener(m.Files[0], cfg.Listen)
+	}
+	if err == nil && fds == 2 {
+		h.peers, err = takeover.UDPConn(m.Files[1], cfg.PeerListen.String())
+	}
+	if err != nil {
+		m.Close()
+		h.close()
+		return nil, fmt.Errorf("the running process does not hand over: %w", err)
+	}
+	return h, nil
+}
+
+func (h *inheritance) close() {
+	h.link.Close()
+	if h.listener != nil {
+		h.listener.Close()
+	}
+	if h.peers != nil {
+		h.peers.Close()
+	}
+}
+
+// enter tells the old process that this one is ready, and returns once that one takes nothing more, or has ended. The
+// list of backends is the old one's, if that is newer.
+func (in *Ingress) enter() {
+	h := in.heir
+	err := h.link.Send(takeover.Ready, nil, linkMost)
+	var m takeover.Message
+	if err == nil {
+		m, err = h.link.Expect(takeover.Go, 0, linkMost)
+	}
+	var l targets
+	if err == nil && len(m.Body) > 0 {
+		if l, err = roster.Parse(m.Body); err == nil {
+			l.Version = -1 // another agent may have told it: the whole list is asked for
+			in.cfg.Known = l
+			in.watcher = in.newWatcher()
+		}
+	}
+	if err != nil { // the sockets are here: whatever became of the old process, clients are served
+		in.log.Warn("the old process did not say that it has stopped", "error", err)
+	}
+}
+
+// receive takes the connections that the old process passes on, until it ends.
+func (in *Ingress) receive(h *inheritance) {
+	n := 0
+	for {
+		m, err := h.link.Receive(0)
+		if err != nil {
+			break
+		}
+		if m.Kind != takeover.Client || len(m.Files) != 1 {
+			m.Close()
+			continue
+		}
+		select {
+		case in.clients.room <- struct{}{}:
+		case <-in.done:
+			m.Close()
+			h.link.Close()
+			return
+		}
+		conn, err := takeover.TCPConn(m.Files[0])
+		if err == nil {
+			if err = in.welcome(conn, m.Body); err != nil {
+				conn.Close()
+			}
+		}
+		if err != nil {
+			<-in.clients.room
+			in.Post(func(float64) { in.note("a connection was not taken over", "error", err) })
+			continue
+		}
+		n++
+	}
+	h.link.Close()
+	in.Post(func(float64) {
+		in.log.Info("the old process has ended", "connections", n)
+		in.input.give(h.held)
+		in.backends.most = int(float64(in.backends.most) / bothShare)
+		in.heir = nil
+		LimitMemory(in.cfg.MemoryMB, MemoryShare)
+	})
+}
+
+// welcome begins to read a connection that was passed on, with what the old process had read of it.
+func (in *Ingress) welcome(conn *net.TCPConn, rest []byte) error {
+	c, err := in.newClient(conn)
+	if err != nil {
+		return err
+	}
+	c.buf.b = append(make([]byte, 0, max(readSize, len(rest))), rest...)
+	if more := cap(c.buf.b) - readSize; more > 0 {
+		if !in.input.take(more) {
+			return errNoRoom
+		}
+		c.buf.taken = more
+	}
+	in.post(in.clock.Now(), func() { in.addClient(c); c.spoke = true })
+	go c.read(in)
+	return nil
+}
+
+// awaitSuccessor listens for a new process from now on.
+func (in *Ingress) awaitSuccessor() {
+	path, err := takeover.Path(os.TempDir(), in.cfg.Name)
+	if err == nil {
+		in.heirs.asked, err = takeover.Listen(path)
+	}
+	if err != nil {
+		in.log.Warn("this process can't be replaced while it runs", "error", err)
+		return
+	}
+	go in.successors(in.heirs.asked)
+}
+
+// successors serves one new process after the other; but for crashes there is one.
+func (in *Ingress) successors(l *takeover.Listener) {
+	for {
+		link, err := l.Accept()
+		if err != nil {
+			return
+		}
+		in.successor(link)
+		link.Close()
+		in.Post(func(float64) { in.abandoned(link) })
+	}
+}
+
+// successor serves one new process to the end of its link.
+func (in *Ingress) successor(link *takeover.Link) {
+	m, err := link.Expect(takeover.Hello, 0, linkMost)
+	if err != nil || len(m.Body) != 1 || m.Body[0] != takeover.Version {
+		in.Post(func(float64) { in.note("a process asked for the sockets in words of another version") })
+		return
+	}
+	socks := []syscall.Conn{in.listener}
+	if in.peers != nil {
+		socks = append(socks, in.peers.conn)
+	}
+	if err := link.Send(takeover.Sockets, nil, linkMost, socks...); err != nil {
+		return
+	}
+	if _, err := link.Expect(takeover.Ready, 0, 0); err != nil {
+		return
+	}
+	in.Post(func(float64) { in.handOver(link) })
+	for err == nil { // until the new process ends, or this one
+		_, err = link.Receive(0)
+	}
+}
+
+// handOver has the listener come to rest; handedOver goes on when nothing that it took is on its way any more.
+func (in *Ingress) handOver(link *takeover.Link) {
+	if in.leaving || in.heirs.stage != none {
+		link.Close()
+		return
+	}
+	in.log.Info("a new process takes over")
+	in.heirs.link, in.heirs.stage = link, stopping
+	in.taking.Store(false)
+	in.stopTimer(in.away.timer)
+	in.away = awayState{}
+	close(in.heirs.pause)
+	in.listener.SetDeadline(time.Unix(pastTime, 0))
+}
+
+// handedOver tells the new process to go on, and passes on what is idle.
+func (in *Ingress) handedOver(pause chan struct{}) {
+	s := &in.heirs
+	if s.stage != stopping || s.pause != pause {
+		return
+	}
+	s.stage = handed
+	if in.peers != nil {
+		in.peers.rest()
+	}
+	list, err := json.Marshal(in.held.Listed())
+	if err != nil || len(list) > takeover.MaxBody {
+		list = nil // the new one goes by its own, and by discovery
+	}
+	s.queue = make(chan passing, cap(in.clients.room))
+	go in.passOn(s.link, list, s.queue)
+	in.leaving = true
+	in.backends.most = int(float64(in.backends.most) * bothShare)
+	for _, be := range in.backends.byID {
+		for len(be.idle) > 0 {
+			in.closeConn(be.idle[len(be.idle)-1])
+		}
+	}
+	LimitMemory(in.cfg.MemoryMB, MemoryShare*bothShare)
+	for c := range in.clients.all {
+		c.halt()
+	}
+	in.after(drainMost.Seconds(), in.stop)
+}
+
+// pass gives a parked connection on which nothing is open to the new process; false if that can't be.
+func (in *Ingress) pass(c *client) bool {
+	if in.heirs.stage != handed || c.ending || c.passing || len(c.buf.b) > takeover.MaxBody {
+		return false
+	}
+	c.passing = true
+	in.heirs.queue <- passing{c, bytes.Clone(c.buf.b)}
+	return true
+}
+
+// passOn sends the word to go on and then the connections, until the link or this process ends.
+func (in *Ingress) passOn(link *takeover.Link, list []byte, queue <-chan passing) {
+	if err := link.Send(takeover.Go, list, linkMost); err != nil {
+		link.Close()
+		return
+	}
+	for {
+		select {
+		case <-in.done:
+			return
+		case p := <-queue:
+			err := link.Send(takeover.Client, p.rest, linkMost, p.c.conn)
+			if err != nil {
+				link.Close() // its reader tells the loop, which goes on with what was not passed
+				return
+			}
+			in.post(in.clock.Now(), func() {
+				in.heirs.passed++
+				in.closeClient(p.c)
+			})
+		}
+	}
+}
+
+// abandoned takes the end of the link. A new process that ended before this one did leaves everything to it.
+func (in *Ingress) abandoned(link *takeover.Link) {
+	s := &in.heirs
+	if s.link != link || s.stage == none {
+		return
+	}
+	in.log.Error("the new process has ended; this one goes on", "passed", s.passed)
+	s.link, s.stage, s.passed = nil, none, 0
+	s.pause = make(chan struct{})
+	in.leaving = false
+	in.backends.most = int(float64(in.backends.most) / bothShare)
+	LimitMemory(in.cfg.MemoryMB, MemoryShare)
+	in.listener.SetDeadline(time.Time{})
+	if in.peers != nil {
+		in.peers.resume()
+	}
+	for c := range in.clients.all {
+		if c.parked && !c.ending {
+			in.unhalt(c)
+		}
+	}
+	in.taking.Store(true)
+	go in.accept(in.listener, s.pause)
+}
+
+// unhalt has a parked connection read again.
+func (in *Ingress) unhalt(c *client) {
+	c.halted, c.parked, c.passing = false, false, false
+	c.stop = make(chan struct{})
+	c.conn.SetReadDeadline(time.Time{})
+	go c.read(in)
+}
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -91,8 +91,11 @@
 	store     *held.Store // the same in a file; of the door's goroutines
 	console   *console.Server
 	away      awayState
-	taking    atomic.Bool // clients are taken; of all goroutines
-	oldList   bool        // the list of backends was said to be old
+	heirs     succession                 // toward a process that replaces this one
+	heir      *inheritance               // toward the one that this one replaces, while that lasts
+	words     atomic.Pointer[vocabulary] // of all goroutines
+	taking    atomic.Bool                // clients are taken; of all goroutines
+	oldList   bool                       // the list of backends was said to be old
 	peers     *peerLink
 	leaving   bool // the listener is closed, connections close between requests
 }
@@ -144,17 +147,16 @@
 	in.clients.init(cfg.Sockets)
 	in.backends.init(cfg)
 	in.watcher = in.newWatcher()
-	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	if in.listener, err = net.ListenTCP("tcp", addr); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	in.words.Store(newVocabulary(cfg.Settings.Settings))
+	in.heirs.pause = make(chan struct{})
+	if err := in.listen(); err != nil {
+		return nil, err
 	}
+	var err error
 	if cfg.Console != "" {
 		in.held, in.store = held.New(), held.NewStore(storePath(cfg.Name))
 		if in.console, err = console.Listen(cfg.Console, &door{in}); err != nil {
-			in.listener.Close()
+			in.close()
 			return nil, err
 		}
 	}
@@ -168,8 +170,42 @@
 	return in, nil
 }
 
+// listen has the clients' listener: of the process that this one replaces, if there is one.
+func (in *Ingress) listen() (err error) {
+	if in.cfg.Console != "" {
+		if in.heir, err = inherit(in.cfg); err != nil {
+			return err
+		}
+	}
+	if h := in.heir; h != nil {
+		in.listener = h.listener
+		in.backends.most = int(float64(in.backends.most) * bothShare)
+		h.held = int(float64(in.input.left.Load()) * bothShare)
+		in.input.take(h.held)
+		LimitMemory(in.cfg.MemoryMB, MemoryShare*bothShare)
+		return nil
+	}
+	addr, err := net.ResolveTCPAddr("tcp", in.cfg.Listen)
+	if err == nil {
+		in.listener, err = net.ListenTCP("tcp", addr)
+	}
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return nil
+}
+
 func (in *Ingress) close() {
 	in.listener.Close()
+	if in.heir != nil {
+		in.heir.link.Close()
+	}
+	if in.heirs.asked != nil {
+		in.heirs.asked.Close()
+	}
+	if in.heirs.link != nil {
+		in.heirs.link.Close()
+	}
 	if in.console != nil {
 		in.console.Close()
 	}
@@ -184,6 +220,9 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	in.gate = gate
+	if in.heir != nil {
+		in.enter()
+	}
 	if in.console != nil {
 		in.openDoor(background)
 	}
@@ -191,7 +230,13 @@
 	go in.watchDiscovery(background, reread)
 	in.every(ageEvery, func() { in.sayAge(in.ListAge()) })
 	in.taking.Store(true)
-	go in.accept(in.listener)
+	go in.accept(in.listener, in.heirs.pause)
+	if in.heir != nil {
+		go in.receive(in.heir)
+	}
+	if in.console != nil {
+		in.awaitSuccessor()
+	}
 	if in.peers != nil {
 		go in.peers.receive()
 	}
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
+	"time"
 
 	"eiderspread/policy"
 )
@@ -19,6 +21,20 @@
 	in    *Ingress
 	conn  *net.UDPConn
 	queue chan datagram
+	rests bool // another process speaks for this ingress; loop only
+}
+
+// rest leaves the socket to another process.
+func (p *peerLink) rest() {
+	p.rests = true
+	p.conn.SetReadDeadline(time.Unix(pastTime, 0))
+}
+
+// resume takes it again.
+func (p *peerLink) resume() {
+	p.rests = false
+	p.conn.SetReadDeadline(time.Time{})
+	go p.receive()
 }
 
 type datagram struct {
@@ -27,9 +43,14 @@
 }
 
 func (in *Ingress) openPeers() (*peerLink, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(in.cfg.PeerListen))
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
+	var conn *net.UDPConn
+	if in.heir != nil {
+		conn = in.heir.peers
+	} else {
+		var err error
+		if conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(in.cfg.PeerListen)); err != nil {
+			return nil, fmt.Errorf("peer_listen: %w", err)
+		}
 	}
 	p := &peerLink{in: in, conn: conn, queue: make(chan datagram, peerQueue)}
 	go p.send()
@@ -43,6 +64,9 @@
 
 // tell queues a datagram; with the queue full it is lost, as it may be on its way too.
 func (p *peerLink) tell(gateway int, data []byte) {
+	if p.rests {
+		return
+	}
 	to := p.in.cfg.PeersAll
 	if gateway != policy.Broadcast {
 		if gateway < 0 || gateway >= len(p.in.cfg.Peers) {
@@ -78,7 +102,7 @@
 	buf := make([]byte, maxDatagram+1)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		} else if err != nil {
 			continue // such as a refused datagram that comes back
