--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -83,8 +83,12 @@
 			log.Error("configuration not taken over", "error", err)
 			continue
 		}
+		if err := cfg.Usable(first); err != nil {
+			log.Error("configuration not taken over", "error", err)
+			continue
+		}
 		if cfg.Differs(first) {
-			log.Warn("of the new configuration only the address of discovery is taken over before a restart")
+			log.Warn("of the new configuration the address of discovery, classes and attempts alone are taken over before a restart")
 		}
 		select {
 		case to <- cfg:
--- a/cmd/eiderspread/main_test.go
+++ b/cmd/eiderspread/main_test.go
@@ -68,9 +68,10 @@
 		t.Errorf("logged %q", got)
 	}
 	write(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","settings":{"balancers":1,` +
-		`"limits":{"dialTimeoutS":0.25,"connIdleS":15}}}`)
+		`"limits":{"dialTimeoutS":0.25,"connIdleS":15,"maxAttempts":2},` +
+		`"profiles":[{"name":"look","aimS":1,"deadlineS":2,"effect":"retryable","worth":1}]}}`)
 	hup <- syscall.SIGHUP
-	if got, _ := lines.ReadString('\n'); !strings.Contains(got, "only the address of discovery") {
+	if got, _ := lines.ReadString('\n'); !strings.Contains(got, "classes and attempts alone") {
 		t.Errorf("logged %q", got)
 	}
 	if cfg := <-to; cfg.Discovery != "127.0.0.1:2" || len(to) > 0 {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -27,6 +27,7 @@
 
 	Known    targets
 	Settings settings.Settings
+	shape    shape    // of the file
 	Operator Operator // of the operator's file, if there is one
 }
 
@@ -38,7 +39,8 @@
 // Differs tells whether more differs than what a running ingress takes over from a configuration
 // that is read again, or than what is new with each start.
 func (c Config) Differs(from Config) bool {
-	c.Discovery, c.Known, c.Seed = from.Discovery, from.Known, from.Seed
+	c.Discovery, c.Known, c.Seed, c.shape = from.Discovery, from.Known, from.Seed, from.shape
+	c.Settings.Classes, c.Settings.MaxAttempts = from.Settings.Classes, from.Settings.MaxAttempts
 	return !reflect.DeepEqual(c, from)
 }
 
@@ -82,7 +84,11 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, MemoryMB: f.Limits.MemoryMB,
+	shape, err := shapeOf(text)
+	if err != nil {
+		return Config{}, err
+	}
+	c := Config{shape: shape, Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, Known: f.Known}
 	if c.Sockets <= 0 {
 		c.Sockets = defaultSockets
@@ -92,7 +98,6 @@
 			return c, fmt.Errorf("%s: %w", name, err)
 		}
 	}
-	var err error
 	if c.Console, err = ConsoleAddr(f.Console); err != nil {
 		return c, err
 	}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -36,6 +36,10 @@
 			case <-ctx.Done():
 				return
 			case cfg := <-reread:
+				if err := in.onLoop(ctx, func() error { return in.retune(cfg) }); err != nil {
+					in.log.Error("configuration not taken over", "error", err)
+					continue
+				}
 				in.log.Info("configuration read again", "discovery", cfg.Discovery)
 				select {
 				case moves <- cfg.Discovery:
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -81,27 +81,30 @@
 	bytes  []byte // of the command that is being written
 	input  budget // what clients and backends have sent and nobody has used up yet; of all goroutines
 
-	acceptFor time.Duration // how long after the signal new connections are taken
-	listener  *net.TCPListener
-	clients   clientSet
-	requests  map[string]*request
-	backends  backendSet
-	watcher   *roster.Watcher
-	held      *held.Table // what operators took out; nil without a door
-	store     *held.Store // the same in a file; of the door's goroutines
-	console   *console.Server
-	away      awayState
-	heirs     succession                 // toward a process that replaces this one
-	heir      *inheritance               // toward the one that this one replaces, while that lasts
-	words     atomic.Pointer[vocabulary] // of all goroutines
-	taking    atomic.Bool                // clients are taken; of all goroutines
-	oldList   bool                       // the list of backends was said to be old
-	peers     *peerLink
-	leaving   bool // the listener is closed, connections close between requests
+	acceptFor   time.Duration // how long after the signal new connections are taken
+	listener    *net.TCPListener
+	clients     clientSet
+	requests    map[string]*request
+	backends    backendSet
+	watcher     *roster.Watcher
+	held        *held.Table // what operators took out; nil without a door
+	store       *held.Store // the same in a file; of the door's goroutines
+	console     *console.Server
+	away        awayState
+	heirs       succession                 // toward a process that replaces this one
+	heir        *inheritance               // toward the one that this one replaces, while that lasts
+	classes     []policy.Class             // that hold now
+	maxAttempts int                        // the same
+	words       atomic.Pointer[vocabulary] // of all goroutines
+	taking      atomic.Bool                // clients are taken; of all goroutines
+	oldList     bool                       // the list of backends was said to be old
+	peers       *peerLink
+	leaving     bool // the listener is closed, connections close between requests
 }
 
 // Run serves until ctx ends and then drains. It returns nil after a complete drain. Of each
-// configuration that comes on reread, which may be nil, the address of discovery is taken over.
+// configuration that comes on reread, which may be nil, the address of discovery, the classes and the attempts are taken
+// over.
 func Run(ctx context.Context, cfg Config, reread <-chan Config, log *slog.Logger) error {
 	return RunWith(ctx, cfg, reread, log, func(_ context.Context, h Host) (Gateway, error) {
 		gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, h.Now(), h)
@@ -147,6 +150,7 @@
 	in.clients.init(cfg.Sockets)
 	in.backends.init(cfg)
 	in.watcher = in.newWatcher()
+	in.classes, in.maxAttempts = cfg.Settings.Classes, cfg.Settings.MaxAttempts
 	in.words.Store(newVocabulary(cfg.Settings.Settings))
 	in.heirs.pause = make(chan struct{})
 	if err := in.listen(); err != nil {
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -16,6 +16,7 @@
 	timer    *timer     // rings when the module ought to have answered; stopped with the answer
 	attempts []*attempt // as many as the module may ask for, and one
 	out      int
+	most     int // attempts that were allowed when it came
 	over     bool
 }
 
@@ -56,7 +57,7 @@
 	}
 	taken = true
 	c.surplus, c.spoke, c.asked = false, true, true
-	r := &request{call: q, client: c, slot: &slot{}, deadline: at + q.waitS}
+	r := &request{call: q, client: c, slot: &slot{}, most: in.maxAttempts, deadline: at + q.waitS}
 	r.slot.req = r
 	c.slots = append(c.slots, r.slot)
 	c.usedAt = in.now
--- a/policy/message.go
+++ b/internal/peermsg/peermsg.go
@@ -1,30 +1,31 @@
-package policy
+// Package peermsg is the encoding of the messages between gateways: a header, then records of fixed size, then items.
+// What goes in, when and to whom is decided in package policy. It does no I/O.
+package peermsg
 
 import (
 	"encoding/binary"
+	"hash/fnv"
 	"math"
 )
 
-// The bytes of a message between gateways: a header, then records of fixed
-// size. What goes in, when and to whom is decided in policy.go.
-
+// The form of a message.
 const (
-	msgVersion = 2
-	msgHeader  = 5
-	msgCount   = 4 // where the number of records stands
-	msgItem    = 5
-	loadItem   = 255  // in place of a class: the item is a server's use
-	itemStep   = 0.02 // seconds
-	msgRecord  = 17
-	msgLimit   = 256
-	holdStep   = 0.05 // seconds
+	Version   = 2
+	HeaderLen = 5
+	CountAt   = 4 // where the number of records stands
+	ItemLen   = 5
+	LoadItem  = 255  // in place of a class: the item is a server's use
+	itemStep  = 0.02 // seconds
+	RecordLen = 17
+	Limit     = 256
+	holdStep  = 0.05 // seconds
 )
 
-// record is what two gateways tell each other of one customer. From a member to
+// Record is what two gateways tell each other of one customer. From a member to
 // the owner, Total is the member's count, Rate what it is asked for, Room the room
 // it last heard. From the owner, Total is the count it has taken in or set aside,
 // Rate what all others are asked for, Room the room left of the whole quota.
-type record struct {
+type Record struct {
 	Key     uint32  // 32 bits of the customer's hash
 	Plan    int     // the plan's place in the settings, 15 at most
 	Owner   bool    // the sender speaks as the owner
@@ -41,13 +42,16 @@
 	Hold    float64 // seconds until it is worth asking again, up to 12.75; owner only
 }
 
-func appendHeader(b []byte, boot uint8, seq uint16) []byte {
-	return append(b, msgVersion, boot, byte(seq>>8), byte(seq), 0)
+// AppendHeader begins a message; the number of its records is to be set at CountAt.
+func AppendHeader(b []byte, boot uint8, seq uint16) []byte {
+	return append(b, Version, boot, byte(seq>>8), byte(seq), 0)
 }
 
-func clamp(x, lo, hi float64) float64 { return min(max(x, lo), hi) }
+// Clamp holds x between lo and hi.
+func Clamp(x, lo, hi float64) float64 { return min(max(x, lo), hi) }
 
-func appendRecord(b []byte, r record) []byte {
+// AppendRecord appends a record.
+func AppendRecord(b []byte, r Record) []byte {
 	head := byte(r.Plan & 15)
 	for i, on := range []bool{r.Owner, r.Known, r.Flag} {
 		if on {
@@ -56,44 +60,70 @@
 	}
 	b = append(binary.BigEndian.AppendUint32(b, r.Key), head)
 	b = binary.BigEndian.AppendUint16(b, uint16(int64(math.Floor(r.Total*4+0.5))))
-	b = binary.BigEndian.AppendUint16(b, uint16(int16(clamp(r.Room*4, -256, 32000))))
-	b = binary.BigEndian.AppendUint16(b, uint16(clamp(r.Rate*4, 0, math.MaxUint16)))
-	b = binary.BigEndian.AppendUint16(b, uint16(clamp(float64(r.Out), 0, math.MaxUint16)))
+	b = binary.BigEndian.AppendUint16(b, uint16(int16(Clamp(r.Room*4, -256, 32000))))
+	b = binary.BigEndian.AppendUint16(b, uint16(Clamp(r.Rate*4, 0, math.MaxUint16)))
+	b = binary.BigEndian.AppendUint16(b, uint16(Clamp(float64(r.Out), 0, math.MaxUint16)))
 	first := math.Ceil(r.First * 4)
 	if r.Owner {
 		first = math.Ceil(r.Hold / holdStep)
 	}
-	return append(b, byte(clamp(r.Unacked*4, 0, 255)), byte(clamp(math.Ceil(r.Want*4), 0, 255)),
-		byte(clamp(first, 0, 255)), byte(clamp(r.Cheap*255, 0, 255)))
+	return append(b, byte(Clamp(r.Unacked*4, 0, 255)), byte(Clamp(math.Ceil(r.Want*4), 0, 255)),
+		byte(Clamp(first, 0, 255)), byte(Clamp(r.Cheap*255, 0, 255)))
 }
 
 // Count is the message by which something that is no gateway hands counts to a customer's owner, in the place of
 // a member: total units in all, of which fresh (63 at most) are new to the owner if it knows no member of this boot.
 func Count(boot uint8, seq uint16, customer string, plan int, total, fresh float64, out int) []byte {
-	b := appendRecord(appendHeader(nil, boot, seq), record{Key: uint32(hashOf(customer) >> 32), Plan: plan,
+	b := AppendRecord(AppendHeader(nil, boot, seq), Record{Key: uint32(Point(customer) >> 32), Plan: plan,
 		Total: total, Unacked: fresh, Out: out})
-	b[msgCount] = 1
+	b[CountAt] = 1
 	return b
 }
 
-func appendItem(b []byte, n item, now float64) []byte {
-	b = binary.BigEndian.AppendUint16(b, n.server)
-	return append(b, byte(n.class), byte(clamp(n.value*255, 0, 255)), byte(clamp((now-n.at)/itemStep, 0, 255)))
+// Item is news of a server: how sick it is for a class, by the class's tag, or with LoadItem its use.
+type Item struct {
+	Server    uint16
+	Class     int
+	Value, At float64
+}
+
+// Tag stands for a class's name.
+func Tag(class string) int { return int(Point(class) % LoadItem) }
+
+// Mix spreads the bits of x (the finaliser of splitmix64).
+func Mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Point is a name's point on the ring.
+func Point(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return Mix(h.Sum64())
+}
+
+// AppendItem appends an item, behind all records.
+func AppendItem(b []byte, n Item, now float64) []byte {
+	b = binary.BigEndian.AppendUint16(b, n.Server)
+	return append(b, byte(n.Class), byte(Clamp(n.Value*255, 0, 255)), byte(Clamp((now-n.At)/itemStep, 0, 255)))
 }
 
-// parseMessage returns false for anything that is not a whole message of this version.
-func parseMessage(b []byte, now float64) (boot uint8, seq uint16, recs []record, items []item, ok bool) {
-	if len(b) < msgHeader || len(b) > msgLimit || b[0] != msgVersion {
+// Parse returns false for anything that is not a whole message of this version.
+func Parse(b []byte, now float64) (boot uint8, seq uint16, recs []Record, items []Item, ok bool) {
+	if len(b) < HeaderLen || len(b) > Limit || b[0] != Version {
 		return 0, 0, nil, nil, false
 	}
 	boot, seq = b[1], binary.BigEndian.Uint16(b[2:])
-	n := int(b[msgCount])
-	b = b[msgHeader:]
-	if len(b) < n*msgRecord || (len(b)-n*msgRecord)%msgItem != 0 {
+	n := int(b[CountAt])
+	b = b[HeaderLen:]
+	if len(b) < n*RecordLen || (len(b)-n*RecordLen)%ItemLen != 0 {
 		return 0, 0, nil, nil, false
 	}
-	for ; n > 0; n, b = n-1, b[msgRecord:] {
-		r := record{
+	for ; n > 0; n, b = n-1, b[RecordLen:] {
+		r := Record{
 			Key: binary.BigEndian.Uint32(b), Plan: int(b[4] & 15), Owner: b[4]>>7 == 1, Known: b[4]>>6&1 == 1,
 			Flag: b[4]>>5&1 == 1, Total: float64(binary.BigEndian.Uint16(b[5:])) / 4,
 			Room: float64(int16(binary.BigEndian.Uint16(b[7:]))) / 4,
@@ -107,8 +137,8 @@
 		}
 		recs = append(recs, r)
 	}
-	for ; len(b) > 0; b = b[msgItem:] {
-		items = append(items, item{binary.BigEndian.Uint16(b), int(b[2]), float64(b[3]) / 255,
+	for ; len(b) > 0; b = b[ItemLen:] {
+		items = append(items, Item{binary.BigEndian.Uint16(b), int(b[2]), float64(b[3]) / 255,
 			now - float64(b[4])*itemStep})
 	}
 	return boot, seq, recs, items, true
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -9,6 +9,7 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/link"
+	"eiderspread/internal/peermsg"
 	"eiderspread/policy"
 )
 
@@ -292,7 +293,7 @@
 		if c.seq++; c.seq == 0 {
 			c.seq++
 		}
-		c.gate.Peer(h.now, (number+1)%h.cfg.Cells, policy.Count(1, c.seq, k.customer, k.plan, k.total, k.fresh, k.outs))
+		c.gate.Peer(h.now, (number+1)%h.cfg.Cells, peermsg.Count(1, c.seq, k.customer, k.plan, k.total, k.fresh, k.outs))
 	}
 }
 
--- a/internal/planner/leases_test.go
+++ b/internal/planner/leases_test.go
@@ -8,6 +8,7 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/link"
+	"eiderspread/internal/peermsg"
 	"eiderspread/policy"
 )
 
@@ -300,8 +301,8 @@
 		t.Fatal(err)
 	}
 	g.Servers(10, []policy.Server{{ID: "z"}}, true)
-	g.Peer(10, 1, policy.Count(1, 1, "c", 0, 63, 63, 0))
-	g.Peer(10, 1, policy.Count(1, 2, "c", 0, 90, 0, 0))
+	g.Peer(10, 1, peermsg.Count(1, 1, "c", 0, 63, 63, 0))
+	g.Peer(10, 1, peermsg.Count(1, 2, "c", 0, 90, 0, 0))
 	n := 0
 	pass := func() int {
 		out.sent = 0
@@ -316,7 +317,7 @@
 	if got := pass(); got != 10 {
 		t.Errorf("%d of 10 units that were left are passed", got)
 	}
-	g.Peer(10, 1, policy.Count(1, 3, "c", 0, 85, 0, 0))
+	g.Peer(10, 1, peermsg.Count(1, 3, "c", 0, 85, 0, 0))
 	if got := pass(); got != 5 {
 		t.Errorf("%d of 5 units that were handed back are passed", got)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,6 +10,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"eiderspread/internal/peermsg"
 )
 
 // Constants, with their reasons. Times are in seconds.
@@ -81,6 +83,7 @@
 	timeoutWeight = 0.15  // how far one attempt that timed out moves a server's speed and limit
 	busyTauS      = 1.0   // memory of what this gateway keeps out at a server
 	guardS        = 0.004 // margin on deadlines
+	classesMost   = 64    // names of classes, since the start
 )
 
 // New returns the gateway's decisions at its start. The list of servers follows through Servers.
@@ -102,7 +105,9 @@
 }
 
 // newClass is a class as a gateway knows it at the start.
-func newClass(c Class, i int) *class { return &class{Class: c, index: i, lat: firstLat * c.AimS} }
+func newClass(c Class, i int) *class {
+	return &class{Class: c, index: i, tag: peermsg.Tag(c.Name), lat: firstLat * c.AimS}
+}
 
 // newServer is a server as a gateway knows it when it is first listed.
 func newServer(g *Gateway) *server {
@@ -471,7 +476,7 @@
 	p, n := &g.peers[i], 0
 	b := g.header()
 	for _, c := range p.reports {
-		if len(b)+msgRecord > msgLimit {
+		if len(b)+peermsg.RecordLen > peermsg.Limit {
 			break
 		}
 		if n++; c.askOf != i || !c.dirty {
@@ -487,7 +492,7 @@
 				r.First, r.Cheap = q.Units, q.cheap
 			}
 		}
-		b = appendRecord(b, r)
+		b = peermsg.AppendRecord(b, r)
 		if c.waitFrom == 0 || c.asked > 0 {
 			c.waitFrom = g.now
 		}
@@ -500,13 +505,13 @@
 
 // post sends a message with records, and with what is new of servers in the room left.
 func (g *Gateway) post(to int, b []byte) {
-	if len(b) == msgHeader {
+	if len(b) == peermsg.HeaderLen {
 		return
 	}
-	b[msgCount] = byte((len(b) - msgHeader) / msgRecord)
-	for i := len(g.news) - 1; i >= max(0, len(g.news)-newsSent) && len(b)+msgItem <= msgLimit; i-- {
-		if n := g.news[i]; g.now-n.at < newsS {
-			b = appendItem(b, n, g.now)
+	b[peermsg.CountAt] = byte((len(b) - peermsg.HeaderLen) / peermsg.RecordLen)
+	for i := len(g.news) - 1; i >= max(0, len(g.news)-newsSent) && len(b)+peermsg.ItemLen <= peermsg.Limit; i-- {
+		if n := g.news[i]; g.now-n.At < newsS {
+			b = peermsg.AppendItem(b, n, g.now)
 		}
 	}
 	g.act.Tell(to, b)
@@ -578,7 +583,7 @@
 // Peer takes a message of another gateway. Reports are answered at once, all in one message.
 func (g *Gateway) Peer(now float64, from int, data []byte) {
 	g.clock(now)
-	boot, seq, recs, items, ok := parseMessage(data, now)
+	boot, seq, recs, items, ok := peermsg.Parse(data, now)
 	if !ok || from < 0 || from >= len(g.peers) || from == g.s.Me {
 		return
 	}
@@ -603,7 +608,7 @@
 				c = g.newCustomer(r.Key, g.plans[r.Plan])
 			}
 			c.usedAt = now
-			b = appendRecord(b, g.count(c, from, r))
+			b = peermsg.AppendRecord(b, g.count(c, from, r))
 		}
 	}
 	g.post(from, b)
@@ -789,31 +794,31 @@
 // fails raises the sickness of a server for a class, or for all where c is nil.
 func (g *Gateway) fails(s *server, c *class, by float64) {
 	for _, k := range g.classList {
-		if c == nil || k == c {
+		if c == nil || k.index == c.index {
 			x := g.sickness(s, k)
 			s.sick[k.index] = sick{x + by*(1-x), g.now}
-			g.spread(item{s.hash, k.index, s.sick[k.index].level, g.now})
+			g.spread(item{Server: s.hash, Class: k.tag, Value: s.sick[k.index].level, At: g.now})
 		}
 	}
 }
 
 // told takes in what another gateway tells of a server, and tells it on while it is new.
 func (g *Gateway) told(n item) {
-	s := g.byHash[n.server]
-	if s == nil || s.SinceS > n.at {
+	s := g.byHash[n.Server]
+	if s == nil || s.SinceS > n.At {
 		return
 	}
-	if n.class == loadItem {
-		if n.at < s.utilAt+newsStepS {
+	if n.Class == peermsg.LoadItem {
+		if n.At < s.utilAt+newsStepS {
 			return
 		}
-		s.util, s.utilAt = n.value, n.at
-	} else if n.class < len(s.sick) {
-		k := &s.sick[n.class]
-		if n.at < k.at+newsStepS || n.at < s.okAt[n.class] {
+		s.util, s.utilAt = n.Value, n.At
+	} else if i := slices.IndexFunc(g.classList, func(c *class) bool { return c.tag == n.Class }); i >= 0 {
+		k := &s.sick[i]
+		if n.At < k.at+newsStepS || n.At < s.okAt[i] {
 			return
 		}
-		*k = sick{n.value, n.at}
+		*k = sick{n.Value, n.At}
 	}
 	g.spread(n)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"eiderspread/internal/peermsg"
 )
 
 // out is one action as the tests see it.
@@ -452,7 +454,7 @@
 	}
 	g.Request(250, Request{ID: "held", Class: "pay", Plan: "capped", Customer: "held", DeadlineS: 254, Entries: 1, Units: 4})
 	g.Timer(290, 1)
-	if kept := g.custs[uint32(hashOf("held")>>32)]; len(r.of("send", "held")) != 1 || kept == nil {
+	if kept := g.custs[uint32(peermsg.Point("held")>>32)]; len(r.of("send", "held")) != 1 || kept == nil {
 		t.Error("a customer with an attempt out is forgotten")
 	}
 }
@@ -583,7 +585,7 @@
 			fresh.Peer(104.3, m, a.data)
 		}
 	}
-	c := fresh.custs[uint32(hashOf("c-basic")>>32)]
+	c := fresh.custs[uint32(peermsg.Point("c-basic")>>32)]
 	if c == nil || fresh.ledger(c).room > 4 {
 		t.Fatal("the restarted owner grants a fresh window")
 	}
@@ -596,14 +598,14 @@
 	name := ""
 	for i := 0; ; i++ {
 		name = fmt.Sprint("k", i)
-		if g.walk(&customer{hash: hashOf(name), entries: g.s.Gateways}, false) != g.s.Me {
+		if g.walk(&customer{hash: peermsg.Point(name), entries: g.s.Gateways}, false) != g.s.Me {
 			break
 		}
 	}
 	return g, r, func(now float64, id string, units float64) *customer {
 		g.Request(now, Request{ID: id, Class: "read", Plan: "basic", Customer: name, DeadlineS: now + 2, Entries: g.s.Gateways,
 			Units: units})
-		return g.custs[uint32(hashOf(name)>>32)]
+		return g.custs[uint32(peermsg.Point(name)>>32)]
 	}
 }
 
@@ -617,14 +619,14 @@
 		t.Fatal("nothing was told")
 	}
 	last := tells[len(tells)-1]
-	_, _, recs, _, ok := parseMessage(last.data, 0)
+	_, _, recs, _, ok := peermsg.Parse(last.data, 0)
 	if !ok || len(recs) == 0 {
 		t.Fatal("no report was told")
 	}
 	v := record{Key: recs[0].Key, Plan: recs[0].Plan, Owner: true, Known: true, Total: recs[0].Total, Want: recs[0].Want}
 	change(&v)
-	b := appendRecord(appendHeader(nil, 9, seq), v)
-	b[msgCount] = 1
+	b := peermsg.AppendRecord(peermsg.AppendHeader(nil, 9, seq), v)
+	b[peermsg.CountAt] = 1
 	return last.to, b
 }
 
@@ -649,11 +651,11 @@
 	g, r := gateway(t, fleet(100))
 	granted := 0.0
 	for i := range 30 {
-		b := appendRecord(appendHeader(nil, 1, 1), record{Key: 77, Plan: 0, Want: 1, First: 1})
-		b[msgCount] = 1
+		b := peermsg.AppendRecord(peermsg.AppendHeader(nil, 1, 1), record{Key: 77, Plan: 0, Want: 1, First: 1})
+		b[peermsg.CountAt] = 1
 		g.Peer(100, 1+i, b)
 		tells := r.of("tell", "")
-		_, _, recs, _, _ := parseMessage(tells[len(tells)-1].data, 100)
+		_, _, recs, _, _ := peermsg.Parse(tells[len(tells)-1].data, 100)
 		if granted += recs[0].Total; i == 29 && recs[0].Hold == 0 {
 			t.Fatal("an owner asked thirty times at once did not tell its members to hold")
 		}
@@ -667,8 +669,8 @@
 func TestUnusedGrantIsGivenBack(t *testing.T) {
 	g, _ := gateway(t, fleet(100))
 	tell := func(seq uint16, r record) {
-		b := appendRecord(appendHeader(nil, 1, seq), r)
-		b[msgCount] = 1
+		b := peermsg.AppendRecord(peermsg.AppendHeader(nil, 1, seq), r)
+		b[peermsg.CountAt] = 1
 		g.Peer(100, 1, b)
 	}
 	tell(1, record{Key: 77, Want: 6, First: 6})
@@ -831,12 +833,12 @@
 	if u := b.servers["s1"].util; u < 0.59 || u > 0.61 {
 		t.Fatalf("use told is %v", u)
 	}
-	_, _, _, items, _ := parseMessage(rb.of("tell", "")[0].data, 100)
+	_, _, _, items, _ := peermsg.Parse(rb.of("tell", "")[0].data, 100)
 	if len(items) != 2 {
 		t.Fatalf("%d news told on, want 2", len(items))
 	}
 	old := b.servers["s1"].utilAt
-	if b.told(item{b.servers["s1"].hash, loadItem, 0.1, old - 1}); b.servers["s1"].util < 0.5 {
+	if b.told(item{Server: b.servers["s1"].hash, Class: peermsg.LoadItem, Value: 0.1, At: old - 1}); b.servers["s1"].util < 0.5 {
 		t.Fatal("older news overtook newer")
 	}
 }
@@ -901,14 +903,14 @@
 func TestOddInputIsIgnored(t *testing.T) {
 	g, r := gateway(t, nil)
 	n := len(r.acts)
-	good := appendRecord(appendHeader(nil, 1, 1), record{Key: 5, Plan: 15})
+	good := peermsg.AppendRecord(peermsg.AppendHeader(nil, 1, 1), record{Key: 5, Plan: 15})
 	for i := range good {
 		g.Peer(100, 1, good[:i])
 	}
 	g.Peer(100, 9, good)
 	g.Peer(100, -1, good)
-	g.Peer(100, 1, append([]byte{msgVersion + 1}, good[1:]...))
-	good[msgCount] = 1
+	g.Peer(100, 1, append([]byte{peermsg.Version + 1}, good[1:]...))
+	good[peermsg.CountAt] = 1
 	g.Peer(100, 1, good)
 	g.Peer(100, 1, append(good, 1, 2, 3))
 	g.Peer(100, 1, make([]byte, 4000))
@@ -996,8 +998,8 @@
 // A young count believes the room that a member hands back, even where its window has just turned.
 func TestYoungCountTakesTheRoomHandedBack(t *testing.T) {
 	g, _ := gateway(t, nil)
-	b := appendRecord(appendHeader(nil, 1, 1), record{Key: 5, Known: true, Total: 0, Room: 1})
-	b[msgCount] = 1
+	b := peermsg.AppendRecord(peermsg.AppendHeader(nil, 1, 1), record{Key: 5, Known: true, Total: 0, Room: 1})
+	b[peermsg.CountAt] = 1
 	g.Peer(104, 1, b)
 	if room := g.ledger(g.custs[5]).room; room > 1 {
 		t.Fatalf("room is %v after a member handed back 1", room)
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,17 +3,19 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"eiderspread/internal/peermsg"
 )
 
 // What a gateway keeps, and plain helpers. What is done with it is in policy.go.
 
 type class struct {
 	Class
-	index int
+	index int     // its place at each server
+	tag   int     // its name between gateways
 	lat   float64 // mean latency of good answers
 	n     int
 	// how many of the tries of late came with which share of the deadline, and with the commonest
@@ -49,12 +51,10 @@
 // sick tells how sure it was that a server leaves a class unanswered.
 type sick struct{ level, at float64 }
 
-// item is news of a server: that it is sick for a class, or its use.
-type item struct {
-	server    uint16
-	class     int
-	value, at float64
-}
+type (
+	item   = peermsg.Item
+	record = peermsg.Record
+)
 
 // list takes in a list of servers; it calls restarted for each that has started anew.
 func (g *Gateway) list(list []Server, whole bool, restarted func(*server)) {
@@ -65,7 +65,7 @@
 		s := g.servers[e.ID]
 		if s == nil {
 			s = newServer(g)
-			s.hash = uint16(hashOf(e.ID))
+			s.hash = uint16(peermsg.Point(e.ID))
 			g.servers[e.ID] = s
 			g.index(s)
 		} else if e.SinceS > s.SinceS {
@@ -255,21 +255,6 @@
 	gw int
 }
 
-// mix spreads the bits of x (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// hashOf is a customer's point on the ring.
-func hashOf(customer string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(customer))
-	return mix(h.Sum64())
-}
-
 // sameGroup tells whether two servers drop the repeats of the same key.
 func sameGroup(scope Scope, a, b *server) bool {
 	switch scope {
@@ -363,7 +348,7 @@
 
 func (g *Gateway) header() []byte {
 	g.seq++
-	return appendHeader(make([]byte, 0, msgLimit), g.boot, g.seq)
+	return peermsg.AppendHeader(make([]byte, 0, peermsg.Limit), g.boot, g.seq)
 }
 
 // spread keeps what is to be told to other gateways of servers, newest last.
@@ -404,7 +389,7 @@
 
 // customer finds or makes what is kept of a customer.
 func (g *Gateway) customer(q Request) *customer {
-	h := hashOf(q.Customer)
+	h := peermsg.Point(q.Customer)
 	key := uint32(h >> 32)
 	c := g.custs[key]
 	if c == nil {
@@ -421,20 +406,38 @@
 	return c
 }
 
-// setUp makes the classes, the plans and the ring.
-func (g *Gateway) setUp(points int) {
-	for i, c := range g.s.Classes {
+// setClasses makes the settings' classes. What is known of one goes by its name, also while it is not among them; requests
+// under way keep the class that they came with.
+func (g *Gateway) setClasses() {
+	g.maxWorth = 0
+	clear(g.classes)
+	for _, c := range g.s.Classes {
 		g.maxWorth = max(g.maxWorth, c.Worth)
-		g.classList = append(g.classList, newClass(c, i))
+		i := slices.IndexFunc(g.classList, func(k *class) bool { return k.Name == c.Name })
+		if i < 0 {
+			i = len(g.classList)
+			g.classList = append(g.classList, newClass(c, i))
+			for _, s := range g.servers {
+				s.sick, s.okAt, s.errs = append(s.sick, sick{}), append(s.okAt, 0), append(s.errs, 0)
+			}
+		} else if g.classList[i].Class != c {
+			k := *g.classList[i]
+			k.Class, g.classList[i] = c, &k
+		}
 		g.classes[c.Name] = g.classList[i]
 	}
+}
+
+// setUp makes the classes, the plans and the ring.
+func (g *Gateway) setUp(points int) {
+	g.setClasses()
 	for i, p := range g.s.Plans {
 		g.plans = append(g.plans, &plan{Plan: p, index: i})
 		g.byPlan[p.Name] = g.plans[i]
 	}
 	for gw := range g.s.Gateways {
 		for i := range points {
-			g.ring = append(g.ring, ringPoint{mix(uint64(gw)<<32 | uint64(i)), gw})
+			g.ring = append(g.ring, ringPoint{peermsg.Mix(uint64(gw)<<32 | uint64(i)), gw})
 		}
 	}
 	slices.SortFunc(g.ring, func(a, b ringPoint) int {
@@ -551,6 +554,23 @@
 	return delta
 }
 
+// Retune takes other classes, and another number of attempts, while requests are under way.
+func (g *Gateway) Retune(now float64, classes []Class, attempts int) error {
+	s := g.s
+	s.Classes, s.MaxAttempts = classes, attempts
+	if err := check(s, g.act); err != nil {
+		return err
+	}
+	if len(g.classList)+len(classes) > classesMost {
+		return fmt.Errorf("%d classes were known since the start, and %d come: too many", len(g.classList), len(classes))
+	}
+	g.clock(now)
+	g.s = s
+	g.setClasses()
+	g.drain()
+	return nil
+}
+
 // Started takes the start of a streamed answer: the attempt belongs to the client now.
 func (g *Gateway) Started(now float64, id string, attempt int) {
 	g.clock(now)
@@ -571,7 +591,7 @@
 func (g *Gateway) report(s *server, l *Load) {
 	if l != nil && l.Util >= 0 {
 		s.util, s.utilAt = l.Util, g.now
-		g.spread(item{s.hash, loadItem, l.Util, g.now})
+		g.spread(item{Server: s.hash, Class: peermsg.LoadItem, Value: l.Util, At: g.now})
 	}
 }
 
