--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -22,6 +22,9 @@
 
 // applyList takes a list as it stands with what operators hold.
 func (in *Ingress) applyList(t targets) {
+	if len(t.Servers) == 0 && !t.Full {
+		return
+	}
 	in.backends.apply(in, t)
 	in.gate.Servers(in.now, t.Policy(), t.Full)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -59,9 +60,15 @@
 func (m *module) Outcome(_ float64, o policy.Outcome)                 { m.outcomes <- o }
 func (m *module) Gone(_ float64, id string)                           { m.gone <- id }
 func (m *module) Servers(_ float64, list []policy.Server, whole bool) { m.lists <- list }
-func (m *module) Timer(float64, uint64)                               {}
-func (m *module) Peer(_ float64, from int, data []byte)               { m.messages <- message{from, string(data)} }
-func (m *module) Probed(_ float64, p policy.ProbeResult)              { m.probed <- p }
+func (m *module) Retune(_ float64, classes []policy.Class, attempts int) error {
+	if attempts > 100 {
+		return errors.New("refused")
+	}
+	return nil
+}
+func (m *module) Timer(float64, uint64)                  {}
+func (m *module) Peer(_ float64, from int, data []byte)  { m.messages <- message{from, string(data)} }
+func (m *module) Probed(_ float64, p policy.ProbeResult) { m.probed <- p }
 
 func get[T any](t *testing.T, c <-chan T) T {
 	t.Helper()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -187,6 +188,79 @@
 	}
 }
 
+// Guards requests under way against new settings: a class that grew stricter or has gone, and fewer attempts.
+func TestRetuneLeavesRequestsTheirClass(t *testing.T) {
+	g, r := gateway(t, alone)
+	ask(g, 100, "old-read", "read", "wide", 1)
+	ask(g, 100, "old-pay", "pay", "wide", 1)
+	ask(g, 100, "old-any", "any", "wide", 1)
+	classes := slices.Clone(g.s.Classes)
+	classes[0].Effect = Unsafe // read grows stricter
+	classes[4].Effect = Safe   // pay grows milder
+	classes = append(slices.Delete(classes, 3, 4), Class{Name: "new", AimS: 1, DeadlineS: 2, Worth: 2, Effect: Unsafe})
+	if err := g.Retune(100.1, classes, 2); err != nil {
+		t.Fatal(err)
+	}
+	ask(g, 100.1, "new-read", "read", "wide", 1)
+	ask(g, 100.1, "new", "new", "wide", 1)
+	ask(g, 100.1, "gone", "any", "wide", 1)
+	fail := func(id string) string {
+		first := r.of("send", id)[0]
+		r.acts = nil
+		g.Outcome(100.2, Outcome{ID: id, Server: first.server, Status: Error, SpentS: 0.1})
+		for _, kind := range []string{"send", "fail", "refuse"} {
+			if len(r.of(kind, id)) > 0 {
+				return kind
+			}
+		}
+		return "nothing"
+	}
+	if len(r.of("send", "gone")) > 0 {
+		t.Error("a class that has gone is served")
+	}
+	sent := slices.Clone(r.acts)
+	for id, want := range map[string]string{"old-read": "send", "old-pay": "fail", "old-any": "send", "new-read": "fail", "new": "fail"} {
+		r.acts = sent
+		if got := fail(id); got != want {
+			t.Errorf("%s after an error: %s, want %s", id, got, want)
+		}
+	}
+	// The second attempt was the last that is allowed now.
+	r.acts = nil
+	g.Outcome(100.3, Outcome{ID: "old-read", Server: "s1", Attempt: 1, Status: Full, SpentS: 0.01})
+	if len(r.of("send", "old-read")) > 0 || len(r.of("refuse", "old-read")) != 1 {
+		t.Error("more attempts than allowed")
+	}
+}
+
+// Guards what is known of a class, and the memory of a process whose settings change again and again.
+func TestRetuneKeepsWhatIsKnownByName(t *testing.T) {
+	g, _ := gateway(t, alone)
+	g.fails(g.servers["s2"], g.classes["pay"], 1)
+	g.classes["pay"].lat = 0.7
+	all := slices.Clone(g.s.Classes)
+	if err := g.Retune(100, []Class{{Name: "x", AimS: 1, DeadlineS: 1}, all[4]}, 3); err != nil {
+		t.Fatal(err)
+	}
+	if g.sickness(g.servers["s2"], g.classes["pay"]) < 0.9 || g.classes["pay"].lat != 0.7 ||
+		g.sickness(g.servers["s2"], g.classes["x"]) != 0 {
+		t.Error("what was known went with the place, not with the name")
+	}
+	for i := 0; ; i++ {
+		if err := g.Retune(100, []Class{{Name: fmt.Sprint("c", i), AimS: 1, DeadlineS: 1}}, 3); err != nil {
+			break
+		}
+		if i > classesMost {
+			t.Fatal("names are kept without a bound")
+		}
+	}
+	for _, bad := range [][]Class{nil, {{Name: "x", AimS: 1}}} {
+		if g.Retune(100, bad, 3) == nil {
+			t.Errorf("%+v was taken", bad)
+		}
+	}
+}
+
 func TestKeyedResendsStayInGroupAndTime(t *testing.T) {
 	zone := map[string]string{"s1": "a", "s2": "a", "s3": "b"}
 	for seed := range 20 {
