Values of up to 4 MiB pass as they come; a slow write no longer ends its connection later

Change: internal/ingress/large.go: the backend's reader writes the value, once the loop has lent it the client's side; a chunk of 16 KiB is all that is kept, the module is told the time of the first bytes, the last bytes go out when the value has proved whole.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -20,6 +20,9 @@
 	timer  *timer  // rings then
 	conn   *backConn
 	done   bool
+	// when the answer's first bytes came, if its value is too large to be kept: from then on nothing ends the attempt
+	// but the value
+	firstAt float64
 }
 
 // Send implements policy.Actions.
@@ -47,7 +50,8 @@
 
 // Cancel implements policy.Actions.
 func (in *Ingress) Cancel(id string, number int) {
-	if r := in.requests[id]; r != nil && number >= 0 && number < len(r.attempts) && !r.attempts[number].done {
+	if r := in.requests[id]; r != nil && number >= 0 && number < len(r.attempts) && !r.attempts[number].done &&
+		r.attempts[number].firstAt == 0 {
 		in.later(r.attempts[number], policy.Cancelled)
 	}
 }
@@ -129,6 +133,9 @@
 
 // report answers the client, if this is what it waits for, and tells the module.
 func (in *Ingress) report(a *attempt, res result, at float64) {
+	if a.firstAt > 0 {
+		at = a.firstAt // how fast the client reads says nothing of the backend
+	}
 	spent := max(at-a.sentAt, 0)
 	if a.req == nil {
 		in.gate.Probed(in.now, policy.ProbeResult{Server: a.be.ID, Status: res.status, SpentS: spent, Load: res.load})
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -16,7 +16,6 @@
 const (
 	pipelineMost = 32              // commands of one connection that may be open
 	pendingMost  = 1 << 20         // bytes that a client may leave unread
-	clientWriteS = 5 * time.Second // and for how long
 	commandMost  = 2 * time.Second // an answer is owed to what can't be read within 3 s
 	errorsMost   = 8               // bad commands of one connection; then it is closed
 	lingerMost   = 2 * time.Second // how long a refused client's bytes are read and dropped
@@ -28,11 +27,14 @@
 	reservedFDs  = 32  // for the listener, discovery, peers, the slack and the runtime
 )
 
+var clientWriteS = 5 * time.Second // for how long; tests make it shorter
+
 // slot is the place of one answer in its connection's order.
 type slot struct {
-	req    *request // nil where the answer was known at once
-	answer []byte   // nil until it is final
-	last   bool     // the connection ends with it
+	req    *request    // nil where the answer was known at once
+	answer []byte      // nil until it is final
+	value  *largeValue // in place of an answer: it is passed on as it comes
+	last   bool        // the connection ends with it
 }
 
 // client is one client's connection.
@@ -379,6 +381,7 @@
 		}
 	}
 	if n == 0 {
+		in.lend(c)
 		return
 	}
 	clear(c.slots[:n])
@@ -428,6 +431,7 @@
 	go func() {
 		c.conn.SetWriteDeadline(time.Now().Add(clientWriteS))
 		_, err := c.conn.Write(rest)
+		c.conn.SetWriteDeadline(time.Time{}) // else it would end a write that comes later
 		in.post(in.clock.Now(), func() {
 			c.writing = false
 			switch {
@@ -452,6 +456,8 @@
 		in.settle(c)
 	case in.leaving && in.heirs.stage == none && len(c.slots) == 0:
 		in.closeClient(c)
+	default:
+		in.lend(c)
 	}
 }
 
--- /dev/null
+++ b/internal/ingress/large_test.go
@@ -0,0 +1,254 @@
+package ingress
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderspread/policy"
+)
+
+// large is a value of so many bytes, and the answer that brings it.
+func large(size int, seed uint64) (text []byte, answer []byte) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	text = make([]byte, size)
+	for i := range text {
+		text[i] = byte(rng.Uint32())
+	}
+	return text, fmt.Appendf(nil, "*3\r\n$%d\r\n%s\r\n$-1\r\n$12\r\ncpu_share=.5\r\n", size, text)
+}
+
+// bulk reads a bulk string; what is not whole is returned as it came.
+func (w *wire) bulk() []byte {
+	var size int
+	if _, err := fmt.Sscanf(w.line(), "$%d", &size); err != nil {
+		return nil
+	}
+	b := make([]byte, size+2)
+	n, _ := io.ReadFull(w.r, b)
+	if n == size+2 && string(b[size:]) == "\r\n" {
+		return b[:size]
+	}
+	return b[:min(n, size)]
+}
+
+// Guards values that are too large to be kept, in pieces cut anywhere: byte for byte, in order with other answers, their
+// connections used again, and nothing held that the budget does not know.
+func TestLargeValuesPassInPieces(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), sendTo(0))
+	w := r.client()
+	rng := rand.New(rand.NewPCG(5, 5))
+	for round, size := range []int{maxValue + 1, 300_000, largeMost} {
+		text, answer := large(size, uint64(round))
+		w.send(look(fmt.Sprint("large", round))...)
+		w.send("PING") // answered behind it
+		b := (*wire)(nil)
+		if round == 0 {
+			b = get(t, conns)
+			defer func() {
+				if len(conns) > 0 {
+					t.Error("a connection that was still good was not used again")
+				}
+			}()
+			conns <- b
+		}
+		b = get(t, conns)
+		if b.command() == nil {
+			t.Fatal("not sent")
+		}
+		go func() {
+			for len(answer) > 0 {
+				n := min(len(answer), 1+rng.IntN(9000))
+				b.Write(answer[:n])
+				answer = answer[n:]
+			}
+		}()
+		if got := w.bulk(); !bytes.Equal(got, text) {
+			t.Fatalf("%d bytes came, of %d", len(got), size)
+		}
+		if got := w.line(); got != "+PONG" {
+			t.Fatalf("behind it: %q", got)
+		}
+		if o := get(t, r.mod.outcomes); o.Status != policy.OK || o.Load == nil || !o.Over {
+			t.Fatalf("the module was told %+v", o)
+		}
+		if round < 2 {
+			r.until("the connection is free", func() bool { return len(r.in.backends.byID["s0"].idle) == 1 })
+			conns <- b
+		}
+	}
+	if _, left := r.base(); left <= 0 {
+		t.Error("the budget is used up")
+	}
+}
+
+// narrow has little room between the ingress and a client.
+func (r *rig) narrow(w *wire) {
+	w.send("PING")
+	w.line()
+	w.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	r.do(func() {
+		for c := range r.in.clients.all {
+			c.conn.SetWriteBuffer(64 << 10)
+		}
+	})
+}
+
+// Guards a client that reads slowly: its backend waits, nothing piles up, and the module is told how fast the backend was.
+func TestSlowReaderHoldsItsBackendAlone(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), sendTo(0))
+	_, free := r.base()
+	slow := r.client()
+	r.narrow(slow)
+	slow.send(look("slow")...)
+	b := get(t, conns)
+	b.command()
+	text, answer := large(largeMost, 1)
+	wrote := make(chan struct{})
+	go func() { b.Write(answer); close(wrote) }()
+	r.until("the value is under way", func() bool { q := r.in.requests["slow"]; return q != nil && q.attempts[0].firstAt > 0 })
+	other := r.client()
+	other.send("PING")
+	if other.line() != "+PONG" {
+		t.Error("others wait for a slow reader")
+	}
+	if _, left := r.base(); free-left > chunkSize+2*readSize {
+		t.Errorf("%d bytes are held", free-left)
+	}
+	r.do(func() { r.in.Cancel("slow", 0) }) // a module that has lost patience: the answer has begun
+	if got := slow.bulk(); !bytes.Equal(got, text) {
+		t.Fatalf("%d bytes came", len(got))
+	}
+	<-wrote
+	if o := get(t, r.mod.outcomes); o.Status != policy.OK {
+		t.Errorf("%+v", o)
+	}
+}
+
+// Guards clients against parts that pass for whole values, and what is owed to others on the way.
+func TestLargeValuesThatBreakOff(t *testing.T) {
+	text, whole := large(200_000, 3)
+	for name, c := range map[string]struct {
+		answer []byte
+		close  bool
+		want   policy.Status
+	}{
+		"cut off":          {whole[:150_000], true, policy.Reset},
+		"longer than said": {append([]byte("*3\r\n$199999\r\n"), append(bytes.Clone(text), "\r\n$-1\r\n$-1\r\n"...)...), false, policy.Reset},
+		"too large":        {fmt.Appendf(nil, "*3\r\n$%d\r\n%s", largeMost+1, text), false, policy.Error},
+		"little of it":     {fmt.Appendf(nil, "*3\r\n$%d\r\nnoise", 200_000), true, policy.Reset},
+	} {
+		addr, conns := listen(t)
+		r := start(t, testConfig(addr), sendTo(0))
+		w := r.client()
+		w.send(look("x")...)
+		b := get(t, conns)
+		b.command()
+		b.Write(c.answer)
+		if c.close {
+			b.Close()
+		}
+		if o := get(t, r.mod.outcomes); o.Status != c.want {
+			t.Errorf("%s: the module was told %+v", name, o)
+		}
+		if strings.HasPrefix(name, "too") || strings.HasPrefix(name, "little") {
+			r.do(func() { r.in.Fail("x") })
+			if got := w.line(); got != "-ERR failed" {
+				t.Errorf("%s: the client got %q", name, got)
+			}
+			continue
+		}
+		got, _ := io.ReadAll(w.r)
+		if _, rest, ok := bytes.Cut(got, []byte("\r\n")); !ok || bytes.HasSuffix(rest, []byte("\r\n")) && len(rest) >= 200_002 {
+			t.Errorf("%s: a part passes for the whole", name)
+		}
+		r.until("nothing is kept", func() bool { return len(r.in.requests) == 0 && r.in.clients.open() == 0 })
+	}
+}
+
+// Guards backends against clients that leave in the middle, or before their turn has come.
+func TestClientsThatLeaveALargeValue(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), func(r *rig) {
+		r.mod.onRequest = func(q policy.Request) {
+			if q.ID != "first" {
+				r.in.Send(q.ID, "s0", 0)
+			}
+		}
+	})
+	_, answer := large(largeMost, 4)
+	for _, ahead := range []bool{false, true} {
+		w := r.client()
+		if ahead {
+			w.send(look("first")...) // never answered: the value waits behind it
+			get(t, r.mod.requests)
+		}
+		w.send(look("x")...)
+		get(t, r.mod.requests)
+		b := get(t, conns)
+		b.command()
+		go b.Write(answer)
+		r.until("the value is under way", func() bool { q := r.in.requests["x"]; return q != nil && q.attempts[0].firstAt > 0 })
+		w.Close()
+		if o := get(t, r.mod.outcomes); o.Status != policy.Cancelled || !o.Over {
+			t.Errorf("%+v", o)
+		}
+		r.until("nothing is kept", func() bool { return len(r.in.requests) == 0 && r.in.backends.open == 0 })
+		if ahead {
+			get(t, r.mod.gone)
+		}
+	}
+}
+
+// Guards answers that come long after one that the socket took in parts: that one's time limit must not end them.
+func TestSlowWriteLeavesNoDeadline(t *testing.T) {
+	defer func(was time.Duration) { clientWriteS = was }(clientWriteS)
+	clientWriteS = 300 * time.Millisecond
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), sendTo(0))
+	w := r.client()
+	r.narrow(w)
+	text := strings.Repeat("v", maxValue)
+	go serveBackendWith(conns, fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", maxValue, text))
+	for i := range 12 {
+		w.send(look(fmt.Sprint("a", i))...)
+	}
+	r.until("a write goes on", func() bool {
+		for c := range r.in.clients.all {
+			return c.writing
+		}
+		return false
+	})
+	for range 12 {
+		if got := w.bulk(); len(got) != maxValue {
+			t.Fatal(len(got))
+		}
+	}
+	r.until("all is written", func() bool {
+		for c := range r.in.clients.all {
+			return !c.writing
+		}
+		return false
+	})
+	time.Sleep(2 * clientWriteS) // the limit of the write that is over
+	if w.send("PING"); w.line() != "+PONG" {
+		t.Fatal("the connection was ended")
+	}
+}
+
+func serveBackendWith(conns chan *wire, answer string) {
+	for w := range conns {
+		go func() {
+			for w.command() != nil {
+				io.WriteString(w, answer)
+			}
+		}()
+	}
+}
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -335,6 +335,14 @@
 			break // what follows can't be told apart
 		}
 		buf.grew(n)
+		if start, _, _, large := largeHead(buf.b); large {
+			enough := len(buf.b) >= start+largeFirst
+			if !enough && err != nil || enough && !c.pass(in, &buf, at) {
+				break
+			}
+			last.hash = 0
+			continue
+		}
 		size, bad := frame(buf.b)
 		if bad == nil && size == 0 && len(buf.b) > maxFrame {
 			bad = errOversized
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -887,7 +887,7 @@
 		}
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			if !a.done && !a.seen && g.now-max(a.sentAt, g.gapAt) > max(silentX*r.cls.lat, newsStepS) &&
+			if !a.done && !a.seen && !r.stream && g.now-max(a.sentAt, g.gapAt) > max(silentX*r.cls.lat, newsStepS) &&
 				a.srv.okAt[r.cls.index] < a.sentAt {
 				a.seen = true
 				g.fails(a.srv, r.cls, 1)
