The laboratory replaces programs beside themselves and holds nodes by hand, and judges it

Change: faults replaced and held, scenario operators, two rules with their occasions (a hold is not forgiven by a restart; to clients a replaced program's life goes on), five mutants. Readers that were passed on keep the time limit of an unfinished command.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -48,6 +48,7 @@
 	// Its reader's, and the loop's once it is parked.
 	buf    buffer
 	errors int
+	timed  bool // a deadline for the next whole command is set
 
 	// Loop only.
 	slots    []*slot // no more than permits, and one
@@ -166,6 +167,12 @@
 		stop: make(chan struct{}), buf: buffer{budget: &in.input}}, nil
 }
 
+// await sets the time by which a whole command must have come. It is for whoever starts the reader.
+func (c *client) await(in *Ingress) {
+	c.timed = true
+	c.conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
+}
+
 // accept takes connections until the listener is closed, or pause and with it the listener's deadline.
 func (in *Ingress) accept(l *net.TCPListener, pause chan struct{}) {
 	for {
@@ -202,7 +209,7 @@
 			time.Sleep(acceptRetry) // out of descriptors: others must end first
 			continue
 		}
-		conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
+		c.await(in)
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in)
 	}
@@ -231,7 +238,7 @@
 			c.buf.free()
 		}
 	}()
-	timed, left := true, len(c.buf.b) > 0 // left: by whoever read this connection before
+	left := len(c.buf.b) > 0 // by whoever read this connection before
 	for {
 		if c.stopped() {
 			parked = true
@@ -266,11 +273,11 @@
 		case err != nil:
 			in.post(at, func() { in.clientGone(c) })
 			return
-		case unfinished && (used > 0 || !timed):
-			timed = true
+		case unfinished && (used > 0 || !c.timed):
+			c.timed = true
 			c.conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
-		case !unfinished && timed:
-			timed = false
+		case !unfinished && c.timed:
+			c.timed = false
 			c.conn.SetReadDeadline(time.Time{})
 		}
 	}
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -186,6 +186,9 @@
 		}
 		c.buf.taken = more
 	}
+	if len(rest) > 0 {
+		c.await(in)
+	}
 	in.post(in.clock.Now(), func() { in.addClient(c); c.spoke = true })
 	go c.read(in)
 	return nil
@@ -348,6 +351,8 @@
 func (in *Ingress) unhalt(c *client) {
 	c.halted, c.parked, c.passing = false, false, false
 	c.stop = make(chan struct{})
-	c.conn.SetReadDeadline(time.Time{})
+	if c.conn.SetReadDeadline(time.Time{}); c.timed {
+		c.await(in)
+	}
 	go c.read(in)
 }
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -18,6 +18,8 @@
 	Out      = "one attempt out"
 	Twice    = "no effect twice"
 	Drains   = "drains kept"
+	Held     = "nodes that operators hold left alone"
+	Replaced = "nothing lost when a program is replaced" // counts occasions; what is lost breaks the other rules
 	Cold     = "cold nodes stand"
 	Quotas   = "quotas kept"
 	Caps     = "caps kept"
@@ -27,7 +29,7 @@
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale, Views}
+var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale, Views, Held, Replaced}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
@@ -172,6 +174,7 @@
 		rep.attempts(h, rules, classes[byID[key][0].Class], byID[key], tries[key])
 	}
 	rep.drains(h, rules, tries)
+	rep.operators(h, rules, tries)
 	rep.stale(h, rules)
 	rep.cold(h, rules)
 	rep.caps(h, rules, plans)
@@ -427,6 +430,37 @@
 	}
 }
 
+// operators judges nodes held by hand: neither discovery nor a new process of the ingress lets anything through to one.
+func (rep *Report) operators(h *History, rules Rules, tries map[string]*Try) {
+	sent := map[Hold][]*Attempt{} // by party and node
+	for _, a := range h.Attempts {
+		if t := tries[a.ID+"/"+a.Account]; t != nil {
+			k := Hold{Party: Party(t.Forwarder), Node: a.Node}
+			sent[k] = append(sent[k], a)
+		}
+	}
+	grace := seconds(rules.DrainS) + 50*time.Millisecond
+	for _, x := range h.HeldNodes {
+		before := false
+		for _, a := range sent[Hold{Party: x.Party, Node: x.Node}] {
+			before = before || a.At < x.From && a.At > x.From-time.Second
+			if a.At > x.From+grace && (x.To == 0 || a.At < x.To) {
+				rep.breach(Held, a.At, "%s came to %s %v after operators took it out at %s", a.ID, a.Node, a.At-x.From, x.Party)
+			}
+		}
+		if before {
+			rep.saw(Held, "held with work in the second before")
+		}
+	}
+	for _, o := range h.Replaced {
+		for _, t := range h.Tries {
+			if t.Forwarder == o.Forwarder && t.Sent < o.To && t.Answered > o.From {
+				rep.saw(Replaced, "tries under way while their program was replaced")
+			}
+		}
+	}
+}
+
 // quotas replays what came to nodes, each try once, against each account's buckets. It returns the tries that
 // were inside their quotas when they were passed on.
 func (rep *Report) quotas(h *History, rules Rules, plans map[string]policy.Plan) (inside map[string]bool) {
--- a/internal/lab/audit/history.go
+++ b/internal/lab/audit/history.go
@@ -70,6 +70,12 @@
 	From, To  time.Duration
 }
 
+// Hold is a time in which operators held a node at a party, from that one's yes to the call back.
+type Hold struct {
+	Party, Node string
+	From, To    time.Duration // To 0: it goes on
+}
+
 // Life is one life of a node.
 type Life struct {
 	Node     string
@@ -88,21 +94,23 @@
 
 // History is what nodes, clients and the roster saw. All of it is kept: a run is bounded in time.
 type History struct {
-	mu       sync.Mutex
-	clock    func() time.Duration
-	Attempts []*Attempt
-	Tries    []*Try
-	Told     []Told
-	True     []Told  // what sources of membership hold, by source in place of the party
-	Views    []View  // comparisons of what parties see with what sources hold
-	Blind    []Blind // when parties could hear nothing of a source
-	Outages  []Outage
-	Restarts []Outage
-	Faults   []Fault
-	Lives    []Life
-	ConnEnds map[string][]time.Duration // when whoever sent on a connection ended it, which the node may not see; by its address, in order
-	Ended    time.Duration              // when recording ended, 0: it goes on
-	Late     time.Duration              // the worst lateness of the laboratory itself
+	mu        sync.Mutex
+	clock     func() time.Duration
+	Attempts  []*Attempt
+	Tries     []*Try
+	Told      []Told
+	True      []Told  // what sources of membership hold, by source in place of the party
+	Views     []View  // comparisons of what parties see with what sources hold
+	Blind     []Blind // when parties could hear nothing of a source
+	Outages   []Outage
+	Restarts  []Outage
+	Replaced  []Outage // programs replaced beside themselves: nothing may be lost by it
+	HeldNodes []Hold   // of nodes by operators
+	Faults    []Fault
+	Lives     []Life
+	ConnEnds  map[string][]time.Duration // when whoever sent on a connection ended it, which the node may not see; by its address, in order
+	Ended     time.Duration              // when recording ended, 0: it goes on
+	Late      time.Duration              // the worst lateness of the laboratory itself
 }
 
 // New starts an empty history by the machine's clock.
@@ -183,6 +191,26 @@
 	h.do(func() { h.Told = append(h.Told, Told{party, node, state, h.Now(), start}) })
 }
 
+// Hold records that operators hold a node at a party from now on, or do not any more.
+func (h *History) Hold(party, node string, on bool) {
+	h.do(func() {
+		if on {
+			h.HeldNodes = append(h.HeldNodes, Hold{Party: party, Node: node, From: h.Now()})
+			return
+		}
+		for i := range h.HeldNodes {
+			if x := &h.HeldNodes[i]; x.Party == party && x.Node == node && x.To == 0 {
+				x.To = h.Now()
+			}
+		}
+	})
+}
+
+// Replace records that a forwarder's program was replaced beside itself.
+func (h *History) Replace(f int, from, to time.Duration) {
+	h.do(func() { h.Replaced = append(h.Replaced, Outage{f, from, to}) })
+}
+
 // View is one comparison of all parties' views with the truth, after a fault was mended.
 type View struct {
 	After string        // the fault
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -35,7 +35,7 @@
 type kind struct {
 	what   string
 	weight int                            // how often it is drawn, of all
-	level  int                            // 1: of one-level fleets alone, 2: of two-level ones alone, 0: of both, 3: of those with sources of their own
+	level  int                            // 1: of one-level fleets alone, 2: of two-level ones alone, 0: of both, 3: of those with sources of their own, 4: of one-level ones, both only when named
 	target func(f *Fleet, x Fault) string // no two faults of a target overlap; nil: they may
 	do     func(f *Fleet, x Fault, wait func(time.Duration) bool)
 }
@@ -256,7 +256,7 @@
 	}
 	var draws []string
 	for _, name := range names {
-		if Fits(name, two) || kinds[name].level == 3 && slices.Contains(names, name) && given {
+		if Fits(name, two) || given && (kinds[name].level == 3 || kinds[name].level == 4 && !two) {
 			for range max(kinds[name].weight, 1) {
 				draws = append(draws, name)
 			}
@@ -324,7 +324,7 @@
 			return
 		}
 		k, ok := kinds[x.Kind]
-		if !ok || k.level == 2 && len(f.Planners) == 0 || k.level == 1 && len(f.Planners) > 0 || k.level == 3 && f.cfg.Source == nil {
+		if !ok || k.level == 2 && len(f.Planners) == 0 || (k.level == 1 || k.level == 4) && len(f.Planners) > 0 || k.level == 3 && f.cfg.Source == nil {
 			continue
 		}
 		all.Go(func() {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -215,7 +215,11 @@
 		if err != nil {
 			return err
 		}
-		f.Forwarders = append(f.Forwarders, f.proc("ingress", f.Party(i), file, listen, ""))
+		p := f.proc("ingress", f.Party(i), file, listen, "")
+		if err := f.doors(p, file); err != nil {
+			return err
+		}
+		f.Forwarders = append(f.Forwarders, p)
 	}
 	return nil
 }
@@ -500,18 +504,23 @@
 	Name, Listen, Status string
 	log                  string
 	cmd                  func() *exec.Cmd
+	doors                [2]door // of an ingress; the one in use changes with each replacement
 
 	mu     sync.Mutex
 	run    *exec.Cmd
 	exited chan struct{}
 	paused bool
 	starts int
+	turn   int           // replacements
 	termAt time.Time     // when it was asked to end, while it does
 	cpu    time.Duration // of runs that have ended
 }
 
 // Start starts the program.
-func (p *Proc) Start() error {
+func (p *Proc) Start() error { return p.start(true) }
+
+// start starts the program, for another life of it or in the one that goes on.
+func (p *Proc) start(another bool) error {
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -525,7 +534,9 @@
 	exited := make(chan struct{})
 	p.mu.Lock()
 	p.run, p.exited, p.paused = c, exited, false
-	p.starts++
+	if another {
+		p.starts++
+	}
 	p.mu.Unlock()
 	go func() {
 		c.Wait()
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -194,6 +194,17 @@
 		Edits: edit("internal/etcdsource/follow.go", "\t\t\twords[i] = w\n", "\t\t\t_ = i\n"), Runs: []string{labEtcdLong + " -troubles cut"}},
 	{Name: "an agent remembers what etcd told", Rule: "none on a stale word", Unit: "./internal/agent",
 		Edits: edit("internal/agent/agent.go", "\ta.core.Remember(was.Known)\n", ""), Runs: []string{labEtcd}},
+	// ---- Operators ----
+	{Name: "discovery puts nothing back that is held", Rule: "nodes that operators hold left alone", Unit: "./internal/held",
+		Edits: edit("internal/held/held.go", "\t\tif e.State == stateUp {\n", "\t\tif false {\n"), Runs: []string{labOne + "operators"}},
+	{Name: "a new process knows what is held", Rule: "nodes that operators hold left alone", Unit: "./internal/ingress",
+		Edits: edit(in+"door.go", "store.Look(func(h held.Holds) { in.held.Set(h) })", "store.Look(func(h held.Holds) {})"), Runs: []string{labOne + "operators"}},
+	{Name: "connections go to the new process", Rule: "no request lost", Unit: "./internal/ingress",
+		Edits: edit(in+"handover.go", "if in.heirs.stage != handed || c.ending", "if true || c.ending"), Runs: []string{labOne + "operators -kinds replaced"}},
+	{Name: "what was read of a command goes with its connection", Rule: "no request lost", Unit: "./internal/ingress",
+		Edits: edit(in+"handover.go", "passing{c, bytes.Clone(c.buf.b)}", "passing{c, nil}"), Runs: []string{labOne + "operators -kinds replaced -every 100ms"}},
+	{Name: "what an old process has taken it answers", Rule: "no request lost", Unit: "./internal/ingress",
+		Edits: edit(in+"handover.go", "\tin.leaving = true\n\tin.backends.most", "\tin.leaving = true\n\tin.after(0.001, in.stop)\n\tin.backends.most"), Runs: []string{labOne + "operators -kinds replaced"}},
 	// ---- Links ----
 	{Name: "a silent link ends", Rule: "no request lost", Unit: "./internal/link",
 		Why:   "promises that run out hold the rules without it; it bounds how long a takeover takes, which eiderfleet lab -deaths and -failsafes measure",
--- /dev/null
+++ b/internal/lab/operators.go
@@ -0,0 +1,175 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"eiderspread/internal/lab/audit"
+)
+
+// What operators do by hand to one-program ingresses: replace a program beside itself, take nodes out and call them back.
+// Ingresses of a fleet of one level have a door each; every second start of one has it at another address.
+
+const (
+	replaceMost = 10 * time.Second // for an old program to end after its successor was started
+	callMost    = 2 * time.Second
+	callRetry   = 50 * time.Millisecond
+	resumeMost  = 10 * time.Second // for a call back to get through to an ingress that is down now
+)
+
+// door is one address of a program's operators' door, and the configuration that names it.
+type door struct{ console, file string }
+
+// doors gives a program two configurations that differ in the door alone, and a folder that outlives it.
+func (f *Fleet) doors(p *Proc, file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	tmp := filepath.Join(f.cfg.Dir, "tmp-"+p.Name)
+	if err := os.MkdirAll(tmp, 0o700); err != nil {
+		return err
+	}
+	for i := range p.doors {
+		var c map[string]any
+		if err := json.Unmarshal(text, &c); err != nil {
+			return err
+		}
+		addr, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		c["console"] = addr
+		path, err := f.write(fmt.Sprintf("%s-%d.json", p.Name, i), c)
+		if err != nil {
+			return err
+		}
+		p.doors[i] = door{addr, path}
+	}
+	p.cmd = func() *exec.Cmd {
+		c := f.cfg.Spawn("ingress", p.door().file)
+		if c.Env == nil {
+			c.Env = os.Environ()
+		}
+		c.Env = append(c.Env, "TMPDIR="+tmp)
+		return c
+	}
+	return nil
+}
+
+func (p *Proc) door() door {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.doors[p.turn%len(p.doors)]
+}
+
+// Replace starts the program a second time beside itself, and returns when the first has ended. To clients its life goes
+// on: no connection may end by it.
+func (p *Proc) Replace() error {
+	p.mu.Lock()
+	old, exited := p.run, p.exited
+	p.turn++
+	p.mu.Unlock()
+	if old == nil || !p.Up() {
+		return errors.New("nothing runs that could be replaced")
+	}
+	if err := p.start(false); err != nil {
+		return err
+	}
+	select {
+	case <-exited:
+		return nil
+	case <-time.After(replaceMost):
+		old.Process.Kill()
+		<-exited
+		return fmt.Errorf("%s: the old program did not end", p.Name)
+	}
+}
+
+var operators = http.Client{Timeout: callMost, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Call makes an operator's call and returns its status.
+func (p *Proc) Call(ctx context.Context, method, path string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.door().console+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := operators.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	return resp.StatusCode, nil
+}
+
+// hold has operators take a node out at every ingress that says yes, for as long as wait does, and call it back.
+func (f *Fleet) hold(n *Node, meanwhile func()) {
+	held := make([]bool, len(f.Forwarders))
+	var all sync.WaitGroup
+	for i, p := range f.Forwarders {
+		all.Go(func() {
+			if status, err := p.Call(context.Background(), http.MethodPost, "/v1/backends/"+n.ID+"/suspend"); err == nil && status == http.StatusOK {
+				held[i] = true
+				f.Hist.Hold(f.Party(i), n.ID, true)
+			}
+		})
+	}
+	all.Wait()
+	meanwhile()
+	for i, p := range f.Forwarders {
+		if !held[i] {
+			continue
+		}
+		all.Go(func() {
+			f.Hist.Hold(f.Party(i), n.ID, false)
+			status := 0
+			for end := time.Now().Add(resumeMost); time.Now().Before(end); time.Sleep(callRetry) {
+				var err error
+				if status, err = p.Call(context.Background(), http.MethodPost, "/v1/backends/"+n.ID+"/resume"); err == nil && status < 500 {
+					break
+				}
+			}
+			if status != http.StatusOK {
+				f.Hist.Fault(fmt.Sprintf("%s does not call %s back: status %d", p.Name, n.ID, status))
+			}
+		})
+	}
+	all.Wait()
+}
+
+func init() {
+	kinds["replaced"] = kind{"operators replace an ingress's program beside itself", 1, 4, onForwarder,
+		func(f *Fleet, x Fault, _ func(time.Duration) bool) {
+			i, from := x.A%len(f.Forwarders), f.Hist.Now()
+			if err := f.Forwarders[i].Replace(); err != nil {
+				f.Hist.Fault("not replaced: " + err.Error())
+				return
+			}
+			f.Hist.Replace(i, from, f.Hist.Now())
+		}}
+	kinds["held"] = kind{"operators take a node out at every ingress, restart it at times, and call it back", 1, 4, one("held"),
+		func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+			n := f.pick(x.A)
+			if n == nil {
+				return
+			}
+			f.hold(n, func() {
+				if x.B%3 == 0 {
+					f.crash(n, "", x, wait)
+				}
+				wait(x.For)
+			})
+		}}
+	scenarios["operators"] = scenario{what: "programs replaced beside themselves, nodes held and restarted, while nodes err, drain and crash and programs die",
+		kinds: []string{"replaced", "replaced", "replaced", "held", "held", "held", "drain", "crash", "sick", "forwarder", "broken roster", "silent roster", "late roster"},
+		every: 400 * time.Millisecond, weather: 0.05, hangUps: 0.03, batches: 0.2, rude: 1,
+		floors: map[string]int{audit.Held: 20, audit.Replaced: 20, audit.Lost: 50}}
+}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -239,7 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(*net.TCPConn); ok && c.RemoteAddr() != nil {
 		return t, nil
 	}
 	c.Close()
--- /dev/null
+++ b/internal/takeover/takeover_test.go
@@ -0,0 +1,209 @@
+package takeover
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+// pair is a link and its other side.
+func pair(t *testing.T) (a, b *Link, path string) {
+	t.Helper()
+	path, err := Path(t.TempDir(), "n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	if a, err = Dial(path); a == nil || err != nil {
+		t.Fatal(err)
+	}
+	if b, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	t.Cleanup(b.Close)
+	return a, b, path
+}
+
+// Guards what the replacement rests on: a connection goes on at the receiver with every byte, while the sender closes it,
+// and a listener's queue is taken over with it.
+func TestSocketsGoOnElsewhere(t *testing.T) {
+	a, b, _ := pair(t)
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func(say string) net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		io.WriteString(c, say)
+		return c
+	}
+	one := dial("unread")
+	taken, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	waits := dial("queued")
+	if err := b.Send(Client, []byte("rest"), patience, taken); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Send(Sockets, nil, patience, l); err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	taken.Close()
+	l.Close()
+	m, err := a.Expect(Client, 1, patience)
+	if err != nil || string(m.Body) != "rest" {
+		t.Fatal(m, err)
+	}
+	c, err := TCPConn(m.Files[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	m, err = a.Expect(Sockets, 1, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l2, err := TCPListener(m.Files[0], addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l2.Close()
+	late := dial("late")
+	for i, want := range []struct {
+		near net.Conn
+		say  string
+	}{{one, "unread"}, {waits, "queued"}, {late, "late"}} {
+		far := net.Conn(c)
+		if i > 0 {
+			if far, err = l2.Accept(); err != nil {
+				t.Fatal(err)
+			}
+			defer far.Close()
+		}
+		far.SetDeadline(time.Now().Add(patience))
+		got := make([]byte, len(want.say))
+		if _, err := io.ReadFull(far, got); err != nil || string(got) != want.say {
+			t.Fatalf("%q, want %q: %v", got, want.say, err)
+		}
+		io.WriteString(far, "back")
+		if _, err := io.ReadFull(want.near, got[:4]); err != nil || string(got[:4]) != "back" {
+			t.Fatalf("%q came back: %v", got[:4], err)
+		}
+	}
+}
+
+// Guards the descriptors of a process that is told nonsense: each that came is closed.
+func TestNonsenseLeavesNothingOpen(t *testing.T) {
+	a, b, _ := pair(t)
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	open := func() int {
+		list, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Skip(err)
+		}
+		return len(list)
+	}
+	before := open()
+	for range 20 {
+		b.Send(Go, nil, patience, l, l)
+		if _, err := a.Expect(Sockets, 1, patience); err == nil {
+			t.Fatal("another kind was taken")
+		}
+		b.Send(Sockets, nil, patience, l)
+		if _, err := a.Expect(Sockets, 2, patience); err == nil {
+			t.Fatal("too few descriptors were taken")
+		}
+		b.Send(Sockets, nil, patience, l)
+		m, err := a.Expect(Sockets, 1, patience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := TCPListener(m.Files[0], "127.0.0.1:1"); err == nil || !strings.Contains(err.Error(), "not at") {
+			t.Fatal(err)
+		}
+		b.Send(Client, nil, patience, l)
+		if m, err = a.Receive(patience); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := TCPConn(m.Files[0]); err == nil {
+			t.Fatal("a listener passes for a connection")
+		}
+	}
+	if after := open(); after > before {
+		t.Errorf("%d descriptors, %d before", after, before)
+	}
+	if err := b.Send(Client, make([]byte, MaxBody+1), patience); err == nil {
+		t.Error("an overlong message was sent")
+	}
+	if err := b.Send(Client, bytes.Repeat([]byte("x"), MaxBody), patience); err != nil {
+		t.Error(err)
+	}
+	if m, err := a.Receive(patience); err != nil || len(m.Body) != MaxBody {
+		t.Error(len(m.Body), err)
+	}
+	b.Close()
+	if _, err := a.Receive(patience); err == nil {
+		t.Error("the end of the link is no error")
+	}
+}
+
+// Guards starts beside what a killed process left, and against paths that the system would cut.
+func TestPaths(t *testing.T) {
+	dir := t.TempDir()
+	path, _ := Path(dir, "n")
+	if l, err := Dial(path); l != nil || err != nil {
+		t.Fatal("nothing is there:", l, err)
+	}
+	fd, err := syscall.Socket(syscall.AF_UNIX, syscall.SOCK_SEQPACKET, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Bind(fd, &syscall.SockaddrUnix{Name: path})
+	syscall.Close(fd) // as a killed process leaves it
+	if l, err := Dial(path); l != nil || err != nil {
+		t.Fatal("nobody listens:", l, err)
+	}
+	first, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Listen(path) // a new process, while the old one still has its listener
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	if l, err := Dial(path); l == nil || err != nil {
+		t.Fatal("the old process took the new one's path away:", err)
+	}
+	second.Close()
+	if _, err := Path(strings.Repeat("x", 100), "n"); err == nil {
+		t.Error("a path that is too long is no error")
+	}
+	if p, _ := Path(dir, "../../n"); filepath.Dir(p) != dir {
+		t.Error("a name leads out of the folder:", p)
+	}
+}
