A process that replaces another goes on with what that one's module knew

Cause: a replaced process began with empty counts: its accounts got fresh windows, its ceilings' splits began empty, and others took it for another life of the member. Two gateways one after the other let in exactly what one does, on each kind of plan.

--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"eiderspread/internal/kept"
 	"eiderspread/internal/roster"
 	"eiderspread/internal/takeover"
 )
@@ -21,6 +22,8 @@
 	linkMost  = 2 * time.Second        // how long either side waits for the other's next word
 	passMost  = 200 * time.Millisecond // how long the loop may wait for a descriptor to be taken
 	pastTime  = 1                      // a deadline that has gone by, in Unix seconds
+	partsMost = 1 << 14                // of what a module knows
+	nodesMost = 200                    // of which that may hold; in larger fleets they are learned anew
 	bothShare = 0.5                    // of memory and connections, that either process has while both run
 )
 
@@ -34,6 +37,14 @@
 	}
 }
 
+// Keeper is a Gateway that hands what it knows to one of its number in another process. Keep is the last that it is asked
+// before that one serves; Adopt is told of each part, once backends are listed and before the first request. A gateway whose
+// successor died adopts its own parts.
+type Keeper interface {
+	Keep(now float64) []kept.Part
+	Adopt(now float64, part kept.Part)
+}
+
 // succession is what an old process keeps of the link to its successor. Loop only, but for the link.
 type succession struct {
 	link   *takeover.Link
@@ -42,6 +53,7 @@
 	pause  chan struct{} // closed when the listener is to rest
 	queue  chan passing  // to the sender; as long as there may be connections, each of which is in it once
 	passed int
+	kept   []kept.Part // that went to the successor
 }
 
 // passing is a connection on its way to the new process.
@@ -63,7 +75,8 @@
 	link     *takeover.Link
 	listener *net.TCPListener
 	peers    *net.UDPConn
-	held     int // of the input's budget, that the old one may still use
+	parts    []kept.Part // of what its module knows; all or none
+	held     int         // of the input's budget, that the old one may still use
 }
 
 // inherit asks the process that this one replaces for its sockets; nil if there is none.
@@ -115,8 +128,16 @@
 	h := in.heir
 	err := h.link.Send(takeover.Ready, nil, linkMost)
 	var m takeover.Message
-	if err == nil {
-		m, err = h.link.Expect(takeover.Go, 0, linkMost)
+	for err == nil && m.Kind != takeover.Go {
+		if m, err = h.link.Receive(linkMost); err == nil && m.Kind == takeover.Kept && len(h.parts) < partsMost {
+			var part kept.Part
+			err = json.Unmarshal(m.Body, &part)
+			h.parts = append(h.parts, part)
+		}
+		m.Close()
+	}
+	if err != nil {
+		h.parts = nil // a part of its counts would look to others as if the rest was handed back
 	}
 	var l targets
 	if err == nil && len(m.Body) > 0 {
@@ -131,6 +152,16 @@
 	}
 }
 
+// adopt goes on with what the old process's module knew.
+func (in *Ingress) adopt(parts []kept.Part) {
+	if k, ok := in.gate.(Keeper); ok {
+		in.now = max(in.now, in.clock.Now())
+		for _, part := range parts {
+			k.Adopt(in.now, part)
+		}
+	}
+}
+
 // receive takes the connections that the old process passes on, until it ends.
 func (in *Ingress) receive(h *inheritance) {
 	n := 0
@@ -273,7 +304,10 @@
 		list = nil // the new one goes by its own, and by discovery
 	}
 	s.queue = make(chan passing, cap(in.clients.room))
-	go in.passOn(s.link, list, s.queue)
+	if k, ok := in.gate.(Keeper); ok {
+		s.kept = k.Keep(in.now)
+	}
+	go in.passOn(s.link, s.kept, list, s.queue)
 	in.leaving = true
 	in.backends.most = int(float64(in.backends.most) * bothShare)
 	for _, be := range in.backends.byID {
@@ -298,8 +332,24 @@
 	return true
 }
 
-// passOn sends the word to go on and then the connections, until the link or this process ends.
-func (in *Ingress) passOn(link *takeover.Link, list []byte, queue <-chan passing) {
+// passOn sends what the module knew, the word to go on and then the connections, until the link or this process ends.
+func (in *Ingress) passOn(link *takeover.Link, parts []kept.Part, list []byte, queue <-chan passing) {
+	for i, part := range parts {
+		if i > 0 {
+			part.Classes = nil
+		}
+		if i > 0 || len(part.Servers) > nodesMost {
+			part.Servers = nil
+		}
+		text, err := json.Marshal(part)
+		if err == nil {
+			err = link.Send(takeover.Kept, text, linkMost)
+		}
+		if err != nil {
+			link.Close()
+			return
+		}
+	}
 	if err := link.Send(takeover.Go, list, linkMost); err != nil {
 		link.Close()
 		return
@@ -329,7 +379,8 @@
 		return
 	}
 	in.log.Error("the new process has ended; this one goes on", "passed", s.passed)
-	s.link, s.stage, s.passed = nil, none, 0
+	in.adopt(s.kept)
+	s.link, s.stage, s.passed, s.kept = nil, none, 0, nil
 	s.pause = make(chan struct{})
 	in.leaving = false
 	in.backends.most = int(float64(in.backends.most) / bothShare)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -231,6 +231,9 @@
 		in.openDoor(background)
 	}
 	in.takeList(in.cfg.Known)
+	if in.heir != nil {
+		in.adopt(in.heir.parts)
+	}
 	go in.watchDiscovery(background, reread)
 	in.every(ageEvery, func() { in.sayAge(in.ListAge()) })
 	in.taking.Store(true)
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -5,6 +5,7 @@
 //	new  -> old  hello   the version that it speaks
 //	old  -> new  sockets the listener of clients and, where there are peers, their datagram socket
 //	new  -> old  ready   everything else is done
+//	old  -> new  kept    a part of what its decision module knows
 //	old  -> new  go      the old one takes nothing more; with the list of backends as it knows it
 //	old  -> new  client  a client's connection on which nothing is open, and what was read from it and not used
 //
@@ -29,6 +30,7 @@
 	Hello   Kind = 'H'
 	Sockets Kind = 'S'
 	Ready   Kind = 'R'
+	Kept    Kind = 'K'
 	Go      Kind = 'G'
 	Client  Kind = 'C'
 )
--- /dev/null
+++ b/policy/keep.go
@@ -0,0 +1,87 @@
+package policy
+
+import "eiderspread/internal/kept"
+
+// What a gateway knows, handed to the one that goes on for it in another process. It is bookkeeping: nothing is decided.
+
+func (g *Gateway) figures() []*float64 { return []*float64{&g.work, &g.workAt, &g.stretch, &g.spent} }
+func (s *server) figures() []*float64 {
+	return []*float64{&s.speed, &s.util, &s.utilAt, &s.busy, &s.sentAt}
+}
+func (l *ledger) figures() []*float64 {
+	return []*float64{&l.room, &l.at, &l.born, &l.demand, &l.demandAt}
+}
+func (c *customer) figures() []*float64 { // the ceiling's first
+	return []*float64{&c.ceil, &c.ceilAt, &c.pool, &c.poolAt, &c.usedAt, &c.turnedAt, &c.total, &c.acked, &c.demand,
+		&c.demandAt, &c.room, &c.roomAt, &c.others, &c.holdTill, &c.local, &c.localAt}
+}
+
+// Keep returns all that is to be handed on. This gateway passes nothing more under a ceiling: what is left is the other's.
+func (g *Gateway) Keep(now float64) (parts []kept.Part) {
+	g.clock(now)
+	k := kept.Part{Boot: g.boot, Seq: g.seq, Born: g.born, Limit: g.limit / float64(max(1, len(g.order))), Figures: kept.Values(g.figures()),
+		Classes: map[string][2]float64{}, Servers: map[string][]float64{}}
+	for name, c := range g.classes {
+		k.Classes[name] = [2]float64{c.lat, float64(c.n)}
+	}
+	for id, s := range g.servers {
+		k.Servers[id] = kept.Values(s.figures())
+	}
+	parts = []kept.Part{k}
+	for _, c := range g.custs {
+		x := kept.Customer{Key: c.key, Hash: c.hash, Plan: c.plan.Name, First: c.first, Entries: c.entries, Known: c.known,
+			Out: c.out > 0, Figures: kept.Values(c.figures())}
+		if c.led != nil {
+			x.Ledger, x.Members = kept.Values(c.led.figures()), map[int][5]float64{}
+			for i, m := range c.led.members {
+				x.Members[i] = [5]float64{float64(m.boot), m.total, m.rate, float64(m.out), m.at}
+			}
+		}
+		parts = kept.Add(parts, x)
+		c.ceil, c.pool = kept.None, kept.None
+	}
+	return parts
+}
+
+// Adopt goes on with what another gateway of this number handed on, once servers are listed and before the first request;
+// or takes its own back.
+func (g *Gateway) Adopt(now float64, k kept.Part) {
+	g.clock(now)
+	g.boot, g.seq, g.born = k.Boot, max(g.seq, k.Seq+kept.SeqAhead), k.Born
+	g.limit = k.Limit * float64(max(1, len(g.order)))
+	kept.Restore(g.figures(), k.Figures)
+	for name, f := range k.Classes {
+		if c := g.classes[name]; c != nil {
+			c.lat, c.n = f[0], int(f[1])
+		}
+	}
+	for id, f := range k.Servers {
+		if s := g.servers[id]; s != nil {
+			kept.Restore(s.figures(), f)
+		}
+	}
+	for _, x := range k.Customers {
+		p := g.byPlan[x.Plan]
+		if c := g.custs[x.Key]; c != nil {
+			kept.Restore(c.figures()[:4], x.Figures)
+			continue
+		} else if p == nil || x.Entries < 0 || x.Entries > g.s.Gateways {
+			continue
+		}
+		c := g.newCustomer(x.Key, p)
+		c.hash, c.first, c.entries, c.known = x.Hash, x.First, x.Entries, x.Known
+		if kept.Restore(c.figures(), x.Figures); c.entries > 0 {
+			c.prime = g.walk(c, false)
+		}
+		if x.Ledger != nil {
+			c.led = &ledger{members: map[int]*member{}}
+			kept.Restore(c.led.figures(), x.Ledger)
+			for i, f := range x.Members {
+				c.led.members[i] = &member{uint8(f[0]), f[1], f[2], int(f[3]), f[4]}
+			}
+		}
+		if x.Out || c.total != c.acked {
+			g.note(c, false)
+		}
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,11 +1,15 @@
 package policy
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
 
+	"eiderspread/internal/kept"
 	"eiderspread/internal/peermsg"
 )
 
@@ -261,6 +265,138 @@
 	}
 }
 
+// Guards quotas and ceilings over a replacement of the process: the old gateway and the one that goes on for it let in what one
+// would have, whichever way the plan is limited, and the old one nothing more under a ceiling.
+func TestHandedOnCountsAsOneGateway(t *testing.T) {
+	for _, plan := range []string{"basic", "capped", "wide"} {
+		passed := func(replace, adopt bool) (n int, late int) {
+			g, r := gateway(t, alone)
+			old := g
+			answer := func(now float64) {
+				for _, a := range r.of("send", "") {
+					n++
+					g.Outcome(now, Outcome{ID: a.id, Server: a.server, Status: OK, Over: true, SpentS: 0.01})
+				}
+				r.acts = nil
+			}
+			for i := range 200 {
+				now := 100 + float64(i)*0.05
+				if i == 90 && replace {
+					parts := g.Keep(now)
+					r = &recorder{}
+					s := testSettings()
+					alone(&s)
+					next, err := New(s, 8, now, r)
+					if err != nil {
+						t.Fatal(err)
+					}
+					next.Servers(now, []Server{{ID: "s1", Zone: "a", Cell: 1}, {ID: "s2", Zone: "a", Cell: 2}, {ID: "s3", Zone: "b", Cell: 3}}, true)
+					for _, part := range parts {
+						text, err := json.Marshal(part)
+						var back kept.Part
+						if err = errors.Join(err, json.Unmarshal(text, &back)); err != nil {
+							t.Fatal(err)
+						}
+						if adopt {
+							next.Adopt(now, back)
+						}
+					}
+					g = next
+				}
+				ask(g, now, fmt.Sprint("a", i), "read", plan, 1)
+				g.Timer(now, 1)
+				answer(now)
+			}
+			if old != g && plan == "capped" { // the old one has nothing left to give under a ceiling
+				or := old.act.(*recorder)
+				or.acts = nil
+				ask(old, 110, "late", "read", "capped", 1)
+				late = len(or.of("send", "late"))
+			}
+			return n, late
+		}
+		whole, _ := passed(false, false)
+		two, late := passed(true, true)
+		fresh, _ := passed(true, false)
+		if two != whole {
+			t.Errorf("%s: %d let in by two, %d by one", plan, two, whole)
+		}
+		if late > 0 {
+			t.Errorf("%s: the old gateway passes on under a ceiling that it handed on", plan)
+		}
+		if plan == "basic" && fresh <= whole {
+			t.Errorf("%s: no occasion: %d without what was handed on, %d with it", plan, fresh, whole)
+		}
+	}
+}
+
+// Guards the owner's count over a replacement of a member: it goes on as the same life, nothing seems handed back or new.
+func TestHandedOnMemberIsTheSameLife(t *testing.T) {
+	g, r, _ := pair(t)
+	now, seen := 100.0, [2]int{}
+	pump := func(now float64) {
+		for i := range g {
+			for ; seen[i] < len(r[i].acts); seen[i]++ {
+				if a := r[i].acts[seen[i]]; a.kind == "tell" {
+					g[1-i].Peer(now, i, a.data)
+				} else if a.kind == "send" {
+					g[i].Outcome(now, Outcome{ID: a.id, Server: a.server, Status: OK, Over: true, SpentS: 0.01})
+				}
+			}
+		}
+	}
+	step := func(from int, id string) {
+		now += 0.05
+		ask(g[from], now, id, "read", "wide", 1)
+		for i := range g {
+			g[i].Timer(now, 1)
+		}
+		pump(now)
+	}
+	for i := range 40 {
+		step(i%2, fmt.Sprint("a", i))
+	}
+	key := uint32(0)
+	owner := 0
+	for k, c := range g[0].custs {
+		if key = k; g[0].owner(c) == 1 {
+			owner = 1
+		}
+	}
+	mem := 1 - owner
+	total := g[mem].custs[key].total
+	was := *g[owner].custs[key].led.members[mem]
+	parts := g[mem].Keep(now)
+	s := g[mem].s
+	next, err := New(s, 99, now, r[mem])
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Servers(now, []Server{{ID: "s1", Zone: "a", Cell: 1}, {ID: "s2", Zone: "a", Cell: 2}, {ID: "s3", Zone: "b", Cell: 3}}, true)
+	for _, p := range parts {
+		next.Adopt(now, p)
+	}
+	g[mem] = next
+	for i := range 20 {
+		step(mem, fmt.Sprint("b", i))
+	}
+	for range 20 {
+		now += 0.05
+		for i := range g {
+			g[i].Timer(now, 1)
+		}
+		pump(now)
+	}
+	is := g[owner].custs[key].led.members[mem]
+	sum := g[mem].custs[key].total
+	if sum < total+15 {
+		t.Fatalf("no occasion: %v units, %v before", sum, total)
+	}
+	if is.boot != was.boot || math.Abs(is.total-sum) > 0.3 {
+		t.Errorf("the owner has boot %d and %v units, want boot %d and %v", is.boot, is.total, was.boot, sum)
+	}
+}
+
 func TestKeyedResendsStayInGroupAndTime(t *testing.T) {
 	zone := map[string]string{"s1": "a", "s2": "a", "s3": "b"}
 	for seed := range 20 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -156,8 +156,7 @@
 	led            *ledger
 }
 
-// ledger is an owner's count: the window opens evenly, and what is unused
-// carries over up to one burst.
+// ledger is an owner's count: the window opens evenly, and what is unused carries over up to one burst.
 type ledger struct {
 	room, at, born   float64
 	demand, demandAt float64
