--- a/internal/held/store.go
+++ b/internal/held/store.go
@@ -1,6 +1,7 @@
 package held
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -9,7 +10,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -32,18 +32,22 @@
 // it is whole whenever a process ends. Its methods are safe for concurrent use, and block.
 type Store struct {
 	path string
-	mu   sync.Mutex // held over a whole change or look, so that none is undone by an older one
+	one  chan struct{} // held over a whole change or look, so that none is undone by an older one
 	seen os.FileInfo
 }
 
 // NewStore returns the store at path; nothing is read yet.
-func NewStore(path string) *Store { return &Store{path: path} }
+func NewStore(path string) *Store { return &Store{path: path, one: make(chan struct{}, 1)} }
 
 // Change reads what the file holds, has apply turn it into what it shall hold, and writes that. Nothing is written when
-// apply returns an error. An unreadable file is passed to apply as no holds.
-func (s *Store) Change(apply func(Holds) (Holds, error)) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// apply returns an error. An unreadable file is passed to apply as no holds. It waits for other changes until ctx ends.
+func (s *Store) Change(ctx context.Context, apply func(Holds) (Holds, error)) error {
+	select {
+	case s.one <- struct{}{}:
+	case <-ctx.Done():
+		return fmt.Errorf("held: another call is under way: %w", ctx.Err())
+	}
+	defer func() { <-s.one }()
 	unlock, err := s.lock()
 	if err != nil {
 		return err
@@ -62,8 +66,8 @@
 // Look calls apply with the holds if the file has changed since this store last read or wrote it. An error tells of a
 // file that can't be used; it is told once for each state of the file.
 func (s *Store) Look(apply func(Holds)) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.one <- struct{}{}
+	defer func() { <-s.one }()
 	now, err := os.Stat(s.path)
 	if err != nil || s.seen != nil && os.SameFile(now, s.seen) && now.ModTime().Equal(s.seen.ModTime()) {
 		if errors.Is(err, fs.ErrNotExist) {
--- a/internal/held/store_test.go
+++ b/internal/held/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"maps"
@@ -17,7 +18,7 @@
 	if path := os.Getenv("HELD_TEST_WRITER"); path != "" {
 		s := NewStore(path)
 		for i := 0; ; i++ {
-			err := s.Change(func(h Holds) (Holds, error) {
+			err := s.Change(context.Background(), func(h Holds) (Holds, error) {
 				h = Holds{}
 				for k := range 300 {
 					h[fmt.Sprintf("s-%d", k)] = Hold{SinceMS: int64(i + 1)}
@@ -79,7 +80,7 @@
 		s := NewStore(path)
 		wg.Go(func() {
 			for i := range 50 {
-				err := s.Change(func(h Holds) (Holds, error) {
+				err := s.Change(context.Background(), func(h Holds) (Holds, error) {
 					if h = maps.Clone(h); h == nil {
 						h = Holds{}
 					}
@@ -99,13 +100,36 @@
 	}
 }
 
+// Guards a call's time against the calls before it: it does not wait for them beyond its own.
+func TestCallsDoNotQueue(t *testing.T) {
+	s := NewStore(filepath.Join(t.TempDir(), "held"))
+	begun, free, done := make(chan struct{}), make(chan struct{}), make(chan error)
+	go func() {
+		done <- s.Change(context.Background(), func(Holds) (Holds, error) {
+			close(begun)
+			<-free
+			return Holds{}, nil
+		})
+	}()
+	<-begun
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := s.Change(over, func(Holds) (Holds, error) { t.Error("two at once"); return nil, nil }); !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	close(free)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestFilesThatCannotBeUsed(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "held")
 	s := NewStore(path)
 	if err := s.Look(func(Holds) { t.Error("nothing is there") }); err != nil {
 		t.Fatal(err)
 	}
-	if err := s.Change(func(Holds) (Holds, error) { return Holds{"a": {SinceMS: 1}}, nil }); err != nil {
+	if err := s.Change(context.Background(), func(Holds) (Holds, error) { return Holds{"a": {SinceMS: 1}}, nil }); err != nil {
 		t.Fatal(err)
 	}
 	good, _ := os.ReadFile(path)
@@ -117,11 +141,11 @@
 		}
 	}
 	// A call still goes through: what it asks for is known.
-	if err := s.Change(func(h Holds) (Holds, error) { return Holds{"b": {SinceMS: 2}}, nil }); err != nil {
+	if err := s.Change(context.Background(), func(h Holds) (Holds, error) { return Holds{"b": {SinceMS: 2}}, nil }); err != nil {
 		t.Fatal(err)
 	}
 	refused := errors.New("no")
-	if err := s.Change(func(Holds) (Holds, error) { return nil, refused }); !errors.Is(err, refused) {
+	if err := s.Change(context.Background(), func(Holds) (Holds, error) { return nil, refused }); !errors.Is(err, refused) {
 		t.Fatal(err)
 	}
 	if err := NewStore(path).Look(func(h Holds) {
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -97,7 +97,7 @@
 func (d *door) change(ctx context.Context, what, id string,
 	do func(nowMS int64, id string) (targets, error)) error {
 	in := d.in
-	return in.store.Change(func(before held.Holds) (after held.Holds, err error) {
+	return in.store.Change(ctx, func(before held.Holds) (after held.Holds, err error) {
 		err = in.onLoop(ctx, func() error {
 			if before != nil {
 				in.applyList(in.held.Set(before))
