--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -5,16 +5,20 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/forward"
+	"eiderspread/internal/ingress"
 	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/planner"
 	"eiderspread/internal/program"
@@ -32,6 +36,13 @@
 		fmt.Println(c.Process.Pid)
 		select {}
 	}
+	if os.Getenv("LAB_KIND") == "ingress" {
+		if err := oneIngress(os.Getenv("LAB_FILE")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	if kind := os.Getenv("LAB_KIND"); kind != "" {
 		if err := program.Run(kind, os.Getenv("LAB_FILE")); err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -42,6 +53,17 @@
 	os.Exit(m.Run())
 }
 
+// oneIngress is what cmd/eiderspread does, but for its limits.
+func oneIngress(file string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	cfg, err := ingress.ReadConfig(file)
+	if err != nil {
+		return err
+	}
+	return ingress.Run(ctx, cfg, nil, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+}
+
 func spawn(kind, file string) *exec.Cmd {
 	c := exec.Command(os.Args[0])
 	c.Env = append(os.Environ(), "LAB_KIND="+kind, "LAB_FILE="+file)
@@ -82,6 +104,35 @@
 	}
 }
 
+// Operators at work on a fleet of one level, the short form: programs replaced beside themselves under load, and nodes held at
+// all of them, also while a program is replaced or killed.
+func TestOperators(t *testing.T) {
+	cfg := testFleet(t, 3)
+	cfg.Planners = 0
+	sc := Scenario{FleetConfig: cfg, Accounts: Accounts(6, 4, 2, 3, 2, 1), Length: 9 * time.Second}
+	if err := Make("operators", &sc, nil, 0); err != nil {
+		t.Fatal(err)
+	}
+	ms := time.Millisecond
+	sc.Faults = []Fault{{At: 900 * ms, For: 3 * time.Second, Kind: "held", A: 1}, {At: 1500 * ms, Kind: "replaced", A: 0}, {At: 2000 * ms, Kind: "replaced", A: 1},
+		{At: 2200 * ms, For: 300 * ms, Kind: "forwarder", A: 2}, {At: 2500 * ms, Kind: "broken roster"}, {At: 4500 * ms, Kind: "replaced", A: 0},
+		{At: 5000 * ms, For: 2 * time.Second, Kind: "held", A: 2}, {At: 5500 * ms, Kind: "replaced", A: 2}}
+	sc.Floors = map[string]int{audit.Held: 1, audit.Replaced: 3, audit.Lost: 5}
+	var log strings.Builder
+	f, rep, err := Run(sc, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := rep.Verdict(); err != nil {
+		var b strings.Builder
+		rep.Print(&b)
+		t.Errorf("%v\n%s\n%s", err, b.String(), log.String())
+	}
+	if len(f.Hist.Replaced) != 4 {
+		t.Errorf("%d programs were replaced, want 4: %+v", len(f.Hist.Replaced), f.Hist.Faults)
+	}
+}
+
 // The whole fleet as processes, with planners killed, paused, ended and cut off: the short form of the long run.
 func TestFleetOfProcesses(t *testing.T) {
 	if !fleet.Fenced {
