--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -290,3 +290,31 @@
 		t.Error("half a file is read")
 	}
 }
+
+// News that came while a program was replaced binds 2 s after that began, and neither sooner nor later; what operators hold binds
+// at once, and over restarts.
+func TestReplacementsAndHolds(t *testing.T) {
+	h := New()
+	h.Replaced = []Outage{{Forwarder: 1, From: 10 * time.Second, To: 10200 * time.Millisecond}}
+	for told, want := range map[time.Duration]time.Duration{9 * time.Second: 9 * time.Second, 10 * time.Second: 12 * time.Second,
+		11900 * time.Millisecond: 12 * time.Second, 12 * time.Second: 12 * time.Second, 13 * time.Second: 13 * time.Second} {
+		if got := h.binds(1, told); got != want {
+			t.Errorf("told at %v: binds at %v, want %v", told, got, want)
+		}
+	}
+	if h.binds(0, 11*time.Second) != 11*time.Second {
+		t.Error("another forwarder was replaced")
+	}
+	h.HeldNodes = []Hold{{Party: Party(1), Node: "z", From: 20 * time.Second, To: 25 * time.Second}}
+	h.Restarts = []Outage{{Forwarder: 1, From: 21 * time.Second, To: 22 * time.Second}}
+	tries := map[string]*Try{}
+	for id, at := range map[string]time.Duration{"before": 19500 * time.Millisecond, "grace": 20200 * time.Millisecond, "held": 23 * time.Second, "after": 26 * time.Second} {
+		tries[id+"/a"] = &Try{ID: id, Account: "a", Forwarder: 1}
+		h.Attempts = append(h.Attempts, &Attempt{ID: id, Account: "a", Node: "z", At: at})
+	}
+	rep := &Report{Counts: map[string]int{}, Seen: map[string]int{}, Occasions: map[string]int{}}
+	rep.operators(h, Rules{DrainS: 0.25}, tries)
+	if len(rep.Breaches) != 1 || rep.Seen[Held] != 1 || !strings.Contains(rep.Breaches[0].What, "held") {
+		t.Errorf("%+v, %d seen", rep.Breaches, rep.Seen[Held])
+	}
+}
