--- /dev/null
+++ b/internal/fade/fade.go
@@ -0,0 +1,25 @@
+// Package fade keeps sums over a time that moves on.
+package fade
+
+// Log is what was done within a span of time, oldest first. Its zero value is empty; it holds no more than what was added within
+// the last span asked for.
+type Log []Work
+
+// Work is some work at a time, both in seconds.
+type Work struct{ At, Work float64 }
+
+// Add puts work on the log.
+func (l *Log) Add(now, work float64) { *l = append(*l, Work{now, work}) }
+
+// Within sums what was added within the last span, and forgets the rest.
+func (l *Log) Within(now, span float64) (sum float64) {
+	keep := (*l)[:0]
+	for _, w := range *l {
+		if now-w.At < span {
+			keep = append(keep, w)
+			sum += w.Work
+		}
+	}
+	*l = keep
+	return sum
+}
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -107,13 +107,19 @@
 // configuration that comes on reread, which may be nil, the address of discovery, the classes and the attempts are taken
 // over.
 func Run(ctx context.Context, cfg Config, reread <-chan Config, log *slog.Logger) error {
-	return RunWith(ctx, cfg, reread, log, func(_ context.Context, h Host) (Gateway, error) {
+	var why *tracing
+	err := RunWith(ctx, cfg, reread, log, func(life context.Context, h Host) (Gateway, error) {
 		gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, h.Now(), h)
 		if err != nil {
 			return nil, fmt.Errorf("settings: %w", err)
 		}
+		if why, err = startTracing(life, cfg, h.Now(), gate, log); err != nil {
+			return nil, err
+		}
 		return gate, nil
 	})
+	why.wait()
+	return err
 }
 
 // RunWith is Run with another decider. What make starts ends with the context that it gets, which ends when the
--- a/internal/ingress/status.go
+++ b/internal/ingress/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"eiderspread/internal/operator"
@@ -15,7 +16,9 @@
 // Operator is the operator's file of an ingress, deploy/ingress.toml: what the platform's configuration does not know. All
 // of it is off unless asked for.
 type Operator struct {
-	Status string // where the status is served, on loopback; empty: nowhere
+	Status  string // where the status is served, on loopback; empty: nowhere
+	Trace   string // folder for traces of decisions; empty: none are written
+	TraceMB int    `toml:"trace_mb"` // bounds each file; 0: trace.DefaultMostMB
 }
 
 // ReadOperator reads and checks the operator's file.
@@ -29,6 +32,14 @@
 			return o, fmt.Errorf("%s: %w", path, err)
 		}
 	}
+	if o.TraceMB < 0 {
+		return o, fmt.Errorf("%s: trace_mb must not be below 0", path)
+	}
+	if o.Trace != "" {
+		if st, err := os.Stat(o.Trace); err != nil || !st.IsDir() {
+			return o, fmt.Errorf("%s: trace: %s is no folder", path, o.Trace)
+		}
+	}
 	return o, nil
 }
 
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -19,6 +19,7 @@
 	"eiderspread/internal/lab/node"
 	"eiderspread/internal/link"
 	"eiderspread/internal/planner"
+	"eiderspread/internal/why"
 	"eiderspread/policy"
 )
 
@@ -39,6 +40,7 @@
 	Quota                              float64        // of the rule on quotas; 0: lab.QuotaSlack in two levels, not judged in one
 	CapX                               float64        // of the rule on caps; 0: 2 in two levels, not judged in one
 	Seed                               uint64
+	Trace                              func(ingress int, d why.Decision) // told of each decision, if not nil; one level, true times
 }
 
 // Drift is what the fastest clock makes of a second.
@@ -458,6 +460,12 @@
 	if f.gate, err = policy.New(s.settings(f.n, s.cfg.Forwarders, true), s.rng.Uint64(), f.now(), f); err != nil {
 		panic(err)
 	}
+	if s.cfg.Trace != nil {
+		f.gate.Trace(func(d why.Decision) {
+			d.At = s.t
+			s.cfg.Trace(f.n, d)
+		})
+	}
 	f.gate.Servers(f.now(), s.list(f.clock), true)
 }
 
--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -143,3 +143,18 @@
 	}
 	return boot, seq, recs, items, true
 }
+
+// Order tells old messages of one sender from new ones, by its life and its sequence numbers.
+type Order struct {
+	Boot uint8
+	Seq  uint16
+}
+
+// Late tells whether a message is older than one taken in already, or comes twice; if not, it is taken in.
+func (o *Order) Late(boot uint8, seq uint16) bool {
+	if boot == o.Boot && o.Seq != 0 && int16(seq-o.Seq) <= 0 {
+		return true
+	}
+	o.Boot, o.Seq = boot, seq
+	return false
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,41 @@
+// Package ring is a consistent-hashing ring of gateways: each has so many points on a circle of 64 bits, and whoever holds a
+// position is found by going on from it. It decides nothing: who is skipped is the caller's word.
+package ring
+
+import (
+	"cmp"
+	"slices"
+
+	"eiderspread/internal/peermsg"
+)
+
+type point struct {
+	at uint64
+	gw int
+}
+
+// Ring is immutable once made.
+type Ring []point
+
+// New puts that many points of each gateway on a ring. All gateways make the same one.
+func New(gateways, points int) Ring {
+	r := make(Ring, 0, gateways*points)
+	for gw := range gateways {
+		for i := range points {
+			r = append(r, point{peermsg.Mix(uint64(gw)<<32 | uint64(i)), gw})
+		}
+	}
+	slices.SortFunc(r, func(a, b point) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.gw, b.gw)) })
+	return r
+}
+
+// Walk goes on from a position to the first gateway that is wanted; ok is false if none is.
+func (r Ring) Walk(from uint64, wanted func(gw int) bool) (gw int, ok bool) {
+	i, _ := slices.BinarySearchFunc(r, from, func(p point, at uint64) int { return cmp.Compare(p.at, at) })
+	for n := range r {
+		if gw := r[(i+n)%len(r)].gw; wanted(gw) {
+			return gw, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/trace/analyse/analyse_test.go
@@ -0,0 +1,77 @@
+package analyse
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"eiderspread/internal/trace"
+	"eiderspread/internal/why"
+	"eiderspread/policy"
+)
+
+var header = trace.Header{Plans: []policy.Plan{{Name: "p", Rate: 2, Burst: 4, Price: 1.5, CeilingRate: 4, CeilingBurst: 8}},
+	Classes: []policy.Class{{Name: "c", Worth: 3}}}
+
+func file(name string, me int, list ...why.Decision) *trace.File {
+	h := header
+	h.Name, h.Me = name, me
+	return &trace.File{Header: h, Decisions: list}
+}
+
+func at(t float64, step why.Step, reason why.Reason, id string, units float64) why.Decision {
+	return why.Decision{At: t, Step: step, Why: reason, ID: id, Account: 7, Plan: "p", Class: "c", Units: units}
+}
+
+// The true room is of all gateways' first sends; further attempts and refusals take nothing.
+func TestTrueRoomIsOfAllGateways(t *testing.T) {
+	again := at(0.2, why.Send, why.None, "a", 3)
+	again.Attempt = 1
+	run := Join([]*trace.File{
+		file("n0", 0, at(0, why.Send, why.None, "a", 3), again, at(0.5, why.Refuse, why.CeilPart, "x", 2), at(1, why.Refuse, why.OwnRoom, "y", 2)),
+		file("n1", 1, at(0.25, why.Refuse, why.Denied, "z", 1), at(0.4, why.Send, why.None, "b", 1)),
+	})
+	want := map[string]struct {
+		free float64
+		fits bool
+	}{"z": {1.5, true}, "x": {1, false}, "y": {2, true}}
+	for _, r := range run.Records {
+		w, ok := want[r.ID]
+		if !ok {
+			continue
+		}
+		delete(want, r.ID)
+		if d := r.Free - w.free; d > 1e-9 || d < -1e-9 || r.Fits() != w.fits {
+			t.Errorf("%s: free %v, fits %v, want %+v", r.ID, r.Free, r.Fits(), w)
+		}
+	}
+	if len(want) > 0 {
+		t.Errorf("not seen: %v", want)
+	}
+	rows := run.By(Refused, Keys["reason"])
+	if len(rows) != 3 || rows[0].Key != "own-room" || rows[0].FitWorth != 2*3*1.5 || rows[1].Key != "denied" || rows[2].Fit != 0 {
+		t.Errorf("%+v", rows)
+	}
+	var b bytes.Buffer
+	if err := Print(&b, "reason", rows); err != nil || !strings.Contains(b.String(), "all") {
+		t.Errorf("%v %s", err, b.String())
+	}
+}
+
+// A first send beyond the quota takes nothing from it, but from the ceiling.
+func TestBeyondTheQuota(t *testing.T) {
+	run := Join([]*trace.File{file("n0", 0, at(0, why.Send, why.None, "a", 4), at(0, why.Send, why.None, "b", 4), at(0.5, why.Refuse, why.OwnRoom, "x", 1),
+		at(1, why.Refuse, why.OwnRoom, "y", 2), at(1, why.Send, why.None, "d", 4), at(1.0, why.Refuse, why.CeilBoth, "v", 1))})
+	for _, r := range run.Records {
+		switch r.ID {
+		case "x":
+			if r.Free != 1 || !r.CeilOK || !r.Fits() {
+				t.Errorf("x: %+v", r)
+			}
+		case "v":
+			if r.CeilOK || r.Fits() || r.Free != 2 {
+				t.Errorf("v: %+v", r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/trace/analyse/table.go
@@ -0,0 +1,139 @@
+package analyse
+
+import (
+	"cmp"
+	"encoding/csv"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+
+	"eiderspread/internal/why"
+)
+
+// Row sums decisions that have something in common. Worth is by the settings; Fit counts those whose units the account's true
+// window and ceiling held at that moment.
+type Row struct {
+	Key              string
+	N, Fit, Later    int
+	Units            float64
+	Worth, FitWorth  float64
+	AgeSum, ShortSum float64 // of the owner's word; units beyond the room that the gateway saw, where there is less
+}
+
+// Refused tells that the record is a final answer in the gateway's own words.
+func Refused(r Record) bool { return r.Step == why.Refuse || r.Step == why.Fail }
+
+// By sums those records that are wanted by a key, the dearest first.
+func (run *Run) By(want func(Record) bool, key func(Record) string) []Row {
+	rows := map[string]*Row{}
+	for _, r := range run.Records {
+		if !want(r) {
+			continue
+		}
+		k := key(r)
+		row := rows[k]
+		if row == nil {
+			row = &Row{Key: k}
+			rows[k] = row
+		}
+		worth := run.Worth(r)
+		row.N++
+		row.Units += r.Units
+		row.Worth += worth
+		row.AgeSum += float64(r.Age)
+		row.ShortSum += max(r.Units-float64(r.Room), 0)
+		if r.Later {
+			row.Later++
+		}
+		if r.Fits() {
+			row.Fit++
+			row.FitWorth += worth
+		}
+	}
+	list := slices.Collect(maps.Values(rows))
+	slices.SortFunc(list, func(a, b *Row) int {
+		return cmp.Or(cmp.Compare(b.FitWorth, a.FitWorth), cmp.Compare(b.N, a.N), cmp.Compare(a.Key, b.Key))
+	})
+	out := make([]Row, len(list))
+	for i, r := range list {
+		out[i] = *r
+	}
+	return out
+}
+
+// Keys by which a table can be made.
+var Keys = map[string]func(Record) string{
+	"reason":  func(r Record) string { return r.Why.String() },
+	"plan":    func(r Record) string { return r.Plan },
+	"class":   func(r Record) string { return r.Class },
+	"gateway": func(r Record) string { return r.Name },
+	"account": func(r Record) string { return fmt.Sprintf("%08x", r.Account) },
+	"owner": func(r Record) string {
+		switch {
+		case r.Owner != r.Prime:
+			return "stand-in"
+		case r.Owner == r.Gateway:
+			return "itself"
+		}
+		return "another"
+	},
+}
+
+// Print writes rows as a table.
+func Print(w io.Writer, head string, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "%s\tnumber\tunits\tworth\twith room\tits worth\tlater tries\tword's age s\tshort units\t\n", head)
+	var all Row
+	for _, r := range append(slices.Clone(rows), all) {
+		if r.Key == "" && r.N == 0 {
+			r = all
+			r.Key = "all"
+		} else {
+			all.N, all.Fit, all.Later = all.N+r.N, all.Fit+r.Fit, all.Later+r.Later
+			all.Units, all.Worth, all.FitWorth = all.Units+r.Units, all.Worth+r.Worth, all.FitWorth+r.FitWorth
+			all.AgeSum, all.ShortSum = all.AgeSum+r.AgeSum, all.ShortSum+r.ShortSum
+		}
+		n := max(float64(r.N), 1)
+		fmt.Fprintf(t, "%s\t%d\t%.0f\t%.0f\t%d\t%.0f\t%d\t%.2f\t%.2f\t\n", r.Key, r.N, r.Units, r.Worth, r.Fit, r.FitWorth, r.Later, r.AgeSum/n, r.ShortSum/n)
+	}
+	return t.Flush()
+}
+
+// CSV writes every record that is wanted, a line each.
+func (run *Run) CSV(w io.Writer, want func(Record) bool) error {
+	out := csv.NewWriter(w)
+	f := func(x float64) string { return strconv.FormatFloat(x, 'f', 4, 64) }
+	out.Write([]string{"at", "gateway", "step", "reason", "id", "account", "plan", "class", "units", "later", "left", "aim", "latency", "owner", "prime", "room", "age",
+		"mine", "others", "ceiling", "pool", "out", "most", "attempt", "server", "status", "from", "free", "fits"})
+	for _, r := range run.Records {
+		if !want(r) {
+			continue
+		}
+		out.Write([]string{f(r.At - run.Start), r.Name, r.Step.String(), r.Why.String(), r.ID, fmt.Sprintf("%08x", r.Account), r.Plan, r.Class, f(r.Units),
+			strconv.FormatBool(r.Later), f(float64(r.Left)), f(float64(r.Aim)), f(float64(r.Lat)), strconv.Itoa(r.Owner), strconv.Itoa(r.Prime), f(float64(r.Room)),
+			f(float64(r.Age)), f(float64(r.Mine)), f(float64(r.Others)), f(float64(r.Ceil)), f(float64(r.Pool)), strconv.Itoa(r.Out), f(float64(r.Most)),
+			strconv.Itoa(r.Attempt), r.Server, strconv.Itoa(r.Status), strconv.Itoa(r.From), f(r.Free), strconv.FormatBool(r.Fits())})
+	}
+	out.Flush()
+	return out.Error()
+}
+
+// Seconds sums refusals by reason in steps of so many seconds from the start.
+func (run *Run) Seconds(step float64, want func(Record) bool) (bins int, by map[why.Reason][]int) {
+	by = map[why.Reason][]int{}
+	for _, r := range run.Records {
+		bins = max(bins, int((r.At-run.Start)/step)+1)
+	}
+	for _, r := range run.Records {
+		if want(r) {
+			if by[r.Why] == nil {
+				by[r.Why] = make([]int, bins)
+			}
+			by[r.Why][int((r.At-run.Start)/step)]++
+		}
+	}
+	return bins, by
+}
--- /dev/null
+++ b/internal/trace/file.go
@@ -0,0 +1,125 @@
+package trace
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"eiderspread/internal/why"
+	"eiderspread/policy"
+)
+
+// Version is of the files that are written. Readers take no other.
+const Version = 1
+
+// Header is the first item of a file.
+type Header struct {
+	Magic    string         `cbor:"1,keyasint"`
+	Version  int            `cbor:"2,keyasint"`
+	Name     string         `cbor:"3,keyasint"` // of the gateway
+	Me       int            `cbor:"4,keyasint"`
+	Gateways int            `cbor:"5,keyasint"`
+	Started  float64        `cbor:"6,keyasint"` // Unix seconds, by the gateway's clock
+	Plans    []policy.Plan  `cbor:"7,keyasint"`
+	Classes  []policy.Class `cbor:"8,keyasint"`
+}
+
+const magic = "eiderspread.trace"
+
+// item is one item behind the header: a record, or how many were lost before the next.
+type item struct {
+	Decision *why.Decision `cbor:"1,keyasint,omitempty"`
+	Lost     uint64        `cbor:"2,keyasint,omitempty"`
+}
+
+// Writer writes a file: a CBOR sequence (RFC 8742). It is of one goroutine.
+type Writer struct {
+	buf   *bufio.Writer
+	enc   *cbor.Encoder
+	count *counter
+}
+
+type counter struct {
+	to io.Writer
+	n  int64
+}
+
+// Write implements io.Writer.
+func (c *counter) Write(b []byte) (int, error) {
+	n, err := c.to.Write(b)
+	c.n += int64(n)
+	return n, err
+}
+
+// NewWriter writes the header.
+func NewWriter(to io.Writer, h Header) (*Writer, error) {
+	h.Magic, h.Version = magic, Version
+	c := &counter{to: to}
+	w := &Writer{buf: bufio.NewWriterSize(c, 32<<10), count: c}
+	w.enc = cbor.NewEncoder(w.buf)
+	if err := w.enc.Encode(h); err != nil {
+		return nil, fmt.Errorf("trace: header: %w", err)
+	}
+	return w, w.buf.Flush()
+}
+
+// Write appends records, behind a note of those that were lost before them, and hands all of it on.
+func (w *Writer) Write(list []why.Decision, lost uint64) error {
+	if lost > 0 {
+		if err := w.enc.Encode(item{Lost: lost}); err != nil {
+			return fmt.Errorf("trace: %w", err)
+		}
+	}
+	for i := range list {
+		if err := w.enc.Encode(item{Decision: &list[i]}); err != nil {
+			return fmt.Errorf("trace: %w", err)
+		}
+	}
+	if err := w.buf.Flush(); err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	return nil
+}
+
+// Size is what was written, in bytes.
+func (w *Writer) Size() int64 { return w.count.n }
+
+// File is what a file holds.
+type File struct {
+	Header
+	Decisions []why.Decision
+	Lost      uint64 // records that the ring had no room for
+	Cut       bool   // the file ends in the middle of a record, or in something that is none
+}
+
+// ErrNoTrace is returned for what does not begin with a header of this version.
+var ErrNoTrace = errors.New("not a trace of this version")
+
+// Read reads a file up to its last whole record.
+func Read(from io.Reader) (*File, error) {
+	dec := cbor.NewDecoder(bufio.NewReaderSize(from, 64<<10))
+	f := &File{}
+	if err := dec.Decode(&f.Header); err != nil || f.Magic != magic {
+		return nil, ErrNoTrace
+	}
+	if f.Version != Version {
+		return nil, fmt.Errorf("%w: version %d, want %d", ErrNoTrace, f.Version, Version)
+	}
+	for {
+		var it item
+		switch err := dec.Decode(&it); {
+		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return f, nil
+		case err != nil:
+			f.Cut = true
+			return f, nil
+		}
+		f.Lost += it.Lost
+		if it.Decision != nil {
+			f.Decisions = append(f.Decisions, *it.Decision)
+		}
+	}
+}
--- /dev/null
+++ b/internal/trace/recorder.go
@@ -0,0 +1,108 @@
+package trace
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"eiderspread/internal/why"
+)
+
+const (
+	ringSize   = 8192 // records, some 2 MB: a second of a gateway at its limit
+	flushEvery = 100 * time.Millisecond
+	// DefaultMostMB bounds a file where the operator's file does not.
+	DefaultMostMB = 256
+)
+
+// Recorder writes a gateway's decisions to a file of its own in a folder.
+type Recorder struct {
+	ring  *Ring
+	path  string
+	file  *os.File
+	w     *Writer
+	most  int64
+	flush chan chan error
+	done  chan struct{}
+	log   *slog.Logger
+}
+
+// Open makes the file, named for the gateway, its process and its start, and begins to write. It ends with ctx, after what is there by
+// then is written; Done tells when.
+func Open(ctx context.Context, dir string, mostMB int, h Header, log *slog.Logger) (*Recorder, error) {
+	path := filepath.Join(dir, fmt.Sprintf("%s-%d-%d.trace", h.Name, int64(h.Started*1000), os.Getpid()))
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o640)
+	if err != nil {
+		return nil, fmt.Errorf("trace: %w", err)
+	}
+	w, err := NewWriter(file, h)
+	if err != nil {
+		file.Close()
+		return nil, err
+	}
+	if mostMB <= 0 {
+		mostMB = DefaultMostMB
+	}
+	r := &Recorder{ring: NewRing(ringSize), path: path, file: file, w: w, most: int64(mostMB) << 20, flush: make(chan chan error),
+		done: make(chan struct{}), log: log}
+	go r.run(ctx)
+	return r, nil
+}
+
+// Put takes a record; it is what the module is given. Of the loop.
+func (r *Recorder) Put(d why.Decision) { r.ring.Put(d) }
+
+// Done is closed when the file is.
+func (r *Recorder) Done() <-chan struct{} { return r.done }
+
+// Flush has all that was put so far written. It fails where the trace has ended before its time. Of any goroutine but the loop.
+func (r *Recorder) Flush(ctx context.Context) error {
+	back := make(chan error, 1)
+	select {
+	case r.flush <- back:
+		return <-back
+	case <-r.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Recorder) run(ctx context.Context) {
+	defer close(r.done)
+	defer r.file.Close()
+	tick := time.NewTicker(flushEvery)
+	defer tick.Stop()
+	var list []why.Decision
+	var over error // why nothing is written any more
+	write := func() error {
+		var lost uint64
+		if list, lost = r.ring.Take(list[:0]); over != nil || len(list) == 0 && lost == 0 {
+			return over
+		}
+		err := r.w.Write(list, lost)
+		if err == nil && r.w.Size() >= r.most {
+			err = fmt.Errorf("trace: %s is full", r.path)
+		}
+		if over = err; over != nil {
+			r.log.Error("decisions are not traced any more", "error", err)
+		}
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			write()
+			return
+		case <-tick.C:
+			write()
+		case <-r.ring.Half():
+			write()
+		case back := <-r.flush:
+			back <- write()
+		}
+	}
+}
--- a/policy/keep.go
+++ b/policy/keep.go
@@ -1,6 +1,9 @@
 package policy
 
-import "eiderspread/internal/kept"
+import (
+	"eiderspread/internal/kept"
+	"eiderspread/internal/tally"
+)
 
 // What a gateway knows, handed to the one that goes on for it in another process. It is bookkeeping: nothing is decided.
 
@@ -8,8 +11,8 @@
 func (s *server) figures() []*float64 {
 	return []*float64{&s.speed, &s.util, &s.utilAt, &s.busy, &s.sentAt}
 }
-func (l *ledger) figures() []*float64 {
-	return []*float64{&l.room, &l.at, &l.born, &l.demand, &l.demandAt}
+func ledgerFigures(l *tally.Ledger) []*float64 {
+	return []*float64{&l.Room, &l.At, &l.Born, &l.Demand, &l.DemandAt}
 }
 func (c *customer) figures() []*float64 { // the ceiling's first
 	return []*float64{&c.ceil, &c.ceilAt, &c.pool, &c.poolAt, &c.usedAt, &c.turnedAt, &c.total, &c.acked, &c.demand,
@@ -32,9 +35,9 @@
 		x := kept.Customer{Key: c.key, Hash: c.hash, Plan: c.plan.Name, First: c.first, Entries: c.entries, Known: c.known,
 			Out: c.out > 0, Figures: kept.Values(c.figures())}
 		if c.led != nil {
-			x.Ledger, x.Members = kept.Values(c.led.figures()), map[int][5]float64{}
-			for i, m := range c.led.members {
-				x.Members[i] = [5]float64{float64(m.boot), m.total, m.rate, float64(m.out), m.at}
+			x.Ledger, x.Members = kept.Values(ledgerFigures(c.led)), map[int][5]float64{}
+			for i, m := range c.led.Members {
+				x.Members[i] = [5]float64{float64(m.Boot), m.Total, m.Rate, float64(m.Out), m.At}
 			}
 		}
 		parts = kept.Add(parts, x)
@@ -74,10 +77,10 @@
 			c.prime = g.walk(c, false)
 		}
 		if x.Ledger != nil {
-			c.led = &ledger{members: map[int]*member{}}
-			kept.Restore(c.led.figures(), x.Ledger)
+			c.led = tally.New(0, 0)
+			kept.Restore(ledgerFigures(c.led), x.Ledger)
 			for i, f := range x.Members {
-				c.led.members[i] = &member{uint8(f[0]), f[1], f[2], int(f[3]), f[4]}
+				c.led.Members[i] = &tally.Member{Boot: uint8(f[0]), Total: f[1], Rate: f[2], Out: int(f[3]), At: f[4]}
 			}
 		}
 		if x.Out || c.total != c.acked {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,6 +12,8 @@
 	"slices"
 
 	"eiderspread/internal/peermsg"
+	"eiderspread/internal/tally"
+	"eiderspread/internal/why"
 )
 
 // Constants, with their reasons. Times are in seconds.
@@ -70,8 +72,6 @@
 	utilLow       = 0.8   // cores less busy than this let a limit grow again
 	silentX       = 6.0   // a server that answers nothing for so many mean latencies is in doubt
 	patienceMin   = 10    // tries of a class before later ones are told from first ones
-	patienceBins  = 101   // shares of the deadline told apart
-	patienceKept  = 128   // tries that count; then the older ones count half
 	firstShare    = 0.4   // of them with about the same time: it is that of first tries
 	hedgeShare    = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
 	downS         = 0.5   // a server that refuses connections is left alone so long, then probed
@@ -158,20 +158,24 @@
 	r.prio = cls.Worth * price // units stand for work as well as for worth, and cancel out
 	r.cheap = 1 - cls.Worth/max(g.maxWorth, 1e-9)
 	g.probes = min(g.probes+probeShare, 2)
+	r.later = later
 	g.reqs[q.ID] = r
 	g.live = append(g.live, r)
-	v := pass
+	v, because := pass, why.NoPlan
 	if r.cust != nil {
-		v = g.inQuota(r)
-	}
-	switch {
-	case v == deny || !g.mayRetry(r): // a client's late try can arrive with no time left at all
-		if v != deny && r.cust != nil { // what came too late tells of no later try to come
+		v, because = g.inQuota(r)
+	}
+	g.trace(why.Came, because, r, -1)
+	switch barred := g.barred(r); {
+	case v == deny:
+		g.refuse(r, because)
+	case barred != why.None: // a client's late try can arrive with no time left at all
+		if r.cust != nil { // what came too late tells of no later try to come
 			defer func(at float64) { r.cust.turnedAt = at }(r.cust.turnedAt)
 		}
-		g.refuse(r)
+		g.refuse(r, barred)
 	case v == wait:
-		g.ask(r)
+		g.ask(r, because)
 	default:
 		g.take(r, false)
 		g.place(r)
@@ -182,9 +186,9 @@
 // each of them common of late; a later one has what is left of its first try's. Guards against answers that
 // come too late to count. Where no time is common, as clients draw it anew for each try, nothing is told.
 func (c *class) laterTry(left float64) bool {
-	common := firstShare * float64(c.seen)
-	near := c.came(left)
-	return c.seen > patienceMin && float64(near) < common && float64(c.most) >= common
+	common := firstShare * float64(c.times.Seen())
+	near := c.times.Came(left / c.DeadlineS)
+	return c.times.Seen() > patienceMin && float64(near) < common && float64(c.times.Most()) >= common
 }
 
 // triesAgain tells that the customer's clients may well be on later tries: it was turned away here within
@@ -199,11 +203,12 @@
 	if len(r.attempts) == 0 {
 		g.work += r.cls.lat / demandTauS
 	}
-	if !g.mayRetry(r) {
-		g.refuse(r)
+	if barred := g.barred(r); barred != why.None {
+		g.refuse(r, barred)
 	} else if s := g.choose(r); s != nil {
 		g.send(r, s)
 	} else {
+		g.trace(why.Queue, g.noRoom(r), r, -1)
 		g.queue = append(g.queue, r)
 	}
 }
@@ -212,13 +217,14 @@
 	s.busy = s.busy*math.Exp((s.sentAt-g.now)/busyTauS) + min(s.speed*r.cls.lat/busyTauS, 1)
 	g.begin(r, s)
 	if g.coldShare(s) < 1 {
-		s.sentLog = append(s.sentLog, sentWork{g.now, r.cls.lat})
+		s.sentLog.Add(g.now, r.cls.lat)
 	}
+	g.trace(why.Send, why.None, r, len(r.attempts)-1)
 	g.act.Send(r.ID, s.ID, max(r.endAt()-g.now, guardS))
 }
 
 // refuse ends the request with the mildest answer that is true.
-func (g *Gateway) refuse(r *request) {
+func (g *Gateway) refuse(r *request, because why.Reason) {
 	if r.over {
 		return
 	}
@@ -227,8 +233,10 @@
 	}
 	may := r.ran != nil || r.out > 0
 	if may && (r.cls.Effect == Unsafe || r.cls.Effect == Keyed && r.cls.KeyScope != ScopeAll) {
+		g.trace(why.Fail, because, r, -1)
 		g.act.Fail(r.ID)
 	} else {
+		g.trace(why.Refuse, because, r, -1)
 		g.act.Refuse(r.ID, g.s.MaxRetryAfterS)
 	}
 	for i := range r.attempts {
@@ -247,6 +255,7 @@
 	if r == nil {
 		return
 	}
+	g.traceBack(r, o)
 	g.report(a.srv, o.Load)
 	g.learn(r, a, o)
 	r.written = r.written || o.Status != ConnectFailed && o.Status != Moot
@@ -268,13 +277,19 @@
 // the share of the time left in which it still earns something.
 func (r *request) endAt() float64 { return r.aimAt + r.cls.LateWorth*max(r.DeadlineS-r.aimAt, 0) }
 
-// mayRetry tells whether another attempt is allowed and worth it.
-func (g *Gateway) mayRetry(r *request) bool {
-	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > r.endAt() ||
-		!r.written && g.now > r.halfAt {
-		return false
+// barred tells why no other attempt is allowed or worth it; None if one is.
+func (g *Gateway) barred(r *request) why.Reason {
+	switch {
+	case len(r.attempts) >= max(1, g.s.MaxAttempts):
+		return why.Attempts
+	case g.now+r.cls.lat > r.endAt():
+		return why.AimGone
+	case !r.written && g.now > r.halfAt:
+		return why.HalfGone
+	case r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS:
+		return why.None
 	}
-	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
+	return why.MayHaveRun
 }
 
 // drain sends what waits, dearest per work first, and drops what can't make its aim.
@@ -284,15 +299,19 @@
 	}
 	slices.SortStableFunc(g.queue, func(a, b *request) int { return cmp.Compare(b.prio, a.prio) })
 	g.queue = slices.DeleteFunc(g.queue, func(r *request) bool {
-		if !r.over && g.now+r.cls.lat <= r.aimAt && g.mayRetry(r) {
-			s := g.choose(r)
-			if s != nil {
-				g.send(r, s)
-			}
-			return s != nil
+		barred := g.barred(r)
+		if g.now+r.cls.lat > r.aimAt {
+			barred = why.AimGone
 		}
-		g.refuse(r)
-		return true
+		if r.over || barred != why.None {
+			g.refuse(r, barred)
+			return true
+		}
+		s := g.choose(r)
+		if s != nil {
+			g.send(r, s)
+		}
+		return s != nil
 	})
 }
 
@@ -337,22 +356,26 @@
 // inQuota decides on the ordinary path: the owner by its count, a member by its split of the room it
 // last heard. Where that can't tell, since the split is under one request or the news is old, the
 // request waits for the owner's word, which is the post's own call.
-func (g *Gateway) inQuota(r *request) verdict {
+func (g *Gateway) inQuota(r *request) (verdict, why.Reason) {
 	c, p := r.cust, r.plan
-	if g.owner(c) == g.s.Me && g.fits(g.ledger(c), c, r.Units, r.cheap) &&
-		(g.ceilingHolds(c, r.Units) || g.poolHolds(c, r.Units)) {
-		return pass
-	} else if g.owner(c) == g.s.Me {
-		return deny
+	if g.owner(c) == g.s.Me {
+		if short := g.fits(g.ledger(c), c, r.Units, r.cheap); short != why.None {
+			return deny, short
+		} else if g.ceilingHolds(c, r.Units) || g.poolHolds(c, r.Units) {
+			return pass, why.OwnCount
+		}
+		return deny, why.CeilBoth
 	}
 	room, age, mine := g.roomNow(c), g.now-c.roomAt, g.demandNow(c)
 	switch {
 	case len(c.asks) > 0:
-		return wait
+		return wait, why.Silent
 	case g.now < c.holdTill:
-		return deny
-	case p.Parallel > 0 && (age > freshS || c.out+c.othersOut+1 >= p.Parallel), !g.ceilingHolds(c, r.Units):
-		return wait
+		return deny, why.Held
+	case p.Parallel > 0 && (age > freshS || c.out+c.othersOut+1 >= p.Parallel):
+		return wait, why.Cap
+	case !g.ceilingHolds(c, r.Units):
+		return wait, why.CeilPart
 	}
 	need := r.Units
 	if mine+c.others > p.Rate {
@@ -360,43 +383,47 @@
 	}
 	switch old := !c.known || age > freshS; {
 	case p.Rate == 0:
-		return pass
+		return pass, why.NoRate
 	case old && need*float64(c.entries) <= min(room, room-(c.others-p.Rate)*age):
-		return pass // each of the customer's gateways may think the same at this moment
+		return pass, why.OldWord // each of the customer's gateways may think the same at this moment
 	case !old && need <= max(room*mine/max(mine+c.others, 1e-9), room-2*c.others*(age+lagS)):
-		return pass
+		return pass, why.Split
 	case r.Units > room && age < batchS:
-		return deny
+		return deny, why.WordRoom
+	case old:
+		return wait, why.WordStale
 	}
-	return wait
+	return wait, why.WordSmall
 }
 
-// fits tells whether the owner's count has room. While the customer asks for more than its rate, the
-// cheaper a class is a unit, the more room it must leave to dearer ones.
-func (g *Gateway) fits(l *ledger, c *customer, units, cheap float64) bool {
+// fits tells why the owner's count has no room; None if it has. While the customer asks for more than its
+// rate, the cheaper a class is a unit, the more room it must leave to dearer ones.
+func (g *Gateway) fits(l *tally.Ledger, c *customer, units, cheap float64) why.Reason {
 	p := c.plan
-	if p.Parallel > 0 && c.out+l.outs(g.now, -1) >= p.Parallel {
-		return false
-	} else if p.Rate == 0 {
-		return true
-	}
-	if g.demandNow(c)+l.demandNow(g.now) > p.Rate {
-		units += cheap * cheapLeaves * p.Burst
+	switch {
+	case p.Parallel > 0 && c.out+l.Outs(g.now, outS, -1) >= p.Parallel:
+		return why.Cap
+	case p.Rate == 0:
+		return why.None
+	case units > l.Room:
+		return why.OwnRoom
+	case g.demandNow(c)+l.DemandNow(g.now, demandTauS) > p.Rate && units+cheap*cheapLeaves*p.Burst > l.Room:
+		return why.Kept
 	}
-	return units <= l.room
+	return why.None
 }
 
 // ledger brings the owner's count up to now. The window opens evenly; for a stand-in that nobody has
 // reported to, by its part alone: it may be cut off while others serve the same customer.
-func (g *Gateway) ledger(c *customer) *ledger {
+func (g *Gateway) ledger(c *customer) *tally.Ledger {
 	if c.led == nil {
-		c.led = &ledger{room: g.roomNow(c), at: g.now, born: g.now, members: map[int]*member{}}
+		c.led = tally.New(g.roomNow(c), g.now)
 	}
 	l, rate := c.led, c.plan.Rate
-	if c.prime != g.s.Me && len(l.members) == 0 {
+	if c.prime != g.s.Me && len(l.Members) == 0 {
 		rate /= float64(c.entries)
 	}
-	l.room, l.at = min(c.plan.Burst, l.room+rate*(g.now-l.at)), g.now
+	l.Room, l.At = min(c.plan.Burst, l.Room+rate*(g.now-l.At)), g.now
 	return l
 }
 
@@ -419,8 +446,7 @@
 
 func (g *Gateway) charge(c *customer, units float64) {
 	if g.owner(c) == g.s.Me {
-		l := g.ledger(c)
-		l.room = max(l.room-units, min(l.room, 0))
+		g.ledger(c).Spend(units)
 	}
 	c.total += units
 	if c.total > c.acked || units < 0 {
@@ -442,8 +468,9 @@
 }
 
 // ask holds the request until its customer's owner has spoken.
-func (g *Gateway) ask(r *request) {
+func (g *Gateway) ask(r *request, because why.Reason) {
 	c := r.cust
+	g.trace(why.Ask, because, r, -1)
 	c.asks, r.asking = append(c.asks, r), true
 	if len(c.asks) > 1 {
 		return // it joins the next report
@@ -535,7 +562,7 @@
 			c.waitFrom, c.asked = 0, 0
 			if c.tries >= askTries {
 				c.tries = 0
-				g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false)
+				g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false, why.LocalRoom)
 			} else {
 				g.note(c, len(c.asks) > 0)
 				if len(c.asks) > 0 {
@@ -565,17 +592,19 @@
 }
 
 // resolve ends the wait of the first n requests that asked.
-func (g *Gateway) resolve(c *customer, n int, ok func(*request) bool, paid bool) {
+func (g *Gateway) resolve(c *customer, n int, ok func(*request) bool, paid bool, no why.Reason) {
 	list := c.asks[:n]
 	c.asks = slices.Clone(c.asks[n:])
 	for _, r := range list {
 		switch r.asking = false; {
 		case r.over:
-		case ok(r) && (paid || g.ceilingHolds(c, r.Units)):
+		case !ok(r):
+			g.refuse(r, no)
+		case paid || g.ceilingHolds(c, r.Units):
 			g.take(r, paid)
 			g.place(r)
 		default:
-			g.refuse(r)
+			g.refuse(r, why.CeilGrant)
 		}
 	}
 }
@@ -588,7 +617,7 @@
 		return
 	}
 	p := &g.peers[from]
-	if p.late(boot, seq) {
+	if p.order.Late(boot, seq) {
 		return
 	}
 	p.missed = 0
@@ -619,60 +648,61 @@
 // aside at once: the next report shows which of them were used.
 func (g *Gateway) count(c *customer, from int, r record) record {
 	l := g.ledger(c)
-	m := l.members[from]
-	if m != nil && g.now-m.at > memberS {
+	m := l.Members[from]
+	if m != nil && g.now-m.At > memberS {
 		m = nil // as if forgotten: it may have forgotten the customer itself
 	}
-	if m == nil || m.boot != g.peers[from].boot {
-		if r.Known && g.now-l.born < youngS {
+	if m == nil || m.Boot != g.peers[from].order.Boot {
+		if r.Known && g.now-l.Born < youngS {
 			// A young count, after a restart or a move: the member hands back what it heard.
-			l.room = min(l.room, max(r.Room+r.Unacked, 0))
+			l.Room = min(l.Room, max(r.Room+r.Unacked, 0))
 		}
-		m = &member{boot: g.peers[from].boot, total: r.Total - r.Unacked}
-		l.members[from] = m
+		m = &tally.Member{Boot: g.peers[from].order.Boot, Total: r.Total - r.Unacked}
+		l.Members[from] = m
 	}
-	l.room = max(l.room-l.told(m, r, g.now), min(l.room, 0))
+	l.Spend(l.Told(m, r.Total, r.Rate, r.Out, g.now, demandTauS))
 	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true}
 	if r.Want > 0 {
-		grant := 0.0
+		grant, short := 0.0, why.None
 		for _, w := range []float64{r.Want, r.First} {
 			if c.plan.Parallel > 0 {
 				w = r.First
 			}
-			if g.fits(l, c, w, r.Cheap) {
+			if short = g.fits(l, c, w, r.Cheap); short == why.None {
 				grant = w
 				break
 			}
 		}
 		if grant > 0 {
-			l.room -= grant
-			m.total += grant
-			m.out++
+			l.Room -= grant
+			m.Total += grant
+			m.Out++
 			if v.Flag = r.Flag && g.poolHolds(c, grant); v.Flag {
 				c.pool -= grant
 			}
 		} else {
 			busy := g.s.PeerIntake * holdShare
-			v.Hold = float64(l.heard(g.now)) / max(busy, 1) * min(g.inRate/max(busy, 1), 3)
+			v.Hold = float64(l.Heard(g.now, memberS)) / max(busy, 1) * min(g.inRate/max(busy, 1), 3)
 		}
 		v.Want = r.Want
+		g.traceWord(c, from, r, v, grant, short)
 	}
-	v.Total, v.Room, v.Out = m.total, l.room, c.out+l.outs(g.now, from)
-	v.Rate = max(l.demandNow(g.now)-m.rate, 0) + g.demandNow(c)
+	v.Total, v.Room, v.Out = m.Total, l.Room, c.out+l.Outs(g.now, outS, from)
+	v.Rate = max(l.DemandNow(g.now, demandTauS)-m.Rate, 0) + g.demandNow(c)
 	return v
 }
 
 // heard takes in what the owner says.
 func (g *Gateway) heard(c *customer, r record) {
-	most := c.total + quarters(r.Total-c.total)
+	most := c.total + tally.Quarters(r.Total-c.total)
 	c.known, c.room, c.roomAt, c.acked = true, r.Room, g.now, most
 	c.others, c.othersOut = r.Rate, r.Out
 	if r.Want > 0 && c.asked > 0 {
 		n := min(c.asked, len(c.asks))
 		c.asked, c.tries, c.holdTill = 0, 0, g.now+r.Hold
-		g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+1e-9 }, r.Flag)
+		g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+1e-9 }, r.Flag, why.Denied)
 		if r.Hold > 0 {
-			g.resolve(c, len(c.asks), func(*request) bool { return false }, false)
+			g.resolve(c, len(c.asks), func(*request) bool { return false }, false, why.Held)
 		}
 	}
 	if c.acked = min(most, c.total); most > c.total || len(c.asks) > 0 && c.asked == 0 {
@@ -736,7 +766,7 @@
 		s.sentLog = nil
 		return true
 	}
-	sum := s.sentWithin(g.now, g.s.FallS)
+	sum := s.sentLog.Within(g.now, g.s.FallS)
 	budget := share / max(g.shares, share) * g.work * g.s.FallS
 	return s.inflight < 2 && (sum+work <= budget || sum == 0 && g.rng.Float64()*work <= budget*coldChance)
 }
@@ -882,7 +912,7 @@
 	g.live = slices.DeleteFunc(g.live, func(r *request) bool { return r.over && r.out == 0 })
 	for _, r := range g.live {
 		if r.asking && g.now+tickS > min(r.endAt()-r.cls.lat, r.halfAt) {
-			g.refuse(r)
+			g.refuse(r, why.Silent)
 			continue
 		}
 		for i := range r.attempts {
@@ -907,7 +937,7 @@
 			r.ran, r.ranAt = a.srv, a.sentAt
 		}
 		s := (*server)(nil)
-		if g.mayRetry(r) {
+		if g.barred(r) == why.None {
 			s = g.choose(r)
 		}
 		switch {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -365,7 +365,7 @@
 	}
 	mem := 1 - owner
 	total := g[mem].custs[key].total
-	was := *g[owner].custs[key].led.members[mem]
+	was := *g[owner].custs[key].led.Members[mem]
 	old, parts := g[mem], g[mem].Keep(now)
 	s := g[mem].s
 	next, err := New(s, 99, now, r[mem])
@@ -387,7 +387,7 @@
 		}
 		pump(now)
 	}
-	is := g[owner].custs[key].led.members[mem]
+	is := g[owner].custs[key].led.Members[mem]
 	sum := g[mem].custs[key].total
 	if sum < total+15 {
 		t.Fatalf("no occasion: %v units, %v before", sum, total)
@@ -396,11 +396,11 @@
 	for _, p := range kept.Back(parts) {
 		old.Adopt(now, p)
 	}
-	if old.boot == was.boot || parts[0].Boot != was.boot {
-		t.Errorf("boot %d after the successor's life as %d: what that one let in seems handed back", old.boot, was.boot)
+	if old.boot == was.Boot || parts[0].Boot != was.Boot {
+		t.Errorf("boot %d after the successor's life as %d: what that one let in seems handed back", old.boot, was.Boot)
 	}
-	if is.boot != was.boot || math.Abs(is.total-sum) > 0.3 {
-		t.Errorf("the owner has boot %d and %v units, want boot %d and %v", is.boot, is.total, was.boot, sum)
+	if is.Boot != was.Boot || math.Abs(is.Total-sum) > 0.3 {
+		t.Errorf("the owner has boot %d and %v units, want boot %d and %v", is.Boot, is.Total, was.Boot, sum)
 	}
 }
 
@@ -589,7 +589,7 @@
 	if n := sent(2000, 2); n != 2000 {
 		t.Fatalf("%d of 2000 sent", n)
 	}
-	sent(patienceKept, 0.9)
+	sent(128, 0.9)
 	if n := sent(200, 0.9); n != 200 {
 		t.Errorf("%d of 200 sent, after as many as count came with the new time", n)
 	}
@@ -803,7 +803,7 @@
 		}
 	}
 	c := fresh.custs[uint32(peermsg.Point("c-basic")>>32)]
-	if c == nil || fresh.ledger(c).room > 4 {
+	if c == nil || fresh.ledger(c).Room > 4 {
 		t.Fatal("the restarted owner grants a fresh window")
 	}
 }
@@ -892,11 +892,11 @@
 	}
 	tell(1, record{Key: 77, Want: 6, First: 6})
 	tell(2, record{Key: 77, Want: 6, First: 6}) // told again, as the answer was lost
-	if room := g.custs[77].led.room; room != 2 {
+	if room := g.custs[77].led.Room; room != 2 {
 		t.Fatalf("room is %v after 6 of 8 were set aside, told twice", room)
 	}
 	tell(3, record{Key: 77})
-	if room := g.custs[77].led.room; room != 8 {
+	if room := g.custs[77].led.Room; room != 8 {
 		t.Fatalf("room is %v after the grant was handed back", room)
 	}
 }
@@ -1218,7 +1218,7 @@
 	b := peermsg.AppendRecord(peermsg.AppendHeader(nil, 1, 1), record{Key: 5, Known: true, Total: 0, Room: 1})
 	b[peermsg.CountAt] = 1
 	g.Peer(104, 1, b)
-	if room := g.ledger(g.custs[5]).room; room > 1 {
+	if room := g.ledger(g.custs[5]).Room; room > 1 {
 		t.Fatalf("room is %v after a member handed back 1", room)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -7,7 +7,12 @@
 	"math/rand/v2"
 	"slices"
 
+	"eiderspread/internal/fade"
+	"eiderspread/internal/patience"
 	"eiderspread/internal/peermsg"
+	"eiderspread/internal/ring"
+	"eiderspread/internal/tally"
+	"eiderspread/internal/why"
 )
 
 // What a gateway keeps, and plain helpers. What is done with it is in policy.go.
@@ -18,10 +23,7 @@
 	tag   int     // its name between gateways
 	lat   float64 // mean latency of good answers
 	n     int
-	// how many of the tries of late came with which share of the deadline, and with the commonest
-	times [patienceBins]int
-	seen  int
-	most  int
+	times patience.Hist // what was left of the deadline when tries came
 }
 
 type plan struct {
@@ -45,7 +47,7 @@
 	broken       int   // attempts that found no connection, or lost it, since it last answered
 	fulls        int   // attempts it turned away since then
 	downUntil    float64
-	sentLog      []sentWork // while cold
+	sentLog      fade.Log // while cold
 }
 
 // sick tells how sure it was that a server leaves a class unanswered.
@@ -82,21 +84,6 @@
 	slices.SortFunc(g.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// sentWithin sums the work sent to a cold server within the last so many seconds.
-func (s *server) sentWithin(now, span float64) (sum float64) {
-	keep := s.sentLog[:0]
-	for _, w := range s.sentLog {
-		if now-w.at < span {
-			keep = append(keep, w)
-			sum += w.work
-		}
-	}
-	s.sentLog = keep
-	return sum
-}
-
-type sentWork struct{ at, work float64 }
-
 type attempt struct {
 	srv    *server
 	sentAt float64
@@ -121,6 +108,7 @@
 	written  bool // to a server, whole
 	halfAt   float64
 	stream   bool
+	later    bool // taken for a client's later try
 	prio     float64
 	cheap    float64 // 0 for the dearest class, towards 1 for the cheapest
 }
@@ -153,57 +141,14 @@
 	ceil, ceilAt   float64
 	pool, poolAt   float64
 	local, localAt float64
-	led            *ledger
-}
-
-// ledger is an owner's count: the window opens evenly, and what is unused carries over up to one burst.
-type ledger struct {
-	room, at, born   float64
-	demand, demandAt float64
-	members          map[int]*member
-}
-
-type member struct {
-	boot  uint8
-	total float64 // as last told, and what was set aside for it since
-	rate  float64
-	out   int
-	at    float64 // last report
-}
-
-// outs sums the attempts that members other than one have out.
-func (l *ledger) outs(now float64, but int) (n int) {
-	for i, m := range l.members {
-		if i != but && now-m.at < outS {
-			n += m.out
-		}
-	}
-	return n
-}
-
-// heard counts the members heard of late.
-func (l *ledger) heard(now float64) (n int) {
-	for _, m := range l.members {
-		if now-m.at < memberS {
-			n++
-		}
-	}
-	return n
-}
-
-func (l *ledger) demandNow(now float64) float64 {
-	return max(l.demand, 0) * math.Exp((l.demandAt-now)/demandTauS)
+	led            *tally.Ledger
 }
 
-// quarters rounds a difference of two counts, of which one has come over the wire.
-func quarters(x float64) float64 { return float64(int16(int64(math.Floor(x*4+0.5)))) / 4 }
-
 type peer struct {
 	missed          int     // reports without an answer since it was last heard
 	missAt          float64 // the last of them
 	toldAt          float64
-	boot            uint8
-	seq             uint16
+	order           peermsg.Order
 	reports         []*customer
 	pending, urgent bool // in Gateway.pending; a request waits
 }
@@ -233,7 +178,7 @@
 	byHash           map[uint16]*server
 	classList        []*class
 	maxWorth         float64 // of any class, a unit
-	ring             []ringPoint
+	ring             ring.Ring
 	classes          map[string]*class
 	plans            []*plan
 	byPlan           map[string]*plan
@@ -247,11 +192,7 @@
 	work, workAt float64 // a second that quotas let in
 	shares       float64 // of their capacity that the servers have by now, in sum
 	sweepAt      float64
-}
-
-type ringPoint struct {
-	at uint64
-	gw int
+	tracer       func(why.Decision) // nil: nobody asks for reasons
 }
 
 // sameGroup tells whether two servers drop the repeats of the same key.
@@ -327,12 +268,10 @@
 // walk goes on the ring from the customer's point to the first gateway that serves it, and with
 // skip to the first that is not silent.
 func (g *Gateway) walk(c *customer, skip bool) int {
-	i, _ := slices.BinarySearchFunc(g.ring, c.hash, func(p ringPoint, h uint64) int { return cmp.Compare(p.at, h) })
-	for n := range g.ring {
-		gw := g.ring[(i+n)%len(g.ring)].gw
-		if d := (gw - c.first + g.s.Gateways) % g.s.Gateways; d < c.entries && (!skip || g.alive(gw)) {
-			return gw
-		}
+	if gw, ok := g.ring.Walk(c.hash, func(gw int) bool {
+		return (gw-c.first+g.s.Gateways)%g.s.Gateways < c.entries && (!skip || g.alive(gw))
+	}); ok {
+		return gw
 	}
 	return g.s.Me
 }
@@ -373,7 +312,7 @@
 func (g *Gateway) roomNow(c *customer) float64 {
 	if c.led != nil {
 		// Ownership moved on: what was counted here is the best start for a member.
-		c.room, c.roomAt, c.known, c.acked, c.led = g.ledger(c).room, g.now, true, c.total, nil
+		c.room, c.roomAt, c.known, c.acked, c.led = g.ledger(c).Room, g.now, true, c.total, nil
 	}
 	return min(c.plan.Burst, c.room+c.plan.Rate*(g.now-c.roomAt)) - max(c.total-c.acked, 0)
 }
@@ -434,14 +373,7 @@
 		g.plans = append(g.plans, &plan{Plan: p, index: i})
 		g.byPlan[p.Name] = g.plans[i]
 	}
-	for gw := range g.s.Gateways {
-		for i := range points {
-			g.ring = append(g.ring, ringPoint{peermsg.Mix(uint64(gw)<<32 | uint64(i)), gw})
-		}
-	}
-	slices.SortFunc(g.ring, func(a, b ringPoint) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.gw, b.gw))
-	})
+	g.ring = ring.New(g.s.Gateways, points)
 }
 
 // coldShare is the least part of its capacity that the server must have by now.
@@ -476,11 +408,7 @@
 		if g.now-c.usedAt > age && c.out == 0 && len(c.asks) == 0 && !c.dirty && !c.waiting && g.fresh(c) {
 			delete(g.custs, k)
 		} else if c.led != nil {
-			for i, m := range c.led.members {
-				if g.now-m.at > memberS {
-					delete(c.led.members, i)
-				}
-			}
+			c.led.Drop(g.now, memberS)
 		}
 	}
 }
@@ -491,7 +419,7 @@
 	p, n := c.plan, float64(max(c.entries, 1))
 	room := 0.0
 	if c.led != nil {
-		room = g.ledger(c).room
+		room = g.ledger(c).Room
 	} else {
 		room = g.roomNow(c)
 	}
@@ -544,15 +472,6 @@
 	}
 }
 
-// told takes a member's report into the sums, and returns the units it is beyond what was known.
-func (l *ledger) told(m *member, r record, now float64) float64 {
-	delta := quarters(r.Total - m.total)
-	l.demand = l.demandNow(now) + r.Rate - m.rate*math.Exp((m.at-now)/demandTauS)
-	l.demandAt = now
-	*m = member{boot: m.boot, total: r.Total, rate: r.Rate, out: r.Out, at: now}
-	return delta
-}
-
 // Retune takes other classes, and another number of attempts, while requests are under way.
 func (g *Gateway) Retune(now float64, classes []Class, attempts int) error {
 	s := g.s
@@ -603,35 +522,6 @@
 	wait // the owner is asked
 )
 
-// near counts the tries of late with about the same share of the deadline.
-func (c *class) near(bin int) (n int) {
-	for i := max(bin-1, 0); i <= min(bin+1, patienceBins-1); i++ {
-		n += c.times[i]
-	}
-	return n
-}
-
-// came counts what was left of the deadline when a try came, and returns how many came like it.
-func (c *class) came(left float64) int {
-	bin := int(min(max(left/c.DeadlineS, 0), 1)*(patienceBins-1) + 0.5)
-	c.times[bin]++
-	c.seen++
-	near := c.near(bin)
-	c.most = max(c.most, near)
-	if c.seen >= patienceKept {
-		c.seen = 0
-		for i := range c.times {
-			c.times[i] /= 2
-			c.seen += c.times[i]
-		}
-		c.most = 0
-		for i := range c.times {
-			c.most = max(c.most, c.near(i))
-		}
-	}
-	return near
-}
-
 // begin counts an attempt as out.
 func (g *Gateway) begin(r *request, s *server) {
 	s.inflight++
@@ -656,12 +546,3 @@
 	g.outBy(r, -1)
 	return r, a
 }
-
-// late tells whether a message is older than one taken in already, or comes twice.
-func (p *peer) late(boot uint8, seq uint16) bool {
-	if boot == p.boot && p.seq != 0 && int16(seq-p.seq) <= 0 {
-		return true
-	}
-	p.boot, p.seq = boot, seq
-	return false
-}
