Idle connections are held below the clients' third of descriptors

Cause: clients have a third of the descriptors for requests. The ingress kept up to half of them open for connections that idle, so a crowd that connects, says PING at most and stays held the room of those who ask.

Change: connections that idle are kept up to a quarter of the free descriptors, those at work up to half as before; what has never asked anything goes before what has. Two loopback tests fail without it.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -75,10 +75,13 @@
 	return len(c.slots) == 0 && len(c.pending) == 0 && !c.writing
 }
 
-// clientSet bounds the connections of clients.
+// clientSet bounds the connections of clients. Those on which something is open may be as many as descriptors allow; those that idle are
+// kept up to a bound well below the third of the descriptors that clients have for requests: a crowd that connects and asks nothing would
+// else hold the room of those who ask, and their requests would not even get here.
 type clientSet struct {
 	all  map[*client]struct{}
-	most int
+	keep int // from so many on, what idles makes room
+	most int // from so many on, what can't have room is refused
 	// connections of this ingress that another process still has: they count for those that are taken anew
 	elsewhere int
 	surplus   int           // so many more are taken, to be refused in words
@@ -90,6 +93,7 @@
 func (s *clientSet) init(free int) {
 	s.all = map[*client]struct{}{}
 	s.most = max(8, free/2)
+	s.keep = max(8, free/4)
 	s.surplus = max(2, free/8)
 	s.commandMost = commandMost
 	s.room = make(chan struct{}, s.most+s.surplus+acceptSlack)
@@ -127,15 +131,17 @@
 }
 
 // rank orders the connections that may be closed for others: first those that were told their last
-// answer, then those that have said nothing, then those that idle.
+// answer, then those that have said nothing, then those that have never asked for anything but a PING, then those that idle.
 func (c *client) rank() int {
 	switch {
 	case c.ending:
 		return 0
 	case !c.spoke:
 		return 1
+	case !c.asked:
+		return 2
 	}
-	return 2
+	return 3
 }
 
 // young tells that a connection has just come and has said nothing yet: to close it may lose a request.
@@ -143,15 +149,15 @@
 	return !c.spoke && !c.ending && in.now-c.usedAt < youngS
 }
 
-// full tells that more connections are open, the newcomer aside, than may be served, after those of the
-// lowest rank, and of them those unused for longest, were closed to make room.
+// full tells that more connections are open, the newcomer aside, than may be served, after those that idle
+// were closed to make room: the lowest rank first, and of it those unused for longest.
 func (s *clientSet) full(in *Ingress, newcomer *client) bool {
 	for {
 		others := len(s.all) + s.elsewhere
 		if _, counted := s.all[newcomer]; counted {
 			others--
 		}
-		if others < s.most {
+		if others < s.keep {
 			return false
 		}
 		var first *client
@@ -164,7 +170,7 @@
 			}
 		}
 		if first == nil {
-			return true
+			return others >= s.most
 		}
 		in.closeClient(first)
 	}
--- a/internal/ingress/clients_test.go
+++ b/internal/ingress/clients_test.go
@@ -100,7 +100,7 @@
 
 // Guards against usual clients that make room for those that have said nothing.
 func TestNeverSpokenMakeRoomFirst(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most = 2 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.keep, r.in.clients.most = 2, 2 })
 	usual := r.client()
 	if usual.send("PING"); usual.line() != "+PONG" {
 		t.Fatal("not served")
@@ -121,6 +121,75 @@
 	}
 }
 
+// Guards against a crowd that connects, says PING at most and stays (r640a3f): kept up to half of the descriptors it held the
+// room of those who ask, whose requests were turned back unheard. It gives way at the bound on idle connections; who has
+// asked keeps its connection, and connections at work are no part of that bound.
+func TestCrowdsLeaveRoomForThoseWhoAsk(t *testing.T) {
+	const keep = 8
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.keep, r.in.clients.most = keep, 3*keep })
+	usual := r.client()
+	usual.send(look("first")...)
+	get(t, r.mod.requests)
+	r.do(func() { r.in.Fail("first") })
+	if got := usual.line(); got != "-ERR failed" {
+		t.Fatal(got)
+	}
+	var silent []*wire
+	for i := range 2 * keep {
+		c := r.client()
+		if i%2 == 0 {
+			silent = append(silent, c)
+			r.until("it is taken", func() bool { return r.in.clients.open() > 0 })
+		} else if c.send("PING"); c.line() != "+PONG" {
+			t.Fatal("not served")
+		}
+		r.do(func() { // the first command of a connection that has just come may be on its way
+			for c := range r.in.clients.all {
+				c.usedAt -= 2 * youngS
+			}
+		})
+	}
+	r.until("the crowd is held to the bound", func() bool { return r.in.clients.open() <= keep })
+	for i, c := range silent[:len(silent)/2] {
+		if c.line() != "" {
+			t.Errorf("silent connection %d of the crowd is open", i)
+		}
+	}
+	if usual.send("PING"); usual.line() != "+PONG" {
+		t.Error("who had asked was closed for the crowd")
+	}
+	var busy []*wire
+	for i := range 2 * keep { // all at work: more than may idle
+		c := r.client()
+		c.send(look(fmt.Sprint("b", i))...)
+		get(t, r.mod.requests)
+		busy = append(busy, c)
+	}
+	r.do(func() {
+		for i := range busy {
+			r.in.Fail(fmt.Sprint("b", i))
+		}
+	})
+	for i, c := range busy {
+		if got := c.line(); got != "-ERR failed" {
+			t.Errorf("connection %d at work: %q", i, got)
+		}
+	}
+}
+
+// The bound on idle connections lies well below the third of all descriptors that clients have for requests.
+func TestIdleConnectionsLeaveTheClientsThirdFree(t *testing.T) {
+	for _, sockets := range []int{64, 256, 384, 1024} {
+		for _, door := range []string{"", "127.0.0.1:1"} {
+			var s clientSet
+			s.init(Config{Sockets: sockets, Console: door}.free())
+			if s.keep > sockets/3*4/5 || s.keep >= s.most && s.most > 8 {
+				t.Errorf("%d descriptors: %d idle connections, %d at work", sockets, s.keep, s.most)
+			}
+		}
+	}
+}
+
 // Guards against clients that ask once and keep their connection for good.
 func TestIdleConnectionsEnd(t *testing.T) {
 	r := start(t, testConfig("127.0.0.1:1"), nil)
--- a/internal/ingress/door_test.go
+++ b/internal/ingress/door_test.go
@@ -288,7 +288,7 @@
 
 // Guards the descriptors of an ingress that runs as two processes: what the other one still has counts.
 func TestConnectionsElsewhereCount(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most, r.in.clients.elsewhere = 2, 1 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.keep, r.in.clients.most, r.in.clients.elsewhere = 2, 2, 1 })
 	first := (*wire)(nil)
 	for i := range 2 {
 		w := r.client()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -602,7 +602,7 @@
 
 // Guards against running out of descriptors: the connection that idles longest makes room.
 func TestIdleClientsMakeRoom(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most = 2 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.keep, r.in.clients.most = 2, 2 })
 	var conns []*wire
 	for range 3 {
 		c := r.client()
@@ -622,7 +622,7 @@
 // Guards against requests lost to the bound on descriptors: a connection beyond it was closed, and with
 // it the request that had come along. It is refused in words, and served once another one idles.
 func TestSurplusClientsAreRefusedInWords(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most, r.in.clients.surplus = 1, 1 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.keep, r.in.clients.most, r.in.clients.surplus = 1, 1, 1 })
 	busy := r.client()
 	busy.send(look("a")...)
 	get(t, r.mod.requests)
@@ -649,7 +649,7 @@
 // Guards against requests lost where many connections come at once and all others are at work: one that had just come was
 // closed for the next, before its command was read, and one beyond the surplus without a word.
 func TestNewClientsInABurstAreAllAnswered(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most, r.in.clients.surplus = 1, 2 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.keep, r.in.clients.most, r.in.clients.surplus = 1, 1, 2 })
 	busy := r.client()
 	busy.send(look("a")...)
 	get(t, r.mod.requests)
