Ceilings are paid in parts and waited for while that helps

Change: the shared part pays a grant as far as it reaches and the rest asks again with the next batch; what quota and ceiling let in time waits for the ceiling beside what waits for servers, and pays when it is sent; what can't be paid while it can still be sent is refused at once, as before. The bound is as it was: parts add up, a life begins empty.

--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,102 @@
+// Package terms is what a gateway's settings say: classes, plans, limits. Plain values, checked; nothing is decided here.
+package terms
+
+import (
+	"fmt"
+)
+
+// Effect tells whether a class of request may run more than once.
+type Effect int
+
+// The effects of a class.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // repeats are dropped by a group of servers for a time
+	Unsafe               // must not run twice
+)
+
+// Scope is the group of servers that drops the repeats of a keyed request.
+type Scope int
+
+// The scopes of a key.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of request. Times are in seconds.
+type Class struct {
+	Name       string
+	AimS       float64 // an answer within this time earns its full worth
+	AimStretch float64 // the aim grows by this multiple of the request's own work
+	DeadlineS  float64
+	Worth      float64
+	LateWorth  float64 // share of the worth after the aim
+	Effect     Effect
+	KeyScope   Scope
+	KeyTTLS    float64
+	Stream     bool
+}
+
+// Plan describes the quota that each customer of the plan holds over all gateways.
+type Plan struct {
+	Name         string
+	Rate         float64 // units a second; 0: no such quota
+	Burst        float64 // the most units the quota holds
+	Parallel     int     // attempts out at once; 0: no such quota
+	Price        float64 // factor on the worth
+	ExtraWorth   float64 // share of the worth earned beyond the quota
+	ExcessCost   float64 // share of the worth that sending on beyond the quota costs
+	CeilingRate  float64 // 0: no ceiling
+	CeilingBurst float64
+	CeilingSlack float64
+}
+
+// Settings are fixed for the life of a Gateway. Times are in seconds.
+type Settings struct {
+	Me, Gateways int
+	Zone         string
+	Classes      []Class
+	Plans        []Plan
+
+	MaxUnits   int
+	TrueUp     bool    // units are a guess, the true ones come with the answer
+	PeerIntake float64 // messages a second that a gateway takes in
+
+	Peers, Probes, Cancel, Parallel, RetryAfter bool
+	MaxAttempts                                 int
+	MaxRetryAfterS                              float64
+	ReportByProbe, ReportByAnswer               bool
+
+	AnswerSlackS, ColdFrom, ColdS, FallMultiple, FallS float64
+
+	TickS           float64 // the least time between two batches of events
+	CrossZonePrice  float64
+	WorstPlanWeight float64 // weight of the worst-served plan in the goal
+}
+
+// Check tells what is wrong with the settings.
+func (s Settings) Check() error {
+	switch {
+	case s.Gateways < 1:
+		return fmt.Errorf("gateways is %d, want 1 at least", s.Gateways)
+	case s.Me < 0 || s.Me >= s.Gateways:
+		return fmt.Errorf("me is %d, want 0 to %d", s.Me, s.Gateways-1)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("no classes given")
+	case len(s.Plans) > 16:
+		return fmt.Errorf("%d plans given, 16 at most", len(s.Plans))
+	}
+	for _, c := range s.Classes {
+		if !(c.DeadlineS > 0) || !(c.AimS > 0) || c.Worth < 0 {
+			return fmt.Errorf("class %q: aim and deadline must be above 0 and worth not below", c.Name)
+		}
+	}
+	for _, p := range s.Plans {
+		if p.Rate < 0 || p.Rate > 0 && p.Burst <= 0 || p.Parallel < 0 || p.CeilingRate < 0 || p.Price < 0 {
+			return fmt.Errorf("plan %q: rates must not be below 0, and a rate needs a burst", p.Name)
+		}
+	}
+	return nil
+}
--- a/internal/trace/file.go
+++ b/internal/trace/file.go
@@ -8,8 +8,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"eiderspread/internal/terms"
 	"eiderspread/internal/why"
-	"eiderspread/policy"
 )
 
 // Version is of the files that are written. Readers take no other.
@@ -17,14 +17,14 @@
 
 // Header is the first item of a file.
 type Header struct {
-	Magic    string         `cbor:"1,keyasint"`
-	Version  int            `cbor:"2,keyasint"`
-	Name     string         `cbor:"3,keyasint"` // of the gateway
-	Me       int            `cbor:"4,keyasint"`
-	Gateways int            `cbor:"5,keyasint"`
-	Started  float64        `cbor:"6,keyasint"` // Unix seconds, by the gateway's clock
-	Plans    []policy.Plan  `cbor:"7,keyasint"`
-	Classes  []policy.Class `cbor:"8,keyasint"`
+	Magic    string        `cbor:"1,keyasint"`
+	Version  int           `cbor:"2,keyasint"`
+	Name     string        `cbor:"3,keyasint"` // of the gateway
+	Me       int           `cbor:"4,keyasint"`
+	Gateways int           `cbor:"5,keyasint"`
+	Started  float64       `cbor:"6,keyasint"` // Unix seconds, by the gateway's clock
+	Plans    []terms.Plan  `cbor:"7,keyasint"`
+	Classes  []terms.Class `cbor:"8,keyasint"`
 }
 
 const magic = "eiderspread.trace"
--- a/policy/api.go
+++ b/policy/api.go
@@ -2,80 +2,30 @@
 // of a shared back end to its plan. It holds no clock, no randomness of its own
 // and no network: time and seed come in as values, and what is to be done goes
 // out through Actions. policy.go holds every decision; this file is its
-// interface; message.go is the encoding of the messages between gateways.
+// interface.
 package policy
 
-// Effect tells whether a class of request may run more than once.
-type Effect int
+import "eiderspread/internal/terms"
 
-// The effects of a class.
-const (
-	Safe   Effect = iota // may run any number of times
-	Keyed                // repeats are dropped by a group of servers for a time
-	Unsafe               // must not run twice
+// What the settings say.
+type (
+	Effect   = terms.Effect
+	Scope    = terms.Scope
+	Class    = terms.Class
+	Plan     = terms.Plan
+	Settings = terms.Settings
 )
 
-// Scope is the group of servers that drops the repeats of a keyed request.
-type Scope int
-
-// The scopes of a key.
+// Effects and scopes of keys.
 const (
-	ScopeAll Scope = iota
-	ScopeZone
-	ScopeCell
+	Safe      = terms.Safe
+	Keyed     = terms.Keyed
+	Unsafe    = terms.Unsafe
+	ScopeAll  = terms.ScopeAll
+	ScopeZone = terms.ScopeZone
+	ScopeCell = terms.ScopeCell
 )
 
-// Class describes one class of request. Times are in seconds.
-type Class struct {
-	Name       string
-	AimS       float64 // an answer within this time earns its full worth
-	AimStretch float64 // the aim grows by this multiple of the request's own work
-	DeadlineS  float64
-	Worth      float64
-	LateWorth  float64 // share of the worth after the aim
-	Effect     Effect
-	KeyScope   Scope
-	KeyTTLS    float64
-	Stream     bool
-}
-
-// Plan describes the quota that each customer of the plan holds over all gateways.
-type Plan struct {
-	Name         string
-	Rate         float64 // units a second; 0: no such quota
-	Burst        float64 // the most units the quota holds
-	Parallel     int     // attempts out at once; 0: no such quota
-	Price        float64 // factor on the worth
-	ExtraWorth   float64 // share of the worth earned beyond the quota
-	ExcessCost   float64 // share of the worth that sending on beyond the quota costs
-	CeilingRate  float64 // 0: no ceiling
-	CeilingBurst float64
-	CeilingSlack float64
-}
-
-// Settings are fixed for the life of a Gateway. Times are in seconds.
-type Settings struct {
-	Me, Gateways int
-	Zone         string
-	Classes      []Class
-	Plans        []Plan
-
-	MaxUnits   int
-	TrueUp     bool    // units are a guess, the true ones come with the answer
-	PeerIntake float64 // messages a second that a gateway takes in
-
-	Peers, Probes, Cancel, Parallel, RetryAfter bool
-	MaxAttempts                                 int
-	MaxRetryAfterS                              float64
-	ReportByProbe, ReportByAnswer               bool
-
-	AnswerSlackS, ColdFrom, ColdS, FallMultiple, FallS float64
-
-	TickS           float64 // the least time between two batches of events
-	CrossZonePrice  float64
-	WorstPlanWeight float64 // weight of the worst-served plan in the goal
-}
-
 // State is what the list of servers says of a server.
 type State int
 
--- a/policy/keep.go
+++ b/policy/keep.go
@@ -3,6 +3,7 @@
 import (
 	"eiderspread/internal/kept"
 	"eiderspread/internal/tally"
+	"eiderspread/internal/why"
 )
 
 // What a gateway knows, handed to the one that goes on for it in another process. It is bookkeeping: nothing is decided.
@@ -22,6 +23,11 @@
 // Keep returns all that is to be handed on. This gateway passes nothing more under a ceiling: what is left is the other's.
 func (g *Gateway) Keep(now float64) (parts []kept.Part) {
 	g.clock(now)
+	for _, r := range g.queue { // nothing here will pay for them
+		if r.owes {
+			g.refuse(r, why.CeilBoth)
+		}
+	}
 	k := kept.Part{Boot: g.boot, Seq: g.seq, Born: g.born, Limit: g.limit / float64(max(1, len(g.order))), Figures: kept.Values(g.figures()),
 		Classes: map[string][2]float64{}, Servers: map[string][]float64{}}
 	for name, c := range g.classes {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -36,6 +37,7 @@
 	demandTauS   = 1.5  // memory of what a customer asks for
 	cheapLeaves  = 0.18 // of the burst, that the cheapest work leaves to dearer work of its customer
 	memberS      = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
+	wantNone     = 0.25 // an owner's answer that grants nothing
 	outS         = 3.0  // a member's attempts out are believed for so long
 	youngS       = 2.0  // a ledger younger than this believes the room that members hand back
 	forgetS      = 10.0 // customers unused for longer are forgotten: after memberS at any owner, so that
@@ -88,8 +90,8 @@
 
 // New returns the gateway's decisions at its start. The list of servers follows through Servers.
 func New(s Settings, seed uint64, now float64, act Actions) (*Gateway, error) {
-	if err := check(s, act); err != nil {
-		return nil, err
+	if err := s.Check(); err != nil || act == nil {
+		return nil, cmp.Or(err, errors.New("no actions given"))
 	}
 	g := &Gateway{s: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, born: now,
 		classes: map[string]*class{}, byPlan: map[string]*plan{}, servers: map[string]*server{},
@@ -205,7 +207,7 @@
 	}
 	if barred := g.barred(r); barred != why.None {
 		g.refuse(r, barred)
-	} else if s := g.choose(r); s != nil {
+	} else if s := g.server(r); s != nil {
 		g.send(r, s)
 	} else {
 		g.trace(why.Queue, g.noRoom(r), r, -1)
@@ -213,7 +215,16 @@
 	}
 }
 
+// server picks one for the request's next attempt; nil if none has room, or no part of the ceiling pays yet.
+func (g *Gateway) server(r *request) *server {
+	if r.owes && !g.ceilingHolds(r.cust, r.Units) && !g.poolHolds(r.cust, r.Units) {
+		return nil
+	}
+	return g.choose(r)
+}
+
 func (g *Gateway) send(r *request, s *server) {
+	g.pay(r)
 	s.busy = s.busy*math.Exp((s.sentAt-g.now)/busyTauS) + min(s.speed*r.cls.lat/busyTauS, 1)
 	g.begin(r, s)
 	if g.coldShare(s) < 1 {
@@ -307,7 +318,7 @@
 			g.refuse(r, barred)
 			return true
 		}
-		s := g.choose(r)
+		s := g.server(r)
 		if s != nil {
 			g.send(r, s)
 		}
@@ -361,7 +372,7 @@
 	if g.owner(c) == g.s.Me {
 		if short := g.fits(g.ledger(c), c, r.Units, r.cheap); short != why.None {
 			return deny, short
-		} else if g.ceilingHolds(c, r.Units) || g.poolHolds(c, r.Units) {
+		} else if g.ceilingSoon(r) {
 			return pass, why.OwnCount
 		}
 		return deny, why.CeilBoth
@@ -374,8 +385,8 @@
 		return deny, why.Held
 	case p.Parallel > 0 && (age > freshS || c.out+c.othersOut+1 >= p.Parallel):
 		return wait, why.Cap
-	case !g.ceilingHolds(c, r.Units):
-		return wait, why.CeilPart
+	case !g.ceilingHolds(c, c.owed+r.Units) && (g.owner(c) == c.prime || !g.ceilingSoon(r)):
+		return wait, why.CeilPart // the first on the ring may pay
 	}
 	need := r.Units
 	if mine+c.others > p.Rate {
@@ -427,23 +438,33 @@
 	return l
 }
 
-// take charges a first send to quota and ceiling when it is let in.
+// take charges a first send to its quota when it is let in. What nobody has paid for owes its units to the ceiling.
 func (g *Gateway) take(r *request, paid bool) {
 	c := r.cust
 	if c == nil {
 		return
 	}
-	switch {
-	case paid:
-	case g.ceilingHolds(c, r.Units):
-		c.ceil -= r.Units
-	default:
-		c.pool -= r.Units
+	if r.owes = !paid && c.plan.CeilingRate > 0; r.owes {
+		c.owed += r.Units
 	}
 	r.taken = true
 	g.charge(c, r.Units)
 }
 
+// pay takes what a first send owes off a part of the ceiling that holds it: server has seen to that.
+func (g *Gateway) pay(r *request) {
+	switch {
+	case !r.owes:
+		return
+	case g.ceilingHolds(r.cust, r.Units):
+		r.cust.ceil -= r.Units
+	default:
+		r.cust.pool -= r.Units
+	}
+	r.owes = false
+	r.cust.owed -= r.Units
+}
+
 func (g *Gateway) charge(c *customer, units float64) {
 	if g.owner(c) == g.s.Me {
 		g.ledger(c).Spend(units)
@@ -591,22 +612,32 @@
 	return true
 }
 
-// resolve ends the wait of the first n requests that asked.
-func (g *Gateway) resolve(c *customer, n int, ok func(*request) bool, paid bool, no why.Reason) {
-	list := c.asks[:n]
-	c.asks = slices.Clone(c.asks[n:])
+// resolve ends the wait of the first n requests that asked, but for those that may ask again: what was granted does
+// not reach them, which no is None for, or the first on the ring has granted what no part of the ceiling here pays soon.
+// It returns how many these are.
+func (g *Gateway) resolve(c *customer, n int, ok func(*request) bool, paid bool, no why.Reason) int {
+	list, rest := c.asks[:n], slices.Clone(c.asks[n:])
+	c.asks = nil
 	for _, r := range list {
-		switch r.asking = false; {
+		switch fits := r.over || ok(r); {
 		case r.over:
-		case !ok(r):
-			g.refuse(r, no)
-		case paid || g.ceilingHolds(c, r.Units):
+		case fits && (paid || g.ceilingSoon(r)):
+			r.asking = false
 			g.take(r, paid)
 			g.place(r)
-		default:
+		case no == why.None && (!fits || g.owner(c) == c.prime):
+			c.asks = append(c.asks, r)
+		case fits:
+			r.asking = false
 			g.refuse(r, why.CeilGrant)
+		default:
+			r.asking = false
+			g.refuse(r, no)
 		}
 	}
+	again := len(c.asks)
+	c.asks = append(c.asks, rest...)
+	return again
 }
 
 // Peer takes a message of another gateway. Reports are answered at once, all in one message.
@@ -673,18 +704,21 @@
 				break
 			}
 		}
+		v.Want = wantNone
 		if grant > 0 {
+			// The shared part of the ceiling pays as far as it reaches; the rest asks again.
+			if r.Flag && g.poolHolds(c, r.First) {
+				v.Flag, grant = true, min(grant, math.Floor(c.pool*4)/4)
+				c.pool -= grant
+			}
+			v.Want = grant
 			l.Room -= grant
 			m.Total += grant
 			m.Out++
-			if v.Flag = r.Flag && g.poolHolds(c, grant); v.Flag {
-				c.pool -= grant
-			}
 		} else {
 			busy := g.s.PeerIntake * holdShare
 			v.Hold = float64(l.Heard(g.now, memberS)) / max(busy, 1) * min(g.inRate/max(busy, 1), 3)
 		}
-		v.Want = r.Want
 		g.traceWord(c, from, r, v, grant, short)
 	}
 	v.Total, v.Room, v.Out = m.Total, l.Room, c.out+l.Outs(g.now, outS, from)
@@ -695,20 +729,26 @@
 // heard takes in what the owner says.
 func (g *Gateway) heard(c *customer, r record) {
 	most := c.total + tally.Quarters(r.Total-c.total)
+	again := 0
 	c.known, c.room, c.roomAt, c.acked = true, r.Room, g.now, most
 	c.others, c.othersOut = r.Rate, r.Out
 	if r.Want > 0 && c.asked > 0 {
 		n := min(c.asked, len(c.asks))
 		c.asked, c.tries, c.holdTill = 0, 0, g.now+r.Hold
-		g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+1e-9 }, r.Flag, why.Denied)
+		no := why.Denied
+		if r.Want > wantNone && most > c.total {
+			no = why.None
+		}
+		again = g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+1e-9 }, r.Flag, no)
 		if r.Hold > 0 {
 			g.resolve(c, len(c.asks), func(*request) bool { return false }, false, why.Held)
 		}
 	}
+	fresh := len(c.asks) > again // what asks again does so with the next batch
 	if c.acked = min(most, c.total); most > c.total || len(c.asks) > 0 && c.asked == 0 {
-		g.note(c, len(c.asks) > 0)
+		g.note(c, fresh)
 	}
-	if len(c.asks) == 0 {
+	if !fresh && c.asked == 0 {
 		c.waitFrom, c.tries = 0, 0
 	} else if c.asked == 0 {
 		c.waitFrom = g.now
@@ -729,6 +769,25 @@
 	return units <= c.ceil
 }
 
+// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind all that is
+// owed already, while the request can still be sent. A ceiling fills faster than the quota, so such waits are short.
+func (g *Gateway) ceilingSoon(r *request) bool {
+	c, p := r.cust, r.plan
+	if p.CeilingRate <= 0 {
+		return true
+	}
+	share := (1 - poolShare) / float64(max(c.entries, 1))
+	most, all := share, share
+	g.ceilingHolds(c, 0)
+	have := c.ceil
+	if c.prime == g.s.Me {
+		g.poolHolds(c, 0)
+		have, most, all = have+c.pool, poolShare, share+poolShare
+	}
+	left := max(min(r.aimAt-r.cls.lat, r.halfAt)-g.now, 0)
+	return r.Units <= p.CeilingBurst*most && c.owed+r.Units <= have+p.CeilingRate*all*left
+}
+
 // poolHolds does so for the other part, which the first gateway on the customer's ring pays grants from.
 // It is the same one for all, whoever is silent, so the parts add up whatever is lost or restarted.
 func (g *Gateway) poolHolds(c *customer, units float64) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -105,6 +105,7 @@
 	over     bool
 	asking   bool // the owner's word is awaited
 	taken    bool // charged to its quota
+	owes     bool // its units to the ceiling
 	written  bool // to a server, whole
 	halfAt   float64
 	stream   bool
@@ -141,6 +142,7 @@
 	ceil, ceilAt   float64
 	pool, poolAt   float64
 	local, localAt float64
+	owed           float64 // units let in that no part of the ceiling has paid for
 	led            *tally.Ledger
 }
 
@@ -206,33 +208,6 @@
 	return true
 }
 
-// check tells what is wrong with the settings.
-func check(s Settings, act Actions) error {
-	switch {
-	case act == nil:
-		return fmt.Errorf("no actions given")
-	case s.Gateways < 1:
-		return fmt.Errorf("gateways is %d, want 1 at least", s.Gateways)
-	case s.Me < 0 || s.Me >= s.Gateways:
-		return fmt.Errorf("me is %d, want 0 to %d", s.Me, s.Gateways-1)
-	case len(s.Classes) == 0:
-		return fmt.Errorf("no classes given")
-	case len(s.Plans) > 16:
-		return fmt.Errorf("%d plans given, 16 at most", len(s.Plans))
-	}
-	for _, c := range s.Classes {
-		if !(c.DeadlineS > 0) || !(c.AimS > 0) || c.Worth < 0 {
-			return fmt.Errorf("class %q: aim and deadline must be above 0 and worth not below", c.Name)
-		}
-	}
-	for _, p := range s.Plans {
-		if p.Rate < 0 || p.Rate > 0 && p.Burst <= 0 || p.Parallel < 0 || p.CeilingRate < 0 || p.Price < 0 {
-			return fmt.Errorf("plan %q: rates must not be below 0, and a rate needs a burst", p.Name)
-		}
-	}
-	return nil
-}
-
 // outBy counts the customer's attempts out, which a parallel plan's owner hears of.
 func (g *Gateway) outBy(r *request, n int) {
 	if r.cust == nil {
@@ -247,6 +222,10 @@
 // never sent never counted.
 func (g *Gateway) over(r *request) {
 	r.over = true
+	if r.owes {
+		r.owes = false
+		r.cust.owed -= r.Units
+	}
 	if r.taken && len(r.attempts) == 0 {
 		r.taken = false
 		g.charge(r.cust, -r.Units)
@@ -476,7 +455,7 @@
 func (g *Gateway) Retune(now float64, classes []Class, attempts int) error {
 	s := g.s
 	s.Classes, s.MaxAttempts = classes, attempts
-	if err := check(s, g.act); err != nil {
+	if err := s.Check(); err != nil {
 		return err
 	}
 	if len(g.classList)+len(classes) > classesMost {
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -70,6 +70,8 @@
 	switch {
 	case r.plan != nil && r.plan.Parallel > 0 && r.attempts == nil && r.cust.out >= r.plan.Parallel:
 		return why.Cap
+	case r.owes && !g.ceilingHolds(r.cust, r.Units) && !g.poolHolds(r.cust, r.Units):
+		return why.CeilPart
 	case g.full(r):
 		return why.Limit
 	}
