Requests wait for a plan's cap while an attempt ends in time

Change: the owner queues a request for the cap while an attempt ends in time by the class's latency, its queue and what others ask; a member is told no pause for a cap, and as many requests as may be out ask again; a grant is for as many as are free.

Schedules in virtual time: capped 20 (two levels), storm and ceilings 12 each (one level): 0 breaches.

--- a/policy/api.go
+++ b/policy/api.go
@@ -26,73 +26,32 @@
 	ScopeCell = terms.ScopeCell
 )
 
-// State is what the list of servers says of a server.
-type State int
-
-// The states of a server.
-const (
-	Up State = iota
-	Draining
-	Removed
+// What a gateway is told.
+type (
+	State       = terms.State
+	Server      = terms.Server
+	Request     = terms.Request
+	Status      = terms.Status
+	Load        = terms.Load
+	Outcome     = terms.Outcome
+	ProbeResult = terms.ProbeResult
 )
 
-// Server is an entry of the list of servers.
-type Server struct {
-	ID, Zone string
-	Cell     int
-	State    State
-	Weight   float64
-	SinceS   float64 // when its process started; 0: long ago
-}
-
-// Request is a client's request that this gateway now owes one final answer.
-type Request struct {
-	ID, Class, Plan, Customer string
-	DeadlineS                 float64 // clock time at which the client gives up
-	First, Entries            int     // the customer's gateways: Entries in a row from First
-	Units                     float64
-	Retry                     bool
-}
-
-// Status is the way an attempt or a probe ended.
-type Status int
-
-// The ways an attempt ends.
+// States of servers, and the ways an attempt ends.
 const (
-	OK            Status = iota
-	Error                // the server answered with an error; may have run
-	Full                 // turned away unseen; did not run
-	Timeout              // no answer in time; may have run
-	ConnectFailed        // never reached the server; did not run
-	Reset                // the connection broke; may have run
-	Cancelled            // called off; may have run
-	Moot                 // not sent
+	Up            = terms.Up
+	Draining      = terms.Draining
+	Removed       = terms.Removed
+	OK            = terms.OK
+	Error         = terms.Error
+	Full          = terms.Full
+	Timeout       = terms.Timeout
+	ConnectFailed = terms.ConnectFailed
+	Reset         = terms.Reset
+	Cancelled     = terms.Cancelled
+	Moot          = terms.Moot
 )
 
-// Load is a server's load report. Fields that were not reported are below 0.
-type Load struct {
-	InFlight, Queue, Util, ServiceMS, ServedPerS, FailedPerS float64
-}
-
-// Outcome ends one attempt. Over tells that the request needs no answer any more.
-type Outcome struct {
-	ID, Server string
-	Attempt    int
-	Status     Status
-	Over       bool
-	SpentS     float64
-	Units      float64 // the true units, with TrueUp and OK
-	Load       *Load
-}
-
-// ProbeResult ends one probe.
-type ProbeResult struct {
-	Server string
-	Status Status
-	SpentS float64
-	Load   *Load
-}
-
 // Broadcast as the addressee of Tell means every other gateway.
 const Broadcast = -1
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -370,15 +370,18 @@
 func (g *Gateway) inQuota(r *request) (verdict, why.Reason) {
 	c, p := r.cust, r.plan
 	if g.owner(c) == g.s.Me {
-		if short := g.fits(g.ledger(c), c, r.Units, r.cheap); short != why.None {
+		switch short := g.fits(g.ledger(c), c, r.Units, r.cheap); {
+		case short != why.None && (short != why.Cap || !g.capSoon(r)):
 			return deny, short
-		} else if g.ceilingSoon(r) {
-			return pass, why.OwnCount
+		case !g.ceilingSoon(r):
+			return deny, why.CeilBoth
 		}
-		return deny, why.CeilBoth
+		return pass, why.OwnCount
 	}
 	room, age, mine := g.roomNow(c), g.now-c.roomAt, g.demandNow(c)
 	switch {
+	case p.Parallel > 0 && len(c.asks) >= 2*p.Parallel:
+		return deny, why.Cap
 	case len(c.asks) > 0:
 		return wait, why.Silent
 	case g.now < c.holdTill:
@@ -412,14 +415,13 @@
 func (g *Gateway) fits(l *tally.Ledger, c *customer, units, cheap float64) why.Reason {
 	p := c.plan
 	switch {
-	case p.Parallel > 0 && c.out+l.Outs(g.now, outS, -1) >= p.Parallel:
-		return why.Cap
-	case p.Rate == 0:
-		return why.None
-	case units > l.Room:
+	case p.Rate > 0 && units > l.Room:
 		return why.OwnRoom
-	case g.demandNow(c)+l.DemandNow(g.now, demandTauS) > p.Rate && units+cheap*cheapLeaves*p.Burst > l.Room:
+	case p.Rate > 0 && g.demandNow(c)+l.DemandNow(g.now, demandTauS) > p.Rate &&
+		units+cheap*cheapLeaves*p.Burst > l.Room:
 		return why.Kept
+	case p.Parallel > 0 && c.out+l.Outs(g.now, outS, -1) >= p.Parallel:
+		return why.Cap
 	}
 	return why.None
 }
@@ -438,7 +440,8 @@
 	return l
 }
 
-// take charges a first send to its quota when it is let in. What nobody has paid for owes its units to the ceiling.
+// take charges a first send to its quota when it is let in. What nobody has paid for owes its units to the
+// ceiling.
 func (g *Gateway) take(r *request, paid bool) {
 	c := r.cust
 	if c == nil {
@@ -612,9 +615,9 @@
 	return true
 }
 
-// resolve ends the wait of the first n requests that asked, but for those that may ask again: what was granted does
-// not reach them, which no is None for, or the first on the ring has granted what no part of the ceiling here pays soon.
-// It returns how many these are.
+// resolve ends the wait of the first n requests that asked, but for those that may ask again: what was granted
+// does not reach them, which no is None for, or the first on the ring has granted what no part of the ceiling here
+// pays soon. Under a cap no more ask again than may be out. It returns how many ask again.
 func (g *Gateway) resolve(c *customer, n int, ok func(*request) bool, paid bool, no why.Reason) int {
 	list, rest := c.asks[:n], slices.Clone(c.asks[n:])
 	c.asks = nil
@@ -625,14 +628,15 @@
 			r.asking = false
 			g.take(r, paid)
 			g.place(r)
-		case no == why.None && (!fits || g.owner(c) == c.prime):
+		case no == why.None && (!fits || g.owner(c) == c.prime) &&
+			(c.plan.Parallel == 0 || len(c.asks) < c.plan.Parallel):
 			c.asks = append(c.asks, r)
 		case fits:
 			r.asking = false
 			g.refuse(r, why.CeilGrant)
 		default:
 			r.asking = false
-			g.refuse(r, no)
+			g.refuse(r, cmp.Or(no, why.Cap))
 		}
 	}
 	again := len(c.asks)
@@ -696,8 +700,8 @@
 	if r.Want > 0 {
 		grant, short := 0.0, why.None
 		for _, w := range []float64{r.Want, r.First} {
-			if c.plan.Parallel > 0 {
-				w = r.First
+			if free := c.plan.Parallel - c.out - l.Outs(g.now, outS, -1); c.plan.Parallel > 0 {
+				w = min(w, r.First*float64(max(free, 1)))
 			}
 			if short = g.fits(l, c, w, r.Cheap); short == why.None {
 				grant = w
@@ -714,8 +718,8 @@
 			v.Want = grant
 			l.Room -= grant
 			m.Total += grant
-			m.Out++
-		} else {
+			m.Out += max(int(grant/max(r.First, 1)), 1)
+		} else if short != why.Cap { // an attempt ends soon: what waits for that asks again with the next batch
 			busy := g.s.PeerIntake * holdShare
 			v.Hold = float64(l.Heard(g.now, memberS)) / max(busy, 1) * min(g.inRate/max(busy, 1), 3)
 		}
@@ -736,7 +740,8 @@
 		n := min(c.asked, len(c.asks))
 		c.asked, c.tries, c.holdTill = 0, 0, g.now+r.Hold
 		no := why.Denied
-		if r.Want > wantNone && most > c.total {
+		capped := c.plan.Parallel > 0 && c.out+r.Out >= c.plan.Parallel && r.Hold == 0
+		if r.Want > wantNone && most > c.total || capped {
 			no = why.None
 		}
 		again = g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+1e-9 }, r.Flag, no)
@@ -769,8 +774,9 @@
 	return units <= c.ceil
 }
 
-// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind all that is
-// owed already, while the request can still be sent. A ceiling fills faster than the quota, so such waits are short.
+// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind all
+// that is owed already, while the request can still be sent. A ceiling fills faster than the quota: such waits are
+// short.
 func (g *Gateway) ceilingSoon(r *request) bool {
 	c, p := r.cust, r.plan
 	if p.CeilingRate <= 0 {
@@ -788,6 +794,20 @@
 	return r.Units <= p.CeilingBurst*most && c.owed+r.Units <= have+p.CeilingRate*all*left
 }
 
+// capSoon tells whether an attempt of the customer will end in time for the request, behind what waits for that
+// already.
+func (g *Gateway) capSoon(r *request) bool {
+	ahead := 1.0
+	for _, q := range g.queue {
+		if q.cust == r.cust && q.attempts == nil && !q.over {
+			ahead++
+		}
+	}
+	l, mine := g.ledger(r.cust), g.demandNow(r.cust)
+	all := 1 + l.DemandNow(g.now, demandTauS)/max(mine, 1e-9) // other gateways' requests come in between
+	return g.now+ahead*all*r.cls.lat/float64(r.plan.Parallel) <= min(r.aimAt-r.cls.lat, r.halfAt)
+}
+
 // poolHolds does so for the other part, which the first gateway on the customer's ring pays grants from.
 // It is the same one for all, whoever is silent, so the parts add up whatever is lost or restarted.
 func (g *Gateway) poolHolds(c *customer, units float64) bool {
@@ -835,7 +855,7 @@
 func (g *Gateway) full(r *request) bool {
 	free, p := g.limit-float64(g.out), r.plan
 	part := free < 1 && g.stretch >= stretchHigh && g.now-g.sentAt < max(r.cls.lat, g.spent)/free
-	return free <= 0 || part || p != nil && p.Parallel > 0 && r.attempts == nil && r.cust.out >= p.Parallel
+	return free <= 0 || part || p != nil && p.Parallel > 0 && r.attempts == nil && g.outNow(r.cust) >= p.Parallel
 }
 
 // choose picks the server for the request's next attempt, nil if none has room.
--- a/policy/state.go
+++ b/policy/state.go
@@ -235,6 +235,14 @@
 	}
 }
 
+// outNow are the customer's attempts out, of all gateways where this one owns it.
+func (g *Gateway) outNow(c *customer) int {
+	if g.owner(c) != g.s.Me || c.led == nil {
+		return c.out
+	}
+	return c.out + c.led.Outs(g.now, outS, -1)
+}
+
 // asked counts what the customer asks for here, passed or not.
 func (g *Gateway) asked(c *customer, units float64) {
 	c.demand, c.demandAt = g.demandNow(c)+units/demandTauS, g.now
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -68,7 +68,7 @@
 // noRoom tells why no server was chosen.
 func (g *Gateway) noRoom(r *request) why.Reason {
 	switch {
-	case r.plan != nil && r.plan.Parallel > 0 && r.attempts == nil && r.cust.out >= r.plan.Parallel:
+	case r.plan != nil && r.plan.Parallel > 0 && r.attempts == nil && g.outNow(r.cust) >= r.plan.Parallel:
 		return why.Cap
 	case r.owes && !g.ceilingHolds(r.cust, r.Units) && !g.poolHolds(r.cust, r.Units):
 		return why.CeilPart
