Operators hold nodes of a two-level fleet by one call at any planner

Need: forwarders and planners had no door; a hold at one forwarder's sockets would have left its planners choosing the node. Change: holds are registers kept by forwarders and written by planners at a majority (internal/withhold, no I/O); a yes comes once a majority has the word and a lease is over, so that every leader either has heard it, before the promise that its lead rests on, or leads no more. Planners have a door (console in planner.toml): holds, and drain/activate, which gives cells up and claims again. Forwarders may have one too: clients are sent away there. Peers of the version before are told nothing that they don't know.

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -12,6 +12,7 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/link"
+	"eiderspread/internal/withhold"
 	"eiderspread/policy"
 )
 
@@ -41,7 +42,8 @@
 type Out interface {
 	policy.Actions
 	Link(planner int, msgs ...link.Msg)
-	Room(planner int) bool // whether the link keeps up
+	Room(planner int) bool         // whether the link keeps up
+	Hold(server string, held bool) // nothing is to be written to it any more, or again
 }
 
 // Core follows planners. It is not safe for concurrent use; times are Unix seconds of this machine and never go
@@ -62,6 +64,7 @@
 	usage   usage
 	beatAt  float64
 	cutAt   float64 // when the last link ended, if none stands
+	words   withhold.Words
 	Stats   Stats
 }
 
@@ -88,8 +91,9 @@
 type orphans struct{ plan, out int }
 
 type planner struct {
-	up   bool
-	life uint64
+	up    bool
+	life  uint64
+	holds bool // it knows records of holds
 }
 
 // open is a request that is owed an answer, or that has attempts out.
@@ -271,14 +275,15 @@
 // LinkUp takes a new link to a planner of the given life.
 func (c *Core) LinkUp(now float64, p int, life uint64) {
 	c.now = now
-	c.peers[p] = planner{true, life}
+	c.peers[p] = planner{up: true, life: life}
+	c.out.Link(p, link.Msg{Kind: link.Gone, Handle: link.KnowsHoldsHandle})
 	c.views(p, -1)
 }
 
 // LinkDown takes the end of a link. The promises stand: they were given to the planner, not to the link.
 func (c *Core) LinkDown(now float64, p int) {
 	c.now = now
-	c.peers[p].up = false
+	c.peers[p].up, c.peers[p].holds = false, false
 	c.cutAt = now
 	for i := range c.cells {
 		if c.cells[i].holder == p {
@@ -295,8 +300,13 @@
 		c.claim(p, m)
 	case link.Lead:
 		c.lead(p, m)
+	case link.HoldAsk, link.Hold:
+		c.holds(p, m)
 	case link.Release:
-		if int(m.Cell) < len(c.cells) {
+		if m.Cell == link.KnowsHoldsCell {
+			c.peers[p].holds = true
+			c.words.Each(func(id string, x withhold.Word) { c.out.Link(p, holdIs(0, id, x)) })
+		} else if int(m.Cell) < len(c.cells) {
 			if k := &c.cells[m.Cell]; k.holder == p && k.epoch == m.Epoch {
 				k.until = now
 				c.unlead(int(m.Cell))
--- a/internal/forward/remote.go
+++ b/internal/forward/remote.go
@@ -165,6 +165,12 @@
 	return err
 }
 
+// Hold implements Out.
+func (r *Remote) Hold(server string, held bool) {
+	r.Host.Hold(server, held)
+	r.Note("operators hold a backend, or call it back", "id", server, "held", held)
+}
+
 // Status is what a forwarder tells people.
 type Status struct {
 	Kind     string       `json:"kind"`
@@ -175,6 +181,7 @@
 	BytesOut uint64       `json:"bytes_out"`
 	Stats    Stats        `json:"stats"`
 	Cells    []CellStatus `json:"cells"`
+	Held     []string     `json:"held"` // backends, by operators
 	List     roster.Age   `json:"list"` // how old the list of backends is
 	Old      bool         `json:"old"`  // too old to be trusted
 }
@@ -192,6 +199,7 @@
 			}
 		}
 		r.core.now = now
+		st.Held = r.core.Holds()
 		st.Cells, st.Requests = r.core.Cells()
 		got <- st
 	})
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -15,6 +15,8 @@
 // lookEvery is how often the file of what operators hold is looked at: the other process of an upgrade may have written it.
 const lookEvery = 50 * time.Millisecond
 
+var errPlanners = errors.New("this is a forwarder: call any planner of the fleet, which has all of them keep off")
+
 var errNotReady = errors.New("this ingress takes no clients")
 
 // door carries the operators' calls out on the loop. Its methods are called by the console's goroutines; each returns
@@ -24,6 +26,10 @@
 // openDoor takes over what was held before this process, and serves the operators' calls until ctx ends.
 func (in *Ingress) openDoor(ctx context.Context) {
 	store := in.store
+	if store == nil {
+		go in.console.Serve()
+		return
+	}
 	if err := store.Look(func(h held.Holds) { in.held.Set(h) }); err != nil {
 		in.log.Error("what operators held is not known: nothing is held", "error", err)
 	}
@@ -97,6 +103,9 @@
 func (d *door) change(ctx context.Context, what, id string,
 	do func(nowMS int64, id string) (targets, error)) error {
 	in := d.in
+	if in.store == nil {
+		return errPlanners
+	}
 	return in.store.Change(ctx, func(before held.Holds) (after held.Holds, err error) {
 		err = in.onLoop(ctx, func() error {
 			if before != nil {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -60,6 +60,7 @@
 	Note(what string, args ...any)   // logs a fault of somebody else, at a bounded rate; loop only
 	Now() float64                    // loop only
 	ListAge() roster.Age             // how old the list of backends is; of any goroutine
+	Hold(id string, held bool)       // keeps off a backend whatever discovery says, until it is called back; loop only
 }
 
 // Ingress is one gateway on real sockets. Its loop alone owns the gateway and all that is not said
@@ -87,8 +88,8 @@
 	requests    map[string]*request
 	backends    backendSet
 	watcher     *roster.Watcher
-	held        *held.Table // what operators took out; nil without a door
-	store       *held.Store // the same in a file; of the door's goroutines
+	held        *held.Table // what operators took out; nil without a door and out of a fleet
+	store       *held.Store // the same in a file; of the door's goroutines; nil in a fleet
 	console     *console.Server
 	away        awayState
 	heirs       succession                 // toward a process that replaces this one
@@ -164,8 +165,13 @@
 		return nil, err
 	}
 	var err error
+	if cfg.Console != "" || cfg.Member {
+		in.held = held.New()
+	}
 	if cfg.Console != "" {
-		in.held, in.store = held.New(), held.NewStore(storePath(cfg.Name))
+		if !cfg.Member {
+			in.store = held.NewStore(storePath(cfg.Name))
+		}
 		if in.console, err = console.Listen(cfg.Console, &door{in}); err != nil {
 			in.close()
 			return nil, err
@@ -183,7 +189,7 @@
 
 // listen has the clients' listener: of the process that this one replaces, if there is one.
 func (in *Ingress) listen() (err error) {
-	if in.cfg.Console != "" {
+	if in.cfg.Console != "" && !in.cfg.Member {
 		if in.heir, err = inherit(in.cfg); err != nil {
 			return err
 		}
@@ -248,7 +254,7 @@
 	if in.heir != nil {
 		go in.receive(in.heir)
 	}
-	if in.console != nil {
+	if in.console != nil && !in.cfg.Member {
 		in.awaitSuccessor()
 	}
 	if in.peers != nil {
--- a/internal/lab/operators.go
+++ b/internal/lab/operators.go
@@ -16,12 +16,13 @@
 )
 
 // What operators do by hand to one-program ingresses: replace a program beside itself, take nodes out and call them back.
-// Ingresses of a fleet of one level have a door each; every second start of one has it at another address.
+// Ingresses of a fleet of one level have a door each; every second start of one has it at another address. In two levels planners have one.
 
 const (
 	replaceMost = 10 * time.Second // for an old program to end after its successor was started
 	callMost    = 2 * time.Second
 	callRetry   = 50 * time.Millisecond
+	doorLease   = 0.6              // seconds: planners with longer leases have no door
 	resumeMost  = 10 * time.Second // for a call back to get through to an ingress that is down now
 )
 
@@ -145,7 +146,51 @@
 	all.Wait()
 }
 
+// holdAtPlanner has operators take a node out at one planner, for as long as meanwhile does, and call it back at another. From the yes on
+// every forwarder is bound, whoever leads.
+func (f *Fleet) holdAtPlanner(n *Node, at int, meanwhile func()) {
+	path := "/v1/backends/" + n.ID
+	yes, status, err := false, 0, error(nil)
+	for end := time.Now().Add(resumeMost / 3); !yes && time.Now().Before(end); at++ { // a planner may be down, or linked to too few
+		status, err = f.Planners[at%len(f.Planners)].Call(context.Background(), http.MethodPost, path+"/suspend")
+		yes = err == nil && status == http.StatusOK
+	}
+	if yes {
+		for i := range f.Forwarders {
+			f.Hist.Hold(f.Party(i), n.ID, true)
+		}
+	} else {
+		f.Hist.Fault(fmt.Sprintf("planner %d does not hold %s: status %d, %v", at%len(f.Planners), n.ID, status, err))
+	}
+	meanwhile()
+	for i := range f.Forwarders {
+		if yes {
+			f.Hist.Hold(f.Party(i), n.ID, false)
+		}
+	}
+	for end := time.Now().Add(resumeMost); time.Now().Before(end); time.Sleep(callRetry) {
+		at++ // whichever answers
+		if status, err = f.Planners[at%len(f.Planners)].Call(context.Background(), http.MethodPost, path+"/resume"); err == nil && status == http.StatusOK {
+			return
+		}
+	}
+	f.Hist.Fault(fmt.Sprintf("nobody calls %s back: status %d, %v", n.ID, status, err))
+}
+
 func init() {
+	kinds["fleet held"] = kind{"operators take a node out at one planner and call it back at another", 1, 2, one("held"),
+		func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+			if n := f.pick(x.A); n != nil {
+				f.holdAtPlanner(n, x.B, func() { wait(x.For) })
+			}
+		}}
+	kinds["away"] = kind{"operators send a planner away and have it back", 1, 2, onPlanner,
+		func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+			p := f.Planners[x.A%len(f.Planners)]
+			p.Call(context.Background(), http.MethodPost, "/v1/ingress/drain")
+			wait(x.For)
+			p.Call(context.Background(), http.MethodPost, "/v1/ingress/activate")
+		}}
 	kinds["replaced"] = kind{"operators replace an ingress's program beside itself", 1, 4, onForwarder,
 		func(f *Fleet, x Fault, _ func(time.Duration) bool) {
 			i, from := x.A%len(f.Forwarders), f.Hist.Now()
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -265,6 +265,24 @@
 	},
 	"node cut":      func(s *Sim, x lab.Fault) { s.wayTo(x, -1) },
 	"node half cut": func(s *Sim, x lab.Fault) { s.wayTo(x, x.B%2) },
+	"fleet held":    func(s *Sim, x lab.Fault) { s.holdByHand(x) },
+	"torn": func(s *Sim, x lab.Fault) { // a leader is left to half of the forwarders, and operators call at a planner that has the others
+		a := x.A % len(s.planners)
+		b := (a + 1) % len(s.planners)
+		s.cutLinks(x.For.Seconds(), func(p, f int) bool { return p == a && f%2 == 0 || p == b && f%2 == 1 })
+		s.after(0.001, func() { x.B = b; s.holdByHand(x) })
+	},
+	"away": func(s *Sim, x lab.Fault) {
+		p := s.planners[x.A%len(s.planners)]
+		if host := p.host; host != nil && !p.paused {
+			host.Leave(p.now())
+			s.after(x.For.Seconds(), func() {
+				if p.host == host {
+					p.do(func() { host.Return(p.now()) })
+				}
+			})
+		}
+	},
 	"late roster": func(s *Sim, x lab.Fault) {
 		s.lateS = 1 + 4*x.X
 		s.after(x.For.Seconds(), func() { s.lateS = 0 })
--- a/internal/link/msg.go
+++ b/internal/link/msg.go
@@ -45,9 +45,19 @@
 	Outs                    // F: Cell, Epoch, Name (customer), Plan, N: attempts out here that this leader did not decide
 	Probe                   // P: Cell, Epoch, Name (server)
 	Beat                    // both: nothing else to say
+	HoldAsk                 // P: Handle (call), Name (server): wants the forwarder's word
+	Hold                    // P: Handle (call, 0: news), Name (server), Epoch (version), Flag (held): is to be merged
+	HoldIs                  // F: Handle (call, 0: news), Name (server), Epoch (version), Flag (held)
 	kinds
 )
 
+// Peers of the version before holds by hand end a link on a record that they don't know. So each side first says by a record that
+// such a peer ignores that it knows them: a forwarder by a Gone of this handle, a planner by a Release of this cell.
+const (
+	KnowsHoldsHandle = 1<<63 | 1
+	KnowsHoldsCell   = 1<<16 - 1
+)
+
 // Msg is one record. Times are in seconds (microseconds on the link, 4,294 s at most, 0 at least), units in
 // hundredths on the link. Load holds the fields of policy.Load in their order.
 type Msg struct {
@@ -110,6 +120,9 @@
 	Outs:    {fCell, fEpoch, fName, fPlan, fN},
 	Probe:   {fCell, fEpoch, fName},
 	Beat:    {},
+	HoldAsk: {fHandle, fName},
+	Hold:    {fHandle, fName, fEpoch, fFlag},
+	HoldIs:  {fHandle, fName, fEpoch, fFlag},
 }
 
 var (
--- a/internal/planner/file.go
+++ b/internal/planner/file.go
@@ -16,6 +16,7 @@
 	Number  int
 	Listen  string
 	Status  string
+	Console string   // where operators call; empty: nowhere
 	Allowed []string // with TLS: the common name of each forwarder's certificate, by its number
 	TLS     link.Identity
 	Base    ingress.Config
@@ -26,12 +27,16 @@
 	var f struct {
 		fleet.File
 		Listen  string
+		Console string
 		Allowed []string
 	}
 	if err := operator.Decode(path, &f); err != nil {
 		return File{}, err
 	}
 	out, err := check(f.File, f.Listen, f.Allowed)
+	if err == nil {
+		err = out.door(f.Console)
+	}
 	if err != nil {
 		return out, fmt.Errorf("%s: %w", path, err)
 	}
@@ -59,3 +64,12 @@
 	out.Base, err = ingress.ReadConfig(f.Base)
 	return out, err
 }
+
+// door takes the address of the operators' door. A hold is said yes to when all leads that began before it have ended: the longest
+// lease has to fit into a call.
+func (f *File) door(addr string) (err error) {
+	if f.Console, err = ingress.ConsoleAddr(addr); err == nil && addr != "" && f.LeaseS > doorLeaseMost {
+		err = fmt.Errorf("console: lease_ms must be %.0f at most with it", doorLeaseMost*1e3)
+	}
+	return err
+}
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -10,6 +10,7 @@
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/link"
 	"eiderspread/internal/peermsg"
+	"eiderspread/internal/withhold"
 	"eiderspread/policy"
 )
 
@@ -42,6 +43,7 @@
 	up       []bool                   // forwarders
 	reqs     []map[uint64]*request    // by forwarder and handle; bounded by what forwarders hold open
 	servers  map[string]policy.Server // as last told, for modules to come
+	holds    holds
 	lives    uint64
 	fwdLives []uint64 // by forwarder
 	Stats    Stats
@@ -97,6 +99,7 @@
 	h.leases.begins = func(c int, epoch uint64) {
 		h.cells[c] = cell{epoch: epoch, win: newWindows(cfg.Forwarders, cfg.Settings.Plans, h.windowS)}
 	}
+	h.holds = newHolds(cfg, h)
 	h.leases.gained = h.gained
 	h.leases.lost = h.lost
 	return h, nil
@@ -122,7 +125,7 @@
 	h.Stats.Leads++
 	list := make([]policy.Server, 0, len(h.servers))
 	for _, s := range h.servers {
-		list = append(list, s)
+		list = append(list, h.holds.overlay(s))
 	}
 	slices.SortFunc(list, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
 	gate.Servers(now, list, true)
@@ -181,6 +184,7 @@
 			}
 		}
 	}
+	h.out.Link(f, link.Msg{Kind: link.Release, Cell: link.KnowsHoldsCell})
 	h.leases.linkUp(f)
 }
 
@@ -189,6 +193,7 @@
 func (h *Host) LinkDown(now float64, f int) {
 	h.at(now)
 	h.up[f] = false
+	h.holds.caller.LinkDown(f)
 	h.leases.linkDown(f)
 	list := make([]*request, 0, len(h.reqs[f]))
 	for _, r := range h.reqs[f] {
@@ -241,7 +246,13 @@
 		h.request(f, m)
 	case link.Outcome:
 		h.outcome(f, m)
+	case link.HoldIs:
+		h.holds.caller.Word(now, f, m.Handle, m.Name, withhold.Word{Version: m.Epoch, Held: m.Flag})
 	case link.Gone, link.Untold:
+		if m.Kind == link.Gone && m.Handle == link.KnowsHoldsHandle {
+			h.holds.caller.LinkUp(f)
+			return
+		}
 		r := h.reqs[f][m.Handle]
 		if r == nil || h.leader(uint16(r.cell), h.cells[r.cell].epoch) == nil {
 			return
@@ -358,9 +369,18 @@
 			h.servers[s.ID] = s
 		}
 	}
+	out := make([]policy.Server, len(list))
+	for i, s := range list {
+		out[i] = h.holds.overlay(s)
+	}
+	h.tellServers(out, whole)
+}
+
+// tellServers tells all modules of servers as they stand with the holds.
+func (h *Host) tellServers(list []policy.Server, whole bool) {
 	for i := range h.cells {
 		if gate := h.cells[i].gate; gate != nil {
-			gate.Servers(now, list, whole)
+			gate.Servers(h.now, list, whole)
 		}
 	}
 }
@@ -368,6 +388,7 @@
 // Tick runs the leases and the modules' timers; call it every TickS.
 func (h *Host) Tick(now float64) {
 	h.at(now)
+	h.holds.caller.Tick(now)
 	h.leases.tick(now)
 	for i := range h.cells {
 		c := &h.cells[i]
@@ -391,12 +412,29 @@
 	return h.leases.leads(now, cell, h.leases.cells[cell].epoch)
 }
 
-// Leave gives up all cells, for good.
+// Leave gives up all cells, and claims none until Return.
 func (h *Host) Leave(now float64) {
 	h.at(now)
 	h.leases.leave(now)
 }
 
+// Return has cells claimed again.
+func (h *Host) Return(now float64) {
+	h.at(now)
+	h.leases.leaves = false
+}
+
+// Ready tells that this planner may claim cells, and is linked to a majority of the forwarders.
+func (h *Host) Ready() bool {
+	n := 0
+	for _, up := range h.up {
+		if up {
+			n++
+		}
+	}
+	return !h.leases.leaves && n >= h.cfg.Majority()
+}
+
 // actions takes what one cell's module asks for, and hands it to the request's forwarder. Host.at has seen to it
 // that the lead holds.
 type actions struct {
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -194,7 +194,7 @@
 	}
 }
 
-// leave gives all up, for good.
+// leave gives all up, until leaves is false again.
 func (l *leases) leave(now float64) {
 	l.leaves = true
 	for i := range l.cells {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"eiderspread/internal/console"
 	"eiderspread/internal/link"
 	"eiderspread/internal/mono"
 	"eiderspread/internal/roster"
@@ -111,6 +112,14 @@
 		go srv.Serve(l)
 		defer srv.Close()
 	}
+	if s.cfg.Console != "" {
+		c, err := console.Listen(s.cfg.Console, &door{s})
+		if err != nil {
+			return err
+		}
+		go c.Serve()
+		defer c.Close()
+	}
 	s.host.Servers(s.clock.Now(), s.cfg.Base.Known.Policy(), true)
 	go roster.New(s.cfg.Base.Discovery, s.cfg.Base.Known.Version, func(t roster.List) {
 		s.post(func(now float64) { s.host.Servers(now, t.Policy(), t.Full) })
@@ -263,6 +272,8 @@
 	BytesIn  uint64       `json:"bytes_in"`
 	BytesOut uint64       `json:"bytes_out"`
 	Stats    Stats        `json:"stats"`
+	Held     []string     `json:"held"`  // backends, by operators
+	Ready    bool         `json:"ready"` // claims cells, and is linked to a majority
 	Cells    []CellStatus `json:"cells"`
 }
 
@@ -271,6 +282,7 @@
 	s.post(func(now float64) {
 		st := Status{Kind: "planner", Number: s.cfg.Number, Stats: s.host.Stats, BytesIn: s.in.Load(), BytesOut: s.out.Load()}
 		s.host.now = now
+		st.Held, st.Ready = s.host.Held(), s.host.Ready()
 		st.Cells, st.Links, st.Requests = s.host.Cells()
 		for _, c := range s.conns {
 			if c != nil {
