--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"maps"
 	"os"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
@@ -15,6 +17,8 @@
 	"eiderspread/internal/lab"
 	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/lab/sim"
+	"eiderspread/internal/trace"
+	"eiderspread/internal/why"
 )
 
 // runSim plays schedules of a scenario in virtual time, and cuts the first that fails down to the faults that matter.
@@ -28,11 +32,15 @@
 	length := set.Duration("for", 30*time.Second, "virtual time of each")
 	jobs := set.Int("jobs", runtime.NumCPU(), "schedules at a time")
 	shrink := set.Bool("shrink", true, "cut a schedule that fails down to the faults that matter")
+	folder := set.String("trace", "", "a folder: decisions of the first schedule's ingresses are written there, for eidertrace (one level)")
 	rule := set.String("rule", "", "with this, only a breach of this rule fails a schedule")
 	if err := set.Parse(args); err != nil {
 		return err
 	}
 	play := func(cfg sim.Config) *audit.Report { return sim.New(cfg).Run() }
+	if *folder != "" && *planners > 0 {
+		return fmt.Errorf("sim: -trace is for one level: -planners 0")
+	}
 	fails := func(r *audit.Report) bool {
 		return *rule == "" && len(r.Counts) > 0 || *rule != "" && r.Counts[*rule] > 0
 	}
@@ -54,7 +62,20 @@
 					mu.Unlock()
 					return
 				}
+				var told [][]why.Decision
+				if n == 0 && *folder != "" {
+					told = make([][]why.Decision, cfg.Forwarders)
+					cfg.Trace = func(i int, d why.Decision) { told[i] = append(told[i], d) }
+				}
 				r := play(cfg)
+				cfg.Trace = nil
+				if err := writeTraces(*folder, cfg, told); err != nil {
+					mu.Lock()
+					fmt.Fprintln(os.Stderr, err)
+					failed = append(failed, cfg)
+					mu.Unlock()
+					return
+				}
 				mu.Lock()
 				tries, attempts = tries+r.Tries, attempts+r.Attempts
 				for k, v := range r.Seen {
@@ -117,6 +138,24 @@
 	return fmt.Errorf("%d schedules failed", len(failed))
 }
 
+// writeTraces writes what ingresses told of their decisions, a file each. Times are the schedule's.
+func writeTraces(folder string, cfg sim.Config, told [][]why.Decision) error {
+	for i, list := range told {
+		f, err := os.Create(filepath.Join(folder, fmt.Sprintf("sim%d-%d.trace", i, cfg.Seed)))
+		if err != nil {
+			return err
+		}
+		w, err := trace.NewWriter(f, trace.Header{Name: fmt.Sprint("sim", i), Me: i, Gateways: cfg.Forwarders, Plans: cfg.Plans, Classes: cfg.Classes})
+		if err == nil {
+			err = w.Write(list, 0)
+		}
+		if err = cmp.Or(err, f.Close()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // names are the first words of a list of names with what they stand for.
 func names(list []string) (out []string) {
 	for _, x := range list {
