--- a/cmd/eiderfleet/main.go
+++ b/cmd/eiderfleet/main.go
@@ -16,6 +16,7 @@
 const usage = `usage: eiderfleet COMMAND ...
   forwarder [-check] FILE   a forwarder by its operator's file (deploy/forwarder.toml)
   planner [-check] FILE     a planner by its operator's file (deploy/planner.toml)
+  upgrade [-check] [-from NAME] FILE   rolls a fleet's programs one by one (deploy/upgrade.toml)
   status ADDR [ADDR ...]    who leads what, by the status addresses of forwarders and planners
   lab [flags]               a fleet with stand-ins on loopback, with faults and an audit; lab -h lists the flags
   judge FILE                judges a run that lab -record kept, without running it again
@@ -50,6 +51,8 @@
 			return program.Check(name, set.Arg(0))
 		}
 		return program.Run(name, set.Arg(0))
+	case "upgrade":
+		return upgrade(rest, os.Stdout)
 	case "status":
 		return status(rest, os.Stdout)
 	case "lab":
--- /dev/null
+++ b/cmd/eiderfleet/upgrade.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"time"
+
+	"eiderspread/internal/operator"
+	"eiderspread/internal/rollout"
+)
+
+const (
+	upgradeTick = 20 * time.Millisecond
+	doorMost    = time.Second
+	restartMost = time.Minute
+)
+
+// upgradeProgram is one of a rollout's programs, as the operator's file names it.
+type upgradeProgram struct {
+	Name    string
+	Kind    rollout.Kind
+	Door    string   // its operators' door
+	Status  string   // its status address; empty: whether anything is left on it is not asked
+	Restart []string // the command that ends it and starts the next version; it returns when it has done so
+}
+
+// upgrader carries a rollout out: over HTTP at the programs' doors, and with the restart commands.
+type upgrader struct {
+	list   []upgradeProgram // in the rollout's order
+	events chan func(now float64)
+	client http.Client
+	asking []bool
+	log    io.Writer
+	r      *rollout.Rollout
+}
+
+// upgrade rolls a fleet's programs by an operator's file (deploy/upgrade.toml).
+func upgrade(args []string, log io.Writer) error {
+	set := flag.NewFlagSet("upgrade", flag.ContinueOnError)
+	from := set.String("from", "", "the program to begin with; those before it are left alone")
+	check := set.Bool("check", false, "check the file, say in which order programs are taken, and end")
+	if err := set.Parse(args); err != nil {
+		return err
+	}
+	if set.NArg() != 1 {
+		return fmt.Errorf("upgrade wants one file")
+	}
+	var f struct {
+		Program []upgradeProgram
+		UpS     float64 `toml:"up_s"`
+		SettleS float64 `toml:"settle_s"`
+	}
+	if err := operator.Decode(set.Arg(0), &f); err != nil {
+		return err
+	}
+	times := rollout.Defaults
+	if f.UpS > 0 {
+		times.Up = f.UpS
+	}
+	if f.SettleS > 0 {
+		times.Settle = f.SettleS
+	}
+	u := &upgrader{events: make(chan func(float64), 64), asking: make([]bool, len(f.Program)), log: log,
+		client: http.Client{Timeout: doorMost, Transport: &http.Transport{DisableKeepAlives: true}}}
+	var list []rollout.Program
+	by := map[string]upgradeProgram{}
+	for _, p := range f.Program {
+		if p.Door == "" || len(p.Restart) == 0 {
+			return fmt.Errorf("%s: program %q: door and restart are needed", set.Arg(0), p.Name)
+		}
+		list, by[p.Name] = append(list, rollout.Program{Name: p.Name, Kind: p.Kind}), p
+	}
+	began := time.Now()
+	now := func() float64 { return time.Since(began).Seconds() }
+	var err error
+	if u.r, err = rollout.New(list, times, *from, now(), u); err != nil {
+		return fmt.Errorf("%s: %w", set.Arg(0), err)
+	}
+	for _, p := range u.r.Programs() {
+		u.list = append(u.list, by[p.Name])
+		if *check {
+			fmt.Fprintln(log, p.Kind, p.Name)
+		}
+	}
+	if *check {
+		return nil
+	}
+	tick := time.NewTicker(upgradeTick)
+	defer tick.Stop()
+	said := ""
+	for {
+		select {
+		case do := <-u.events:
+			do(now())
+		case <-tick.C:
+			u.r.Tick(now())
+		}
+		done, p, phase := u.r.Where()
+		if say := fmt.Sprintf("%d of %d done; %s %s", done, len(u.list), p.Name, phase); say != said {
+			said = say
+			fmt.Fprintf(log, "%7.2f  %s\n", now(), say)
+		}
+		if over, err := u.r.Over(); over {
+			return err
+		}
+	}
+}
+
+// call makes an operator's call at a program's door: an error, or the status.
+func (u *upgrader) call(method, url string) (int, error) {
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := u.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	resp.Body.Close()
+	return resp.StatusCode, nil
+}
+
+// Ask implements rollout.Out. No program is asked while an answer of its is outstanding.
+func (u *upgrader) Ask(i int) {
+	if u.asking[i] {
+		return
+	}
+	u.asking[i] = true
+	p := u.list[i]
+	go func() {
+		status, err := u.call(http.MethodGet, "http://"+p.Door+"/v1/readyz")
+		busy := false
+		if p.Status != "" && err == nil {
+			busy = u.busy(p.Status)
+		}
+		u.events <- func(now float64) {
+			u.asking[i] = false
+			u.r.Answer(now, i, err == nil, status/100 == 2, busy)
+		}
+	}()
+}
+
+// busy tells whether requests are open on a program.
+func (u *upgrader) busy(addr string) bool {
+	resp, err := u.client.Get("http://" + addr + "/")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var st struct{ Requests int }
+	return json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&st) == nil && st.Requests > 0
+}
+
+// Drain implements rollout.Out.
+func (u *upgrader) Drain(i int) {
+	p := u.list[i]
+	go func() {
+		status, err := u.call(http.MethodPost, "http://"+p.Door+"/v1/ingress/drain")
+		if err == nil && status/100 != 2 {
+			err = fmt.Errorf("drain is answered with %d", status)
+		}
+		u.events <- func(now float64) { u.r.Drained(now, i, err) }
+	}()
+}
+
+// Restart implements rollout.Out.
+func (u *upgrader) Restart(i int) {
+	p := u.list[i]
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), restartMost)
+		defer cancel()
+		c := exec.CommandContext(ctx, p.Restart[0], p.Restart[1:]...)
+		c.Stdout, c.Stderr = os.Stderr, os.Stderr
+		err := c.Run()
+		u.events <- func(now float64) { u.r.Restarted(now, i, err) }
+	}()
+}
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -243,6 +243,20 @@
 	return n >= l.p.Majority()
 }
 
+// ahead is how many planners this one lets go first, of those before it in the cell's order: not the one that a majority had promised
+// the cell to last. That one has given it up, or died or stood still; should it claim all the same, a claim fails and nothing else.
+func (l *leases) ahead(k *lease, cell, rank int) int {
+	last := make([]int, l.p.Planners)
+	for f, v := range k.views {
+		if l.up[f] && v.known && v.holder >= 0 && v.holder < l.p.Planners {
+			if last[v.holder]++; last[v.holder] >= l.p.Majority() && l.p.Rank(cell, v.holder) < rank {
+				return rank - 1
+			}
+		}
+	}
+	return rank
+}
+
 // idle claims a cell that a majority has as free, after the planners that come before in its order, or asks for
 // one that a planner behind holds.
 func (l *leases) idle(now float64, cell int) {
@@ -267,7 +281,7 @@
 		k.freeSince = min(k.freeSince, now)
 	}
 	switch {
-	case now >= k.next && now >= k.freeSince+float64(rank)*fleet.StaggerS:
+	case now >= k.next && now >= k.freeSince+float64(l.ahead(k, cell, rank))*fleet.StaggerS:
 		k.epoch, k.leads, k.since, k.round = (epoch/epochStep+1)*epochStep+uint64(l.rng.Uint32())<<6+uint64(l.me), false, now, 0
 		for f := range k.granted {
 			k.granted[f] = math.Inf(-1)
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,197 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// world is a fleet that does as it is told, but for what a test breaks.
+type world struct {
+	t        *testing.T
+	now      float64
+	r        *Rollout
+	ready    []bool
+	busy     []bool
+	restarts []int
+	order    []string
+	away     int // most programs that were away together
+	later    []func()
+	dead     map[string]bool // do not come up
+	drainErr map[string]error
+	flaps    map[string]bool // ready for half a second, then no more
+}
+
+func (w *world) after(d float64, do func()) {
+	at := w.now + d
+	w.later = append(w.later, func() {
+		if w.now < at {
+			w.after(at-w.now, do)
+			return
+		}
+		do()
+	})
+}
+
+func (w *world) Ask(i int) {
+	ready, busy := w.ready[i], w.busy[i]
+	w.after(0.01, func() { w.r.Answer(w.now, i, ready || busy, ready, busy) })
+}
+func (w *world) Drain(i int) {
+	name := w.r.list[i].Name
+	if err := w.drainErr[name]; err != nil {
+		w.after(0.01, func() { w.r.Drained(w.now, i, err) })
+		return
+	}
+	w.ready[i], w.busy[i] = false, true
+	w.after(0.5, func() { w.busy[i] = false })
+	w.after(0.01, func() { w.r.Drained(w.now, i, nil) })
+}
+func (w *world) Restart(i int) {
+	name := w.r.list[i].Name
+	w.restarts[i]++
+	w.order = append(w.order, name)
+	w.after(0.2, func() { w.r.Restarted(w.now, i, nil) })
+	if !w.dead[name] {
+		w.after(0.4, func() { w.ready[i] = true })
+	}
+	if w.flaps[name] {
+		w.after(0.9, func() { w.ready[i] = false })
+	}
+}
+
+func play(t *testing.T, list []Program, from string, broken func(w *world)) (*world, error) {
+	t.Helper()
+	w := &world{t: t, now: 100, ready: make([]bool, len(list)), busy: make([]bool, len(list)), restarts: make([]int, len(list)), dead: map[string]bool{},
+		drainErr: map[string]error{}, flaps: map[string]bool{}}
+	for i := range w.ready {
+		w.ready[i] = true
+	}
+	var err error
+	if w.r, err = New(list, Defaults, from, w.now, w); err != nil {
+		t.Fatal(err)
+	}
+	broken(w)
+	for ; w.now < 1000; w.now += 0.02 {
+		later := w.later
+		w.later = nil
+		for _, do := range later {
+			do()
+		}
+		w.r.Tick(w.now)
+		n := 0
+		for _, ready := range w.ready {
+			if !ready {
+				n++
+			}
+		}
+		w.away = max(w.away, n)
+		if over, err := w.r.Over(); over {
+			return w, err
+		}
+	}
+	t.Fatal("never over")
+	return nil, nil
+}
+
+func fleet() (list []Program) {
+	for i := range 4 {
+		list = append(list, Program{fmt.Sprint("f", i), Forwarder})
+	}
+	for i := range 3 {
+		list = append(list, Program{fmt.Sprint("p", i), Planner})
+	}
+	return list
+}
+
+// All are restarted once, planners first, and no two are away together.
+func TestAllOneByOne(t *testing.T) {
+	w, err := play(t, fleet(), "", func(*world) {})
+	if err != nil || w.away != 1 || strings.Join(w.order, " ") != "p0 p1 p2 f0 f1 f2 f3" {
+		t.Errorf("%v: %v away together, order %v", err, w.away, w.order)
+	}
+}
+
+// It stops at the first program that does not come up, can't be sent away, or does not stay up; touches nothing after it, and the next
+// run goes on from there.
+func TestStopsAtTheFirstThatFails(t *testing.T) {
+	for name, broken := range map[string]func(w *world){
+		"not ready 20 s": func(w *world) { w.dead["p1"] = true },
+		"no such call":   func(w *world) { w.drainErr["p1"] = errors.New("no such call") },
+		"no longer":      func(w *world) { w.flaps["p1"] = true },
+	} {
+		w, err := play(t, fleet(), "", broken)
+		if err == nil || !strings.Contains(err.Error(), name) || !strings.Contains(err.Error(), "p1") || !strings.Contains(err.Error(), "1 of 7") {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		for _, n := range w.order[1:] {
+			if n != "p1" {
+				t.Errorf("%s: %s was touched after it", name, n)
+			}
+		}
+	}
+	w, err := play(t, fleet(), "p1", func(*world) {})
+	if err != nil || w.order[0] != "p1" || len(w.order) != 6 {
+		t.Errorf("%v: %v", err, w.order)
+	}
+}
+
+// With another program away nothing is touched; it waits, and says which one it waited for.
+func TestWaitsForTheOthers(t *testing.T) {
+	w, err := play(t, fleet(), "", func(w *world) {
+		for i, p := range w.r.list {
+			if p.Name == "f2" {
+				w.ready[i] = false
+			}
+		}
+	})
+	if err == nil || !strings.Contains(err.Error(), "f2") || len(w.order) != 0 {
+		t.Errorf("%v: %v", err, w.order)
+	}
+}
+
+// Whatever dies and comes back meanwhile, no program is touched while another is known to be away, and none is restarted twice.
+func TestNeverTwoAwayByItself(t *testing.T) {
+	finished := 0
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		list := fleet()
+		w, err := play(t, list, "", func(w *world) {
+			var blink func()
+			blink = func() {
+				i := rng.IntN(len(list))
+				if done, _, _ := w.r.Where(); i != done && w.ready[i] {
+					w.ready[i] = false
+					w.after(0.3+rng.Float64(), func() { w.ready[i] = true })
+				}
+				w.after(3+4*rng.Float64(), blink)
+			}
+			w.after(1, blink)
+		})
+		if err == nil {
+			finished++
+		}
+		for i, n := range w.restarts {
+			if n > 1 {
+				t.Errorf("seed %d: program %d was restarted %d times", seed, i, n)
+			}
+		}
+	}
+	if finished < 30 {
+		t.Errorf("%d of 60 rollouts came to their end beside blinks", finished)
+	}
+}
+
+func TestListsThatAreWrong(t *testing.T) {
+	for want, list := range map[string][]Program{"no programs": nil, "unknown kind": {{"a", "node"}}, "twice": {{"a", Planner}, {"a", Planner}}} {
+		if _, err := New(list, Defaults, "", 0, nil); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+	if _, err := New(fleet(), Defaults, "x", 0, nil); err == nil {
+		t.Error("a name that is not there")
+	}
+}
--- /dev/null
+++ b/internal/trace/plots/plots_test.go
@@ -0,0 +1,48 @@
+package plots
+
+import (
+	"image/png"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"eiderspread/internal/terms"
+	"eiderspread/internal/trace"
+	"eiderspread/internal/trace/analyse"
+	"eiderspread/internal/why"
+)
+
+// Both pictures are drawn, also with more reasons than are drawn one by one; without anything to draw there is an error and no file.
+func TestPictures(t *testing.T) {
+	var list []why.Decision
+	for i, r := range why.Reasons() {
+		for k := range 3 {
+			list = append(list, why.Decision{At: 100 + float64(i%7) + float64(k), Step: why.Refuse, Why: r, ID: "q", Account: 7, Plan: "p", Units: 1, Room: float32(k)})
+		}
+	}
+	run := analyse.Join([]*trace.File{{Header: trace.Header{Name: "n0", Plans: []terms.Plan{{Name: "p", Rate: 1, Burst: 5}}}, Decisions: list}})
+	all := func(analyse.Record) bool { return true }
+	dir := t.TempDir()
+	for name, draw := range map[string]func(string) error{
+		"reasons.png": func(p string) error { return Reasons(run, 1, analyse.Refused, p) },
+		"rooms.png":   func(p string) error { return Rooms(run, "00000007", all, p) },
+	} {
+		path := filepath.Join(dir, name)
+		if err := draw(path); err != nil {
+			t.Fatal(name, err)
+		}
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		img, err := png.Decode(f)
+		f.Close()
+		if err != nil || img.Bounds().Dx() < 500 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	none := func(analyse.Record) bool { return false }
+	if Reasons(run, 1, none, filepath.Join(dir, "none.png")) == nil || Rooms(run, "00000008", all, filepath.Join(dir, "none.png")) == nil {
+		t.Error("nothing was drawn without an error")
+	}
+}
