--- /dev/null
+++ b/internal/tally/tally_test.go
@@ -0,0 +1,66 @@
+package tally
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// Whatever members let in and tell late, doubled or not at all for a while, the room is the window less the totals told, once all have told; a
+// total that wraps on the wire, and one that falls since units are handed back, change nothing about that.
+func TestRoomIsTheWindowLessWhatWasTold(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		const burst = 1e5
+		l := New(burst, 0)
+		totals := []float64{0, 0, 0}
+		for i := range totals {
+			l.Members[i] = &Member{Boot: 1}
+		}
+		now := 0.0
+		tell := func(i int) {
+			wire := math.Mod(totals[i], 16384) // as it comes over the wire
+			l.Spend(l.Told(l.Members[i], wire, rng.Float64()*10, rng.IntN(3), now, 1.5))
+		}
+		for range 400 {
+			now += rng.Float64() * 0.1
+			i := rng.IntN(3)
+			totals[i] += math.Floor(rng.Float64()*40) / 4
+			if rng.IntN(10) == 0 {
+				totals[i] = max(totals[i]-1, 0)
+			}
+			for range rng.IntN(3) { // told not at all, once, or twice
+				tell(i)
+			}
+		}
+		sum := 0.0
+		for i, total := range totals {
+			tell(i)
+			sum += total
+		}
+		if d := l.Room - (burst - sum); math.Abs(d) > 1e-6 {
+			t.Fatalf("seed %d: room %v, want %v", seed, l.Room, burst-sum)
+		}
+	}
+}
+
+func TestRoomIsNotSpentBelowNothing(t *testing.T) {
+	l := New(3, 0)
+	if l.Spend(5); l.Room != 0 {
+		t.Errorf("room %v", l.Room)
+	}
+	if l.Spend(-2); l.Room != 2 {
+		t.Errorf("room %v after 2 were handed back", l.Room)
+	}
+}
+
+func TestMembersThatFallSilent(t *testing.T) {
+	l := New(1, 0)
+	l.Members[1], l.Members[2] = &Member{Out: 2, At: 10}, &Member{Out: 3, At: 5}
+	if l.Outs(10.5, 3, -1) != 2 || l.Outs(10.5, 8, 1) != 3 || l.Heard(10.5, 8) != 2 {
+		t.Error("attempts out of members that are believed")
+	}
+	if l.Drop(14, 8); len(l.Members) != 1 {
+		t.Errorf("%d members kept", len(l.Members))
+	}
+}
--- a/internal/trace/plots/plots.go
+++ b/internal/trace/plots/plots.go
@@ -18,7 +18,7 @@
 const (
 	width  = 28 * vg.Centimeter
 	height = 14 * vg.Centimeter
-	most   = 8 // reasons drawn one by one; the others are one bar
+	most   = 6 // reasons drawn one by one, each in a colour of its own; the others are one bar
 )
 
 // Reasons draws how many refusals there were for which reason over time, stacked, in steps of so many seconds.
@@ -72,6 +72,7 @@
 		p.Add(bars)
 		p.Legend.Add(fmt.Sprintf("%s (%d)", name, sum(by[order[i]])), bars)
 	}
+	p.Y.Max *= 1.35 // the legend stands above the bars
 	return p.Save(width, height, path)
 }
 
