--- a/policy/policy.go
+++ b/policy/policy.go
@@ -615,9 +615,9 @@
 	return true
 }
 
-// resolve ends the wait of the first n requests that asked, but for those that may ask again: what was granted
-// does not reach them, which no is None for, or the first on the ring has granted what no part of the ceiling here
-// pays soon. Under a cap no more ask again than may be out. It returns how many ask again.
+// resolve ends the wait of the first n requests that asked, but for those that may ask again: what was
+// granted does not reach them, which no is None for, or the first on the ring has granted what no part of the
+// ceiling here pays soon. Under a cap no more ask again than may be out. It returns how many ask again.
 func (g *Gateway) resolve(c *customer, n int, ok func(*request) bool, paid bool, no why.Reason) int {
 	list, rest := c.asks[:n], slices.Clone(c.asks[n:])
 	c.asks = nil
@@ -774,9 +774,9 @@
 	return units <= c.ceil
 }
 
-// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind all
-// that is owed already, while the request can still be sent. A ceiling fills faster than the quota: such waits are
-// short.
+// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind
+// all that is owed already, while the request can still be sent. A ceiling fills faster than the quota: such
+// waits are short.
 func (g *Gateway) ceilingSoon(r *request) bool {
 	c, p := r.cust, r.plan
 	if p.CeilingRate <= 0 {
@@ -794,8 +794,8 @@
 	return r.Units <= p.CeilingBurst*most && c.owed+r.Units <= have+p.CeilingRate*all*left
 }
 
-// capSoon tells whether an attempt of the customer will end in time for the request, behind what waits for that
-// already.
+// capSoon tells whether an attempt of the customer will end in time for the request, behind what waits for
+// that already.
 func (g *Gateway) capSoon(r *request) bool {
 	ahead := 1.0
 	for _, q := range g.queue {
