Ids that a link would cut off are not held

Found by reading: a link cuts names off at 128 bytes, the door takes ids of up to 256. A hold of a longer id would be said yes to for another id. It is refused with one error now, and a test fails without that.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -42,7 +42,7 @@
 		case fValue:
 			m.Value = float64(rng.IntN(1e6)) / 100
 		case fName:
-			m.Name = strings.Repeat("x", rng.IntN(maxText+1))
+			m.Name = strings.Repeat("x", rng.IntN(MaxText+1))
 		case fLoad:
 			if m.HasLoad = rng.IntN(2) == 1; m.HasLoad {
 				for i := range m.Load {
@@ -82,7 +82,7 @@
 		{byte(Claim), 0xff, 0xff, 0xff, 0x7f, 1, 1},                                                       // a cell beyond 65,535
 		append([]byte{byte(Outcome), 1, 0, 0, 0, 0, 1}, []byte(strings.Repeat("\x7f\xc0\x00\x00", 6))...), // NaN
 		{byte(TaleEnd), 1, 1, 2}, // a flag of 2
-		append([]byte{byte(Probe), 1, 1, maxText + 1}, make([]byte, 200)...),
+		append([]byte{byte(Probe), 1, 1, MaxText + 1}, make([]byte, 200)...),
 	} {
 		if m, err := Parse(b); err == nil {
 			t.Errorf("%v was read as %+v", b, m)
@@ -193,7 +193,7 @@
 func TestPeerThatDoesNotRead(t *testing.T) {
 	near, _ := pair(t)
 	l := NewConn(near, patience)
-	m := Msg{Kind: Tale, Name: strings.Repeat("x", maxText)}
+	m := Msg{Kind: Tale, Name: strings.Repeat("x", MaxText)}
 	for range 200_000 { // some 28 MB
 		if l.Send(m); !l.Room() {
 			l.mu.Lock()
--- a/internal/link/msg.go
+++ b/internal/link/msg.go
@@ -16,7 +16,7 @@
 // Bounds of a frame and of what stands in it.
 const (
 	MaxFrame = 64 << 10 // bytes of a frame, its length aside
-	maxText  = 128
+	MaxText  = 128      // bytes of a name; a longer one is cut off by Append
 )
 
 // Kind tells what a record says.
@@ -165,7 +165,7 @@
 		case fValue:
 			b = binary.AppendUvarint(b, uint64(clampU32(m.Value*100)))
 		case fName:
-			name := m.Name[:min(len(m.Name), maxText)]
+			name := m.Name[:min(len(m.Name), MaxText)]
 			b = append(append(b, byte(len(name))), name...)
 		case fLoad:
 			if b = append(b, bit(m.HasLoad)); m.HasLoad {
@@ -265,7 +265,7 @@
 			m.Value = float64(r.uint(math.MaxUint32)) / 100
 		case fName:
 			n := int(r.bytes(1)[0])
-			if n > maxText {
+			if n > MaxText {
 				r.fail(errText)
 			}
 			m.Name = string(r.bytes(n))
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"eiderspread/internal/fleet"
@@ -149,3 +150,15 @@
 		b.Errorf("%d of %d were sent", h.Stats.Sends, b.N)
 	}
 }
+
+// Guards holds whose id a link would cut off: the yes would be for another id, and bind nobody.
+func TestLongIDsAreNotHeld(t *testing.T) {
+	h, _, _ := newBenchHost(t, policy.Plan{Name: "p", Rate: 1, Burst: 1, Price: 1})
+	for n, ok := range map[int]bool{link.MaxText: true, link.MaxText + 1: false} {
+		id := strings.Repeat("z", n)
+		h.Servers(1000, []policy.Server{{ID: id}}, false)
+		if err := h.Hold(1000, 0.8, id, true, func(error) {}); (err == nil) != ok {
+			t.Errorf("%d bytes: %v", n, err)
+		}
+	}
+}
--- a/internal/planner/holds.go
+++ b/internal/planner/holds.go
@@ -1,11 +1,16 @@
 package planner
 
 import (
+	"fmt"
+
 	"eiderspread/internal/link"
 	"eiderspread/internal/withhold"
 	"eiderspread/policy"
 )
 
+// errLongID refuses what would reach forwarders as another id: a yes to it would bind nobody.
+var errLongID = fmt.Errorf("an id of over %d bytes can't be held", link.MaxText)
+
 // holds is what operators of the fleet hold, laid over the list of servers that the modules are told. The rule that makes a yes bind
 // whoever leads is package withhold's.
 type holds struct {
@@ -41,6 +46,9 @@
 func (h *Host) Hold(now, within float64, id string, held bool, done func(error)) error {
 	h.at(now)
 	_, listed := h.servers[id]
+	if len(id) > link.MaxText {
+		return errLongID
+	}
 	if !listed && !h.holds.caller.Words().Get(id).Held {
 		return withhold.ErrUnknown
 	}
