A forwarder's core moves to another process; fleets in virtual time replace forwarders

Need: forwarders were sent away and restarted. Core.Move, Settle, Ordered and TakeBack hand promises, tales, holds and requests on; internal/ingress/relay.go carries orders and events between the processes, a lock says who votes, a planner tells a forwarder that links again at once that it leads. Found on the way: a forwarder that took its requests back with its old epoch followed its unchanged leader never again.

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -65,6 +65,7 @@
 	beatAt  float64
 	cutAt   float64 // when the last link ended, if none stands
 	words   withhold.Words
+	moved   bool // another process goes on: see Move
 	Stats   Stats
 }
 
@@ -274,7 +275,9 @@
 
 // LinkUp takes a new link to a planner of the given life.
 func (c *Core) LinkUp(now float64, p int, life uint64) {
-	c.now = now
+	if c.now = now; c.moved {
+		return
+	}
 	c.peers[p] = planner{up: true, life: life}
 	c.out.Link(p, link.Msg{Kind: link.Gone, Handle: link.KnowsHoldsHandle})
 	c.views(p, -1)
@@ -294,7 +297,9 @@
 
 // Msg takes what a planner says.
 func (c *Core) Msg(now float64, p int, m *link.Msg) {
-	c.now = now
+	if c.now = now; c.moved {
+		return
+	}
 	switch m.Kind {
 	case link.Claim:
 		c.claim(p, m)
@@ -405,12 +410,19 @@
 	}
 	c.Stats.Requests++
 	if !known || !planned {
-		c.out.Fail(q.ID)
+		if !c.moved {
+			c.out.Fail(q.ID)
+		}
 		return
 	}
 	o := &open{Request: q, class: class, plan: plan, cell: c.cfg.CellOf(q.Customer), cameAt: now, waitFrom: now}
 	k := &c.cells[o.cell]
 	switch {
+	case c.moved:
+		if len(c.byID) < mostOpen {
+			c.byID[q.ID] = o
+		}
+		return
 	case len(c.byID) >= mostOpen, k.led && !c.out.Room(k.holder):
 		c.Stats.RefusedFull++
 		c.out.Refuse(q.ID, c.hint())
@@ -442,6 +454,9 @@
 
 // again has a request decided on, now or by the next leader. Nothing of it is out.
 func (c *Core) again(o *open) {
+	if c.moved {
+		return
+	}
 	if !c.mayRunAgain(o) {
 		c.end(o)
 		return
@@ -576,7 +591,9 @@
 
 // Tick looks after promises that ran out and requests that wait; call it every TickS.
 func (c *Core) Tick(now float64) {
-	c.now = now
+	if c.now = now; c.moved {
+		return
+	}
 	for i := range c.cells {
 		k := &c.cells[i]
 		if k.led && now >= k.until && fleet.Fenced {
--- a/internal/forward/remote.go
+++ b/internal/forward/remote.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"eiderspread/internal/ingress"
+	"eiderspread/internal/kept"
 	"eiderspread/internal/link"
 	"eiderspread/internal/roster"
 	"eiderspread/policy"
@@ -20,6 +21,7 @@
 const (
 	redialFirst = 30 * time.Millisecond // and as much again by chance
 	redialMost  = time.Second
+	statusAgain = 50 * time.Millisecond // between two tries at a status address that the process before may have
 )
 
 // Remote stands where the decision module stands in a one-program ingress. But for dialling and reading, all of it
@@ -32,12 +34,15 @@
 	life         uint64
 	conns        []*link.Conn // by planner, nil: none
 	in, out      uint64       // bytes of links that have ended
+	ctx          context.Context
+	hangUp       context.CancelFunc // ends all links, nil: planners are not dialled
+	moved        bool               // another process goes on
 }
 
 // Make returns the maker that ingress.RunWith wants.
 func Make(cfg File) func(context.Context, ingress.Host) (ingress.Gateway, error) {
 	return func(ctx context.Context, host ingress.Host) (ingress.Gateway, error) {
-		r := &Remote{Host: host, cfg: cfg, life: rand.Uint64(), conns: make([]*link.Conn, len(cfg.PlannersAt))}
+		r := &Remote{Host: host, cfg: cfg, life: rand.Uint64(), conns: make([]*link.Conn, len(cfg.PlannersAt)), ctx: ctx}
 		var err error
 		if r.tls, err = cfg.TLS.Config(); err != nil {
 			return nil, err
@@ -46,22 +51,84 @@
 		r.core = New(Config{Params: cfg.Params, Number: cfg.Number, Classes: s.Classes, Plans: s.Plans,
 			MaxRetryAfterS: s.MaxRetryAfterS, Seed: cfg.Base.Seed ^ r.life}, host.Now(), r)
 		if cfg.Status != "" {
-			l, err := net.Listen("tcp", cfg.Status)
-			if err != nil {
-				return nil, fmt.Errorf("status: %w", err)
+			if err := r.serveStatus(ctx, host.Heir()); err != nil {
+				return nil, err
 			}
-			srv := &http.Server{Handler: http.HandlerFunc(r.status), ReadHeaderTimeout: time.Second}
-			go srv.Serve(l)
-			context.AfterFunc(ctx, func() { srv.Close() })
-		}
-		for p := range cfg.PlannersAt {
-			go r.dial(ctx, p)
 		}
 		host.SetTimer(1, TickS)
 		return r, nil
 	}
 }
 
+// serveStatus serves the status until ctx ends. The process that this one replaces may have its address for as long as it lasts.
+func (r *Remote) serveStatus(ctx context.Context, wait bool) error {
+	l, err := net.Listen("tcp", r.cfg.Status)
+	if err != nil && !wait {
+		return fmt.Errorf("status: %w", err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(r.status), ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { srv.Close() })
+	go func() {
+		for l == nil && ctx.Err() == nil {
+			time.Sleep(statusAgain)
+			l, _ = net.Listen("tcp", r.cfg.Status)
+		}
+		if l != nil {
+			srv.Serve(l)
+		}
+	}()
+	return nil
+}
+
+// dialAll begins to keep links to all planners.
+func (r *Remote) dialAll() {
+	ctx, end := context.WithCancel(r.ctx)
+	r.hangUp = end
+	for p := range r.cfg.PlannersAt {
+		go r.dial(ctx, p, r.life)
+	}
+}
+
+// Move implements ingress.Mover: this process links to no planner any more.
+func (r *Remote) Move(now float64) []kept.Part {
+	r.moved = true
+	m := r.core.Move(now)
+	m.Life = r.life
+	if r.hangUp != nil {
+		r.hangUp()
+		r.hangUp = nil
+	}
+	for p, c := range r.conns {
+		if c != nil {
+			r.ended(p, c)
+		}
+	}
+	return m.Split()
+}
+
+// Settle implements ingress.Mover.
+func (r *Remote) Settle(now, shift float64, parts []kept.Part) error {
+	m, ok := kept.Join(parts)
+	if !ok {
+		return errors.New("what the process before knew is not a forwarder's")
+	}
+	m.Shift(shift)
+	r.life = m.Life
+	if !r.core.Settle(now, m) {
+		r.Note("the process before was of another number of cells: nothing is promised for a lease")
+	}
+	return nil
+}
+
+// Ordered implements ingress.Mover.
+func (r *Remote) Ordered(now float64, o kept.Order) { r.core.Ordered(now, o) }
+
+// TakeBack implements ingress.Mover: to planners it is another life of the forwarder.
+func (r *Remote) TakeBack(now float64) {
+	r.moved, r.life = false, rand.Uint64()
+	r.core.TakeBack(now)
+}
+
 // The loop's events, as ingress.Gateway words them. The list of servers is the planners' own matter, and there are
 // no messages between forwarders.
 
@@ -73,6 +140,9 @@
 func (r *Remote) Probed(now float64, p policy.ProbeResult) { r.core.Probed(now, p) }
 func (r *Remote) Timer(now float64, _ uint64) {
 	r.SetTimer(1, TickS)
+	if r.hangUp == nil && !r.moved { // from the first tick on: what another process knew is here by then
+		r.dialAll()
+	}
 	r.core.Tick(now)
 }
 
@@ -86,12 +156,12 @@
 // Room implements Out.
 func (r *Remote) Room(p int) bool { return r.conns[p] != nil && r.conns[p].Room() }
 
-// dial keeps a link to one planner for as long as ctx lasts.
-func (r *Remote) dial(ctx context.Context, p int) {
+// dial keeps a link to one planner for as long as ctx lasts, in one life of the forwarder.
+func (r *Remote) dial(ctx context.Context, p int, life uint64) {
 	wait := redialFirst
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := r.serve(ctx, p)
+		err := r.serve(ctx, p, life)
 		if ctx.Err() != nil {
 			return
 		}
@@ -108,7 +178,7 @@
 }
 
 // serve makes one link and runs it to its end.
-func (r *Remote) serve(ctx context.Context, p int) error {
+func (r *Remote) serve(ctx context.Context, p int, life uint64) error {
 	silence := time.Duration(r.cfg.SilenceS * float64(time.Second))
 	dialer := net.Dialer{Timeout: 4 * silence}
 	conn, err := dialer.DialContext(ctx, "tcp", r.cfg.PlannersAt[p])
@@ -129,7 +199,7 @@
 	}
 	l := link.NewConn(conn, silence)
 	defer context.AfterFunc(ctx, func() { l.Close(ctx.Err()) })()
-	l.Send(link.Msg{Kind: link.Hello, Plan: link.Version, Name: r.cfg.Name, N: uint32(r.cfg.Number), Epoch: r.life,
+	l.Send(link.Msg{Kind: link.Hello, Plan: link.Version, Name: r.cfg.Name, N: uint32(r.cfg.Number), Epoch: life,
 		Cell: uint16(r.cfg.Cells)})
 	greeted := false
 	err = l.Serve(func(msgs []link.Msg) {
@@ -141,8 +211,10 @@
 			}
 			greeted, msgs = true, msgs[1:]
 			r.Post(func(now float64) {
-				r.conns[p] = l
-				r.core.LinkUp(now, p, m.Epoch)
+				if ctx.Err() == nil { // else it belongs to nobody
+					r.conns[p] = l
+					r.core.LinkUp(now, p, m.Epoch)
+				}
 			})
 		}
 		r.Post(func(now float64) {
@@ -156,15 +228,22 @@
 	})
 	if greeted {
 		r.Post(func(now float64) {
-			r.in += l.In.Load()
-			r.out += l.Out.Load()
-			r.conns[p] = nil
-			r.core.LinkDown(now, p)
+			if r.conns[p] == l {
+				r.ended(p, l)
+				r.core.LinkDown(now, p)
+			}
 		})
 	}
 	return err
 }
 
+// ended lets go of a planner's link.
+func (r *Remote) ended(p int, l *link.Conn) {
+	r.in += l.In.Load()
+	r.out += l.Out.Load()
+	r.conns[p] = nil
+}
+
 // Hold implements Out.
 func (r *Remote) Hold(server string, held bool) {
 	r.Host.Hold(server, held)
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -5,6 +5,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"eiderspread/internal/kept"
 	"eiderspread/policy"
 )
 
@@ -28,6 +29,9 @@
 // Send implements policy.Actions.
 func (in *Ingress) Send(id, server string, timeoutS float64) {
 	r := in.requests[id]
+	if r == nil && in.order(kept.Order{Kind: kept.Send, ID: id, Server: server, Wait: timeoutS}) {
+		return
+	}
 	if r == nil {
 		in.note("send for a request that is not open", "id", id)
 		return
@@ -50,6 +54,9 @@
 
 // Cancel implements policy.Actions.
 func (in *Ingress) Cancel(id string, number int) {
+	if in.requests[id] == nil {
+		in.order(kept.Order{Kind: kept.Cancel, ID: id, Number: number})
+	}
 	if r := in.requests[id]; r != nil && number >= 0 && number < len(r.attempts) && !r.attempts[number].done &&
 		r.attempts[number].firstAt == 0 {
 		in.later(r.attempts[number], policy.Cancelled)
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -29,7 +29,7 @@
 	Settings settings.Settings
 	shape    shape    // of the file
 	Operator Operator // of the operator's file, if there is one
-	Member   bool     // of a fleet: its planners are told what is held, and nobody replaces the process while it runs
+	Member   bool     // of a fleet: its planners are told what is held
 }
 
 const (
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -53,11 +53,13 @@
 	passed int
 	kept   []kept.Part // that went to the successor
 	end    *timer      // of what takes too long, from the word to go on
+	events chan []byte // of a gateway that has moved: to the sender
 }
 
 // word is what the old process says with Go.
 type word struct {
 	Clients int      // connections that it still has
+	Boot    float64  // the machine's start by its clock, see mono
 	List    *targets `json:",omitempty"` // of backends, as discovery told it
 }
 
@@ -82,6 +84,8 @@
 	peers    *net.UDPConn
 	parts    []kept.Part // of what its module knows; all or none
 	held     int         // of the input's budget, that the old one may still use
+	boot     float64     // the machine's start by the old one's clock
+	orders   chan []byte // to the sender, see relay.go; nil before there may be any
 }
 
 // inherit asks the process that this one replaces for its sockets; nil if there is none.
@@ -129,7 +133,9 @@
 
 // enter tells the old process that this one is ready, and returns once that one takes nothing more, or has ended. The
 // list of backends is the old one's, which is newer than a configuration's.
-func (in *Ingress) enter() {
+//
+// A gateway that moves must have all of it, and this process the lock: else the old one goes on, or another.
+func (in *Ingress) enter() error {
 	h := in.heir
 	err := h.link.Send(takeover.Ready, nil, linkMost)
 	var m takeover.Message
@@ -157,14 +163,28 @@
 			in.watcher = in.newWatcher()
 		}
 	}
-	in.clients.elsewhere = max(0, w.Clients)
+	in.clients.elsewhere, h.boot = max(0, w.Clients), w.Boot
+	if in.lock != nil {
+		if err == nil {
+			err = in.takeLock()
+		}
+		if err != nil {
+			return fmt.Errorf("the running process does not hand over: %w", err)
+		}
+		return nil
+	}
 	if err != nil { // the sockets are here: whatever became of the old process, clients are served
 		in.log.Warn("the old process did not say that it has stopped", "error", err)
 	}
+	return nil
 }
 
 // adopt goes on with what the old process's module knew.
 func (in *Ingress) adopt(parts []kept.Part) {
+	if m, ok := in.gate.(Mover); ok {
+		in.settleGate(m, parts)
+		return
+	}
 	if k, ok := in.gate.(Keeper); ok {
 		in.now = max(in.now, in.clock.Now())
 		for _, part := range parts {
@@ -181,6 +201,11 @@
 		if err != nil {
 			break
 		}
+		if m.Kind == takeover.Event {
+			m.Close()
+			in.heard(h, m.Body)
+			continue
+		}
 		if m.Kind != takeover.Client || len(m.Files) != 1 {
 			m.Close()
 			continue
@@ -212,6 +237,7 @@
 		in.backends.most = in.backends.whole
 		in.clients.elsewhere = 0
 		in.heir = nil
+		in.bereaved()
 		LimitMemory(in.cfg.MemoryMB, MemoryShare)
 	})
 }
@@ -235,6 +261,11 @@
 	in.post(in.clock.Now(), func() {
 		in.clients.elsewhere = max(0, in.clients.elsewhere-1)
 		c.spoke, c.asked = true, true // as far as this process knows: what it asked may be on its way
+		if in.heirs.stage == handed { // on to the next process
+			c.usedAt, in.clients.all[c] = in.now, struct{}{}
+			c.halt()
+			return
+		}
 		in.addClient(c)
 	})
 	go c.read(in)
@@ -286,13 +317,16 @@
 	}
 	in.Post(func(float64) { in.handOver(link) })
 	for err == nil { // until the new process ends, or this one
-		_, err = link.Receive(0)
+		if m, err = link.Receive(0); err == nil && m.Kind == takeover.Order {
+			in.told(link, m.Body)
+		}
+		m.Close()
 	}
 }
 
 // handOver has the listener come to rest; handedOver goes on when nothing that it took is on its way any more.
 func (in *Ingress) handOver(link *takeover.Link) {
-	if in.leaving || in.heirs.stage != none {
+	if _, gone := in.gate.(*relay); gone || in.leaving || in.heirs.stage != none {
 		link.Close()
 		return
 	}
@@ -316,7 +350,7 @@
 		in.peers.rest()
 	}
 	list := in.held.Listed()
-	w := word{in.clients.open(), &list}
+	w := word{in.clients.open(), in.clock.Boot(), &list}
 	text, err := json.Marshal(w)
 	if err == nil && len(text) > takeover.MaxBody {
 		w.List = nil // the new one goes by its own, and by discovery
@@ -329,7 +363,8 @@
 	if k, ok := in.gate.(Keeper); ok {
 		s.kept = k.Keep(in.now)
 	}
-	go in.passOn(s.link, s.kept, text, s.queue)
+	in.moveGate()
+	go in.passOn(s.link, s.kept, text, s.queue, s.events)
 	in.leaving = true
 	in.backends.most = int(float64(in.backends.whole) * bothShare)
 	for _, be := range in.backends.byID {
@@ -355,7 +390,7 @@
 }
 
 // passOn sends what the module knew, the word to go on and then the connections, until the link or this process ends.
-func (in *Ingress) passOn(link *takeover.Link, parts []kept.Part, word []byte, queue <-chan passing) {
+func (in *Ingress) passOn(link *takeover.Link, parts []kept.Part, word []byte, queue <-chan passing, events <-chan []byte) {
 	for i, part := range parts {
 		if i > 0 {
 			part.Classes = nil
@@ -380,6 +415,11 @@
 		select {
 		case <-in.done:
 			return
+		case body := <-events:
+			if err := link.Send(takeover.Event, body, linkMost); err != nil {
+				link.Close()
+				return
+			}
 		case p := <-queue:
 			err := link.Send(takeover.Client, p.rest, linkMost, p.c.conn)
 			if err != nil {
@@ -403,7 +443,11 @@
 	in.log.Error("the new process has ended; this one goes on", "passed", s.passed)
 	was := s.stage
 	in.stopTimer(s.end)
-	in.adopt(kept.Back(s.kept))
+	if _, moved := in.gate.(*relay); moved {
+		in.takeGateBack()
+	} else {
+		in.adopt(kept.Back(s.kept))
+	}
 	in.heirs = succession{asked: s.asked, pause: make(chan struct{})}
 	if was == handed {
 		in.backends.most = in.backends.whole
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"eiderspread/internal/held"
 	"eiderspread/internal/mono"
 	"eiderspread/internal/roster"
+	"eiderspread/internal/takeover"
 	"eiderspread/policy"
 )
 
@@ -60,6 +62,7 @@
 	Note(what string, args ...any)   // logs a fault of somebody else, at a bounded rate; loop only
 	Now() float64                    // loop only
 	ListAge() roster.Age             // how old the list of backends is; of any goroutine
+	Heir() bool                      // another process is replaced, and lasts for a while; before the first event
 	Hold(id string, held bool)       // keeps off a backend whatever discovery says, until it is called back; loop only
 }
 
@@ -94,6 +97,8 @@
 	away        awayState
 	heirs       succession                 // toward a process that replaces this one
 	heir        *inheritance               // toward the one that this one replaces, while that lasts
+	elders      map[string]*elder          // requests that it holds and the gateway here decides on; see relay.go
+	lock        *takeover.Lock             // of who speaks for a member of a fleet that has a door; nil elsewhere
 	classes     []policy.Class             // that hold now
 	maxAttempts int                        // the same
 	words       atomic.Pointer[vocabulary] // of all goroutines
@@ -101,6 +106,7 @@
 	oldList     bool                       // the list of backends was said to be old
 	peers       *peerLink
 	signalled   bool // to end
+	stopped     bool // what was still owed has failed
 	leaving     bool // the listener is closed, connections close between requests
 }
 
@@ -144,8 +150,7 @@
 		in.close()
 		return err
 	}
-	in.serve(ctx, reread, gate)
-	return nil
+	return in.serve(ctx, reread, gate)
 }
 
 // open makes an ingress and its sockets; nothing is read from them yet.
@@ -165,6 +170,15 @@
 		return nil, err
 	}
 	var err error
+	if cfg.Console != "" && cfg.Member {
+		in.lock = takeover.NewLock(os.TempDir(), cfg.Name)
+		if in.heir == nil { // else the process before has it still
+			if err = in.takeLock(); err != nil {
+				in.close()
+				return nil, err
+			}
+		}
+	}
 	if cfg.Console != "" || cfg.Member {
 		in.held = held.New()
 	}
@@ -189,7 +203,7 @@
 
 // listen has the clients' listener: of the process that this one replaces, if there is one.
 func (in *Ingress) listen() (err error) {
-	if in.cfg.Console != "" && !in.cfg.Member {
+	if in.cfg.Console != "" {
 		if in.heir, err = inherit(in.cfg); err != nil {
 			return err
 		}
@@ -229,16 +243,22 @@
 	if in.peers != nil {
 		in.peers.close()
 	}
+	if in.lock != nil {
+		in.lock.Release()
+	}
 }
 
 // serve starts the readers and runs the loop to the end of the drain.
-func (in *Ingress) serve(ctx context.Context, reread <-chan Config, gate Gateway) {
+func (in *Ingress) serve(ctx context.Context, reread <-chan Config, gate Gateway) error {
 	defer in.close()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	in.gate = gate
 	if in.heir != nil {
-		in.enter()
+		if err := in.enter(); err != nil {
+			close(in.done)
+			return err
+		}
 	}
 	if in.console != nil {
 		in.openDoor(background)
@@ -254,7 +274,7 @@
 	if in.heir != nil {
 		go in.receive(in.heir)
 	}
-	if in.console != nil && !in.cfg.Member {
+	if in.console != nil {
 		in.awaitSuccessor()
 	}
 	if in.peers != nil {
@@ -265,13 +285,14 @@
 		in.clients.sweep(in)
 	})
 	in.loop(ctx)
+	return nil
 }
 
 // loop handles events one at a time until the drain is complete.
 func (in *Ingress) loop(ctx context.Context) {
 	defer close(in.done)
 	term := ctx.Done()
-	for !in.leaving || in.clients.open() > 0 {
+	for !in.leaving || in.clients.open() > 0 || in.lingers() {
 		in.arm()
 		select {
 		case e := <-in.events:
@@ -409,6 +430,9 @@
 // Note implements Host.
 func (in *Ingress) Note(what string, args ...any) { in.note(what, args...) }
 
+// Heir implements Host.
+func (in *Ingress) Heir() bool { return in.heir != nil }
+
 // Now implements Host.
 func (in *Ingress) Now() float64 { return in.now }
 
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -29,6 +29,7 @@
 
 var (
 	hashSeed = maphash.MakeSeed()
+	errSlow  = errors.New("too much waits for the other process")
 	errCopy  = errors.New("a copy of the answer before it")
 )
 
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/tidwall/redcon"
+
+	"eiderspread/internal/kept"
 )
 
 // request is one that a client has sent and that is owed one final answer.
@@ -48,7 +50,7 @@
 		in.note("request refused: too many connections", "open", in.clients.open())
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
-	case in.requests[q.ID] != nil:
+	case in.requests[q.ID] != nil, in.elders[q.ID] != nil:
 		in.answerAtOnce(c, redcon.AppendError(nil, "ERR a request of this id is open"), false)
 		return
 	case in.cfg.Settings.MostHeld > 0 && len(in.requests) >= in.cfg.Settings.MostHeld:
@@ -83,6 +85,8 @@
 func (in *Ingress) Refuse(id string, retryInS float64) {
 	if r := in.requests[id]; r != nil {
 		in.answer(r, in.busy(retryInS))
+	} else {
+		in.order(kept.Order{Kind: kept.Refuse, ID: id, Wait: retryInS})
 	}
 }
 
@@ -97,6 +101,8 @@
 func (in *Ingress) Fail(id string) {
 	if r := in.requests[id]; r != nil {
 		in.fail(r)
+	} else {
+		in.order(kept.Order{Kind: kept.Fail, ID: id})
 	}
 }
 
@@ -129,6 +135,7 @@
 
 // stop ends a drain that takes too long: what is still owed fails while its client can hear of it.
 func (in *Ingress) stop() {
+	in.stopped = true
 	for _, r := range in.requests {
 		if !r.over {
 			in.fail(r)
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -26,6 +26,7 @@
 	Classes   map[string][2]float64
 	Servers   map[string][]float64
 	Customers []Customer
+	Moved     *Moved `json:",omitempty"` // of a forwarder; nothing else is in it then
 }
 
 // Customer is a customer, and where the gateway owns it, its count.
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -60,8 +60,9 @@
 	if !f.runs() {
 		return
 	}
-	f.core, f.gate, f.busy, f.pending = nil, nil, false, nil
-	f.life++
+	f.core, f.gate, f.busy, f.pending, f.lives = nil, nil, false, nil, nil
+	f.succession = succession{}
+	f.run++
 	f.downAt = s.t
 	for p := range s.planners {
 		k := s.links[p][n]
--- a/internal/lab/sim/links.go
+++ b/internal/lab/sim/links.go
@@ -30,7 +30,7 @@
 		return
 	}
 	p, f := k.planner(), k.forwarder()
-	if k.cut || p.host == nil || p.paused || f.core == nil {
+	if k.cut || p.host == nil || p.paused || f.core == nil || f.moving {
 		k.s.after(0.03+0.05*k.s.rng.Float64(), k.dial)
 		return
 	}
@@ -38,7 +38,7 @@
 	k.up, k.pUp, k.fUp, k.lost = true, true, true, false
 	k.heardP, k.heardF, k.lastP, k.lastF = k.s.t, k.s.t, k.s.t, k.s.t
 	session := k.session
-	life := uint64(f.life)
+	life := f.known
 	p.do(func() { p.host.LinkUp(p.now(), k.f, life) })
 	f.do(func() { f.core.LinkUp(f.now(), k.p, p.life) })
 	var watch func()
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -14,6 +14,7 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/forward"
+	"eiderspread/internal/kept"
 	"eiderspread/internal/lab"
 	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/lab/node"
@@ -399,13 +400,17 @@
 type simForwarder struct {
 	s       *Sim
 	n       int
-	core    *forward.Core   // of two levels
+	core    *forward.Core   // of two levels; nil while nothing runs, as gate
 	gate    *policy.Gateway // of one level
 	clock   clock
-	life    int
+	run     int // from one start to the next, over replacements
+	life    int // of the process that decides
+	lives   map[int]map[string]bool // of processes that hold requests: the nodes that operators hold, as each has heard
+	last    int                     // life given out
+	known   uint64                  // the life that planners are told
+	succession
 	open    map[string]*simRequest
 	up      map[string]policy.State // of nodes, as told
-	held    map[string]bool         // of nodes, by operators
 	pending []func()                // outcomes that an action yielded, for when its event has returned
 	busy    bool
 	downAt  float64
@@ -415,6 +420,7 @@
 type simRequest struct {
 	policy.Request
 	try      *audit.Try
+	life     int // of the process that holds it
 	attempts []*simAttempt
 	over     bool
 }
@@ -425,7 +431,6 @@
 	f      *simForwarder
 	r      *simRequest
 	number int
-	life   int // of the forwarder
 	n      *simNode
 	at     float64 // by the forwarder's clock
 	rec    *audit.Attempt
@@ -438,21 +443,25 @@
 
 func (f *simForwarder) start() {
 	s := f.s
-	f.life++
-	life := f.life
-	f.open, f.up, f.pending, f.held = map[string]*simRequest{}, map[string]policy.State{}, nil, map[string]bool{}
+	f.run++
+	run := f.run
+	f.lives, f.succession = map[int]map[string]bool{}, succession{}
+	f.life = f.begin()
+	f.known = uint64(f.life)
+	f.open, f.up, f.pending = map[string]*simRequest{}, map[string]policy.State{}, nil
 	for _, n := range s.nodes {
 		if n.listed {
 			f.up[n.id] = policy.Up
 		}
 	}
 	if s.cfg.Planners > 0 {
-		f.core = forward.New(forward.Config{Params: s.p, Number: f.n, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxRetryAfterS: 1,
-			Seed: s.rng.Uint64()}, f.now(), f)
+		f.core = f.newCore()
 		var tick func()
 		tick = func() {
-			if f.life == life {
-				f.do(func() { f.core.Tick(f.now()) })
+			if f.run == run {
+				if !f.moving {
+					f.do(func() { f.core.Tick(f.now()) })
+				}
 				s.after(forward.TickS, tick)
 			}
 		}
@@ -472,6 +481,18 @@
 	f.gate.Servers(f.now(), s.list(f.clock), true)
 }
 
+func (f *simForwarder) newCore() *forward.Core {
+	s := f.s
+	return forward.New(forward.Config{Params: s.p, Number: f.n, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxRetryAfterS: 1, Seed: s.rng.Uint64()}, f.now(), f)
+}
+
+// begin gives a process its life.
+func (f *simForwarder) begin() int {
+	f.last++
+	f.lives[f.last] = map[string]bool{}
+	return f.last
+}
+
 // do runs one event on the forwarder's loop, and what it left to do.
 func (f *simForwarder) do(event func()) {
 	if !f.runs() {
@@ -528,6 +549,14 @@
 
 // Refuse implements policy.Actions.
 func (f *simForwarder) Refuse(id string, retryS float64) {
+	if !f.order(id, kept.Order{Kind: kept.Refuse, ID: id, Wait: retryS}) {
+		f.refuse(id, retryS)
+	}
+}
+
+// What follows carries actions out, whichever process decided on them.
+
+func (f *simForwarder) refuse(id string, retryS float64) {
 	if r := f.open[id]; r != nil && !r.over {
 		try, s := r.try, f.s
 		s.after(max(retryS, 0.1)+0.2*s.rng.Float64(), func() { s.again(try) })
@@ -536,20 +565,29 @@
 }
 
 // Fail implements policy.Actions.
-func (f *simForwarder) Fail(id string) { f.answer(id, audit.Failed) }
+func (f *simForwarder) Fail(id string) {
+	if !f.order(id, kept.Order{Kind: kept.Fail, ID: id}) {
+		f.answer(id, audit.Failed)
+	}
+}
 
 // SetTimer implements policy.Actions.
 func (f *simForwarder) SetTimer(token uint64, d float64) {
-	life := f.life
+	run := f.run
 	f.s.after(max(d, 0), func() {
-		if f.life == life && f.gate != nil {
+		if f.run == run && f.gate != nil {
 			f.do(func() { f.gate.Timer(f.now(), token) })
 		}
 	})
 }
 
 // Hold implements forward.Out.
-func (f *simForwarder) Hold(server string, held bool) { f.held[server] = held }
+func (f *simForwarder) Hold(server string, held bool) {
+	f.lives[f.life][server] = held
+	if f.old != nil {
+		f.send(kept.Order{Kind: kept.Hold, ID: server, Held: held})
+	}
+}
 
 // Probe implements policy.Actions.
 func (f *simForwarder) Probe(string) {}
@@ -587,6 +625,12 @@
 
 // Cancel implements policy.Actions.
 func (f *simForwarder) Cancel(id string, attempt int) {
+	if !f.order(id, kept.Order{Kind: kept.Cancel, ID: id, Number: attempt}) {
+		f.cancel(id, attempt)
+	}
+}
+
+func (f *simForwarder) cancel(id string, attempt int) {
 	if r := f.open[id]; r != nil && attempt < len(r.attempts) {
 		f.finish(r.attempts[attempt], policy.Cancelled)
 	}
@@ -594,19 +638,25 @@
 
 // Send implements policy.Actions.
 func (f *simForwarder) Send(id, server string, timeoutS float64) {
+	if !f.order(id, kept.Order{Kind: kept.Send, ID: id, Server: server, Wait: timeoutS}) {
+		f.write(id, server, timeoutS)
+	}
+}
+
+func (f *simForwarder) write(id, server string, timeoutS float64) {
 	s, r := f.s, f.open[id]
 	if r == nil || r.over {
 		s.breaks(audit.Answer, "%s is sent after its end", id)
 		return
 	}
 	class := s.class(r.Class)
-	a := &simAttempt{f: f, r: r, number: len(r.attempts), life: f.life, n: s.node(server), at: f.now(),
+	a := &simAttempt{f: f, r: r, number: len(r.attempts), n: s.node(server), at: f.now(),
 		Attempt: node.Attempt{Request: id, Account: r.Customer, Class: r.Class}}
 	if class.Effect == policy.Keyed {
 		a.Key = r.try.First
 	}
 	r.attempts = append(r.attempts, a)
-	if a.n == nil || f.up[server] != policy.Up || f.held[server] {
+	if a.n == nil || f.up[server] != policy.Up || f.lives[r.life][server] {
 		f.finish(a, policy.Moot)
 		return
 	}
@@ -666,23 +716,15 @@
 	}
 	a.done = true
 	a.leave()
-	if f.life != a.life || !f.runs() {
+	r := a.r
+	if f.lives[r.life] == nil {
 		return
 	}
-	r := a.r
 	if status == policy.OK {
 		f.answer(r.ID, audit.Served)
 	}
-	f.do(func() {
-		if f.life != a.life {
-			return
-		}
-		o := policy.Outcome{ID: r.ID, Server: a.n.idOr(), Attempt: a.number, Status: status, Over: r.over, SpentS: f.now() - a.at, Load: a.load}
-		if f.core != nil {
-			f.core.Outcome(f.now(), o)
-		} else {
-			f.gate.Outcome(f.now(), o)
-		}
+	f.happen(r, func(g gateway) {
+		g.Outcome(f.now(), policy.Outcome{ID: r.ID, Server: a.n.idOr(), Attempt: a.number, Status: status, Over: r.over, SpentS: f.now() - a.at, Load: a.load})
 	})
 }
 
@@ -714,33 +756,21 @@
 		return
 	}
 	q.DeadlineS = f.clock.at(s.t + left)
-	r := &simRequest{Request: q, try: try}
+	r := &simRequest{Request: q, try: try, life: f.life}
 	f.open[q.ID] = r
-	life := f.life
-	f.do(func() {
-		if f.core != nil {
-			f.core.Request(f.now(), q)
-		} else {
-			f.gate.Request(f.now(), q)
-		}
-	})
+	run := f.run
+	f.happen(r, func(g gateway) { g.Request(f.now(), q) })
 	s.after(left+0.05, func() {
-		if f.life != life {
+		if f.run != run || f.lives[r.life] == nil {
 			return
 		}
 		if !r.over {
 			r.over = true
 			s.Hist.Answer(try, audit.Broken)
-			f.do(func() {
-				if f.core != nil {
-					f.core.Gone(f.now(), q.ID)
-				} else {
-					f.gate.Gone(f.now(), q.ID)
-				}
-			})
+			f.happen(r, func(g gateway) { g.Gone(f.now(), q.ID) })
 		}
 		s.after(6, func() {
-			if f.life == life {
+			if f.run == run {
 				delete(f.open, q.ID)
 			}
 		})
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -185,7 +185,7 @@
 		}
 	}
 	h.out.Link(f, link.Msg{Kind: link.Release, Cell: link.KnowsHoldsCell})
-	h.leases.linkUp(f)
+	h.leases.linkUp(now, f)
 }
 
 // LinkDown takes the end of a link. All that the forwarder had told is over in the module. Its attempts may still be
--- a/internal/planner/leases.go
+++ b/internal/planner/leases.go
@@ -96,7 +96,16 @@
 	return k.leads && k.epoch == epoch && (now < k.endsAt || !fleet.Fenced)
 }
 
-func (l *leases) linkUp(f int) { l.up[f] = true }
+// linkUp takes a link to a forwarder. One that has promised a cell to this lead, as before its link broke or its process was replaced,
+// need not wait for the next renewal to hear of it; any other does not follow by it.
+func (l *leases) linkUp(now float64, f int) {
+	l.up[f] = true
+	for i := range l.cells {
+		if k := &l.cells[i]; l.leads(now, i, k.epoch) {
+			l.send(f, link.Msg{Kind: link.Lead, Cell: uint16(i), Epoch: k.epoch})
+		}
+	}
+}
 
 func (l *leases) linkDown(f int) {
 	l.up[f] = false
--- a/internal/planner/leases_test.go
+++ b/internal/planner/leases_test.go
@@ -33,7 +33,7 @@
 	l.gained = func(_ float64, c int, e uint64) { had = append(had, fmt.Sprint("gained ", c, " ", e)) }
 	l.lost = func(c int) { had = append(had, fmt.Sprint("lost ", c)) }
 	for f := range 5 {
-		l.linkUp(f)
+		l.linkUp(10, f)
 		for c := range 2 {
 			l.view(10, f, &link.Msg{Cell: uint16(c), Epoch: uint64(f) * epochStep})
 		}
@@ -93,7 +93,7 @@
 		l := newLeases(params(t, 3, 3), 0, life)
 		l.send, l.begins = func(int, ...link.Msg) {}, func(int, uint64) {}
 		for f := range 3 {
-			l.linkUp(f)
+			l.linkUp(10, f)
 			l.view(10, f, &link.Msg{Cell: 0, Epoch: 7 * epochStep})
 		}
 		l.tick(10)
@@ -111,7 +111,7 @@
 	l.send = func(_ int, m ...link.Msg) { sent = append(sent, m...) }
 	l.begins, l.gained, l.lost = func(int, uint64) {}, func(float64, int, uint64) {}, func(int) {}
 	for f := range 3 {
-		l.linkUp(f)
+		l.linkUp(10, f)
 		l.view(10, f, &link.Msg{Cell: 0})
 	}
 	l.tick(10)
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -9,6 +9,11 @@
 //	old  -> new  go      the old one takes nothing more; with the list of backends as it knows it, and how many clients it has
 //	old  -> new  client  a client's connection on which nothing is open, and what was read from it and not used
 //
+// and, where all that decides has moved to the new process, until the old one's last request has ended
+//
+//	old  -> new  event   a request that was read late, an attempt's end, a client that has gone
+//	new  -> old  order   what is to be done to a request that the old one holds
+//
 // The link's end is the old process's, or the new one's; each side knows what that means by what came before it.
 package takeover
 
@@ -34,6 +39,8 @@
 	Kept    Kind = 'K'
 	Go      Kind = 'G'
 	Client  Kind = 'C'
+	Event   Kind = 'E'
+	Order   Kind = 'O'
 )
 
 const (
