--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -11,6 +11,7 @@
 	module      = "policy/policy.go"
 	state       = "policy/state.go"
 	core        = "internal/forward/core.go"
+	mover       = "internal/forward/move.go"
 	host        = "internal/planner/host.go"
 	windows     = "internal/planner/windows.go"
 	leases      = "internal/planner/leases.go"
@@ -216,6 +217,21 @@
 	{Name: "what was read of a command goes with its connection", Rule: "no request lost", Unit: "./internal/ingress",
 		Why:   "the laboratory's clients write a command in one piece, so that a part of one is hardly ever read at that moment; the unit test sends halves",
 		Edits: edit(in+"handover.go", "passing{c, bytes.Clone(c.buf.b)}", "passing{c, bytes.Clone(c.buf.b[:0])}"), Runs: []string{labOne + "operators -kinds replaced -every 100ms"}},
+	// ---- A forwarder replaced while it serves ----
+	{Name: "promises that were handed on are not taken back", Rule: "one leader", Unit: "./internal/forward",
+		Edits: edit(mover, "c.cells[i] = cell{holder: -1, want: -1, until: now + c.cfg.LeaseS, unledAt: now}", "c.cells[i].want, c.cells[i].unledAt = -1, now"), Runs: []string{simTwo + "upgrades"}},
+	{Name: "promises go over", Rule: "one leader", Unit: "./internal/forward",
+		Edits: edit(mover, "k.epoch, k.holder, k.life, k.until = x.Epoch, x.Holder, x.Life, x.Until", "k.epoch, k.holder, k.until = x.Epoch, -1, now"), Runs: []string{simTwo + "upgrades"}},
+	{Name: "tales go over", Rule: "quotas kept", Unit: "./internal/forward",
+		Edits: edit(mover, "for _, t := range m.Tales {", "for _, t := range m.Tales[:0] {"), Runs: []string{simTwo + "handed"}},
+	{Name: "a new process knows what may have run", Rule: "no effect twice", Unit: "./internal/forward",
+		Edits: edit(mover, "ran: x.Ran, ranAt: x.RanAt", "ran: false, ranAt: x.RanAt"), Runs: []string{simTwo + "handed-keys"}},
+	{Name: "a new process knows what is out", Rule: "one attempt out", Unit: "./internal/forward",
+		Edits: edit(mover, "o.out += b2i(!done)", "o.out += 0 * b2i(!done)"), Runs: []string{simTwo + "upgrades"}},
+	{Name: "what a successor sent is written down", Rule: "one attempt out", Unit: "./internal/forward",
+		Edits: edit(mover, "		if !o.over {\n\t\t\to.sentAt, o.done", "\t\tif false {\n\t\t\to.sentAt, o.done"), Runs: []string{simTwo + "upgrades"}},
+	{Name: "tales are not complete after taking back", Rule: "quotas kept", Unit: "./internal/forward",
+		Edits: edit(mover, "\t}\n\tc.usage.lossyAt = now\n\tclear(c.peers)", "\t}\n\tclear(c.peers)"), Runs: []string{simTwo + "handed"}},
 	// ---- Links ----
 	{Name: "a silent link ends", Rule: "no request lost", Unit: "./internal/link",
 		Why:   "promises that run out hold the rules without it; it bounds how long a takeover takes, which eiderfleet lab -deaths and -failsafes measure",
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// shortKeys has nodes remember keys for less than a request lasts. Quotas are not judged with it: what is counted waits for a server for up to
+// the long aim, and is sent on that much later.
+func shortKeys(list []policy.Class) {
+	for i := range list {
+		if c := &list[i]; c.Effect == policy.Keyed {
+			c.AimS, c.DeadlineS, c.KeyTTLS = 3, 4, 0.6
+		}
+	}
+}
+
 // scenarios are the laboratory's days. Later subsystems add theirs here.
 var scenarios = map[string]scenario{
 	"storm": {what: "everything at once: all faults of programs, nodes, links, front and roster", every: 700 * time.Millisecond, weather: 0.06, bound: true,
@@ -70,13 +80,7 @@
 		kinds: []string{"flood", "flood", "kill", "split", "all", "peers", "forwarder"}, every: time.Second,
 		floors: map[string]int{audit.Ceilings: 300, audit.Quotas: 300}},
 	"keys": {what: "keys that nodes remember for less than a request lasts, and attempts that end late, unserved",
-		classes: func(list []policy.Class) {
-			for i := range list {
-				if c := &list[i]; c.Effect == policy.Keyed {
-					c.AimS, c.DeadlineS, c.KeyTTLS = 3, 4, 0.6
-				}
-			} // quotas are not judged: what is counted waits for a server for up to the long aim, and is sent on that much later
-		}, keyedS: 0.6, weather: 0.5, quota: -1, kinds: []string{"kill", "split", "all", "snow", "forwarder"}, every: 1500 * time.Millisecond, floors: trouble},
+		classes: shortKeys, keyedS: 0.6, weather: 0.5, quota: -1, kinds: []string{"kill", "split", "all", "snow", "forwarder"}, every: 1500 * time.Millisecond, floors: trouble},
 	"capped": {what: "accounts at small caps on open attempts, slow nodes, and planners that die with attempts out",
 		kinds: []string{"kill", "kill", "snow", "snow", "slow"}, load: 2, every: 700 * time.Millisecond, plans: smallCaps, quota: -1, floors: map[string]int{audit.Caps: 2}},
 	"lonely": {what: "accounts at small caps, slow nodes, and forwarders that are cut off from all planners with attempts out",
@@ -87,8 +91,13 @@
 		kinds: []string{"fleet held", "fleet held", "torn", "torn", "away", "kill", "pause", "cut", "split", "odd", "lone", "forwarder", "drain"},
 		every: 500 * time.Millisecond, floors: map[string]int{audit.Held: 20}},
 	"upgrades": {what: "forwarders of two levels are replaced while they serve, the one or the other process dying of it, while planners die, leave and are cut off",
-		kinds: []string{"fleet replaced", "fleet replaced", "fleet replaced", "successor dies", "successor dies", "predecessor dies", "torn", "away", "kill", "pause", "cut", "split", "odd", "lone", "forwarder"},
+		kinds: []string{"fleet replaced", "fleet replaced", "fleet replaced", "successor dies", "successor dies", "predecessor dies", "torn succession", "torn succession", "all replaced", "torn", "away", "kill", "pause", "cut", "split", "odd", "lone", "forwarder"},
 		every: 250 * time.Millisecond, weather: 0.08, exact: true, floors: map[string]int{audit.Replaced: 100, audit.Lost: 50, audit.Twice: 20}},
+	"handed": {what: "every forwarder of two levels is replaced, at times every new process dies, and a leader dies with it, while accounts are far beyond their quotas",
+		kinds: []string{"all replaced", "all successors die", "flood", "flood", "kill"}, every: 700 * time.Millisecond, exact: true,
+		floors: map[string]int{audit.Quotas: 300, audit.Replaced: 100}},
+	"handed-keys": {what: "keys that nodes remember for less than a request lasts, while forwarders of two levels are replaced",
+		classes: shortKeys, keyedS: 0.6, weather: 0.5, quota: -1, kinds: []string{"fleet replaced", "fleet replaced", "successor dies", "kill", "snow"}, every: 200 * time.Millisecond, floors: trouble},
 	"friday": {what: "Friday supper: floods on chaine, accounts that shift, a node that is sick", kinds: []string{"flood", "flood", "shift", "sick", "slow"},
 		every: 1500 * time.Millisecond, weather: 0.02, load: 1.2, bound: true, floors: map[string]int{audit.Ceilings: 200, audit.Quotas: 200}},
 	"snow": {what: "snowstorm evening: every node slow again and again, some pausing, under a full load", kinds: []string{"snow", "snow", "node pause", "far"},
--- a/internal/lab/sim/replace.go
+++ b/internal/lab/sim/replace.go
@@ -303,6 +303,47 @@
 			s.after(0.6*x.X*x.X, func() { s.killSuccessor(n) })
 		}
 	}
+	// Two planners see half of the other forwarders each, and need this one's promise; the third gives its cells up while the new process
+	// votes, and that one dies.
+	kinds["torn succession"] = func(s *Sim, x lab.Fault) {
+		n, a := x.A%len(s.fwds), x.B%len(s.planners)
+		b, c := (a+1)%len(s.planners), (a+2)%len(s.planners)
+		if !s.replace(n) {
+			return
+		}
+		s.cutLinks(x.For.Seconds(), func(p, f int) bool {
+			return f != n && (p == b && (f-n+len(s.fwds))%2 == 0 || p == c && (f-n+len(s.fwds))%2 == 1)
+		})
+		s.after(0.1, func() {
+			host := s.planners[a].host
+			if host == nil || s.planners[a].paused {
+				return
+			}
+			host.Leave(s.planners[a].now())
+			s.after(x.For.Seconds(), func() {
+				if s.planners[a].host == host {
+					s.planners[a].do(func() { host.Return(s.planners[a].now()) })
+				}
+			})
+		})
+		s.after(0.12+0.05*x.X, func() { s.killSuccessor(n) })
+	}
+	// Nobody but the new processes knows what was passed on, and a leader dies.
+	kinds["all replaced"] = func(s *Sim, x lab.Fault) {
+		for n := range s.fwds {
+			s.replace(n)
+		}
+		s.after(0.1*x.X, func() { s.killPlanner(x.B%len(s.planners), x.For.Seconds()) })
+	}
+	// The same, and all of them die with it.
+	kinds["all successors die"] = func(s *Sim, x lab.Fault) {
+		for n := range s.fwds {
+			if s.replace(n) {
+				s.after(0.5, func() { s.killSuccessor(n) })
+			}
+		}
+		s.after(0.5, func() { s.killPlanner(x.B%len(s.planners), x.For.Seconds()) })
+	}
 	kinds["predecessor dies"] = func(s *Sim, x lab.Fault) {
 		n := x.A % len(s.fwds)
 		if s.replace(n) {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -398,16 +398,16 @@
 
 // simForwarder does what an ingress does round its Gateway, without sockets.
 type simForwarder struct {
-	s       *Sim
-	n       int
-	core    *forward.Core   // of two levels; nil while nothing runs, as gate
-	gate    *policy.Gateway // of one level
-	clock   clock
-	run     int // from one start to the next, over replacements
-	life    int // of the process that decides
-	lives   map[int]map[string]bool // of processes that hold requests: the nodes that operators hold, as each has heard
-	last    int                     // life given out
-	known   uint64                  // the life that planners are told
+	s     *Sim
+	n     int
+	core  *forward.Core   // of two levels; nil while nothing runs, as gate
+	gate  *policy.Gateway // of one level
+	clock clock
+	run   int                     // from one start to the next, over replacements
+	life  int                     // of the process that decides
+	lives map[int]map[string]bool // of processes that hold requests: the nodes that operators hold, as each has heard
+	last  int                     // life given out
+	known uint64                  // the life that planners are told
 	succession
 	open    map[string]*simRequest
 	up      map[string]policy.State // of nodes, as told
