Tests of what goes over between two processes of a forwarder, and of its lock

Shown: promises neither longer nor shorter, requests by class and state, tales, times moved by the clocks' difference; a successor that dies or only seems to; a process without the lock serves nobody.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -90,6 +90,7 @@
 	term context.CancelFunc
 
 	reread chan Config
+	gate   Gateway // nil: mod
 }
 
 func testConfig(backends ...string) Config {
@@ -122,7 +123,10 @@
 	}
 	go func() {
 		defer close(r.end)
-		in.serve(ctx, r.reread, r.mod)
+		if r.gate == nil {
+			r.gate = r.mod
+		}
+		in.serve(ctx, r.reread, r.gate)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/lab/sim/replace.go
+++ b/internal/lab/sim/replace.go
@@ -300,7 +300,7 @@
 	kinds["successor dies"] = func(s *Sim, x lab.Fault) {
 		n := x.A % len(s.fwds)
 		if s.replace(n) {
-			s.after(0.6*x.X*x.X, func() { s.killSuccessor(n) })
+			s.after(0.4*x.X, func() { s.killSuccessor(n) })
 		}
 	}
 	// Two planners see half of the other forwarders each, and need this one's promise; the third gives its cells up while the new process
