A fleet of two levels is upgraded whole under load; forwarders are replaced on sockets

Need: eiderfleet upgrade restarted forwarders. rollout takes programs that are replaced beside themselves (doors and replace in upgrade.toml), the laboratory's forwarders have doors, lab -upgrades N rolls the fleet while faults go on.

--- a/cmd/eiderfleet/lab.go
+++ b/cmd/eiderfleet/lab.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -42,6 +43,7 @@
 	length := set.Duration("for", time.Minute, "how long clients ask")
 	scenario := set.String("scenario", "storm", "what goes wrong, one of:\n"+strings.Join(lab.ScenarioNames(), "\n"))
 	every := set.Duration("every", 0, "mean time between two faults, in place of the scenario's")
+	upgrades := set.Int("upgrades", 0, "upgrade the whole fleet so many times meanwhile, program by program")
 	kinds := set.String("kinds", "", "faults to choose from, by commas, in place of the scenario's:\n"+strings.Join(lab.KindNames(), "\n"))
 	record := set.String("record", "", "keep the run in this file, for eiderfleet judge, replay and shrink")
 	replay := set.String("replay", "", "play the faults that this file of -record holds")
@@ -70,8 +72,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if *upgrades > 0 && *planners == 0 {
+		return nil, errors.New("-upgrades is for fleets of two levels")
+	}
 	n := func(x int) int { return max(1, int(float64(x)**scale)) }
-	sc := lab.Scenario{Length: *length,
+	sc := lab.Scenario{Length: *length, Upgrades: *upgrades,
 		Accounts: lab.Accounts(n(20), n(10), n(3), *forwarders, *spread, *seed),
 		FleetConfig: lab.FleetConfig{Forwarders: *forwarders, Planners: *planners, Nodes: *nodes, Classes: lab.LabClasses,
 			Plans: lab.LabPlans, Node: lab.LabNode, Seed: *seed, Dir: *dir, Params: fleet.Params{},
--- a/cmd/eiderfleet/upgrade.go
+++ b/cmd/eiderfleet/upgrade.go
@@ -28,6 +28,25 @@
 	Door    string   // its operators' door
 	Status  string   // its status address; empty: whether anything is left on it is not asked
 	Restart []string // the command that ends it and starts the next version; it returns when it has done so
+	Doors   []string // in place of door, with replace: of its processes, one after the other
+	Replace []string // in place of restart: the command that starts the next version beside it; doorEnv names the door it is to have
+}
+
+// doorEnv is in the environment of a replace command: the address of the program's doors that is free.
+const doorEnv = "EIDERFLEET_DOOR"
+
+// check tells what is wrong with a program of the file.
+func (p upgradeProgram) check() error {
+	beside := len(p.Replace) > 0
+	switch {
+	case beside && p.Kind == rollout.Planner:
+		return fmt.Errorf("program %q: a planner hands its cells over and is restarted, it is not replaced beside itself", p.Name)
+	case beside && (len(p.Doors) != 2 || p.Doors[0] == p.Doors[1] || p.Door != "" || len(p.Restart) > 0):
+		return fmt.Errorf("program %q: replace goes with two doors, and with neither door nor restart", p.Name)
+	case !beside && (p.Door == "" || len(p.Restart) == 0 || len(p.Doors) > 0):
+		return fmt.Errorf("program %q: door and restart are needed, or doors and replace", p.Name)
+	}
+	return nil
 }
 
 // upgrader carries a rollout out: over HTTP at the programs' doors, and with the restart commands.
@@ -36,6 +55,8 @@
 	events chan func(now float64)
 	client http.Client
 	asking []bool
+	last   []string // by program: the door that said yes last; of one that is being replaced, it counts no more
+	before []string // the door of the process that was replaced
 	log    io.Writer
 	r      *rollout.Rollout
 }
@@ -66,15 +87,15 @@
 	if f.SettleS > 0 {
 		times.Settle = f.SettleS
 	}
-	u := &upgrader{events: make(chan func(float64), 64), asking: make([]bool, len(f.Program)), log: log,
+	u := &upgrader{events: make(chan func(float64), 64), asking: make([]bool, len(f.Program)), last: make([]string, len(f.Program)), before: make([]string, len(f.Program)), log: log,
 		client: http.Client{Timeout: doorMost, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var list []rollout.Program
 	by := map[string]upgradeProgram{}
 	for _, p := range f.Program {
-		if p.Door == "" || len(p.Restart) == 0 {
-			return fmt.Errorf("%s: program %q: door and restart are needed", set.Arg(0), p.Name)
+		if err := p.check(); err != nil {
+			return fmt.Errorf("%s: %w", set.Arg(0), err)
 		}
-		list, by[p.Name] = append(list, rollout.Program{Name: p.Name, Kind: p.Kind}), p
+		list, by[p.Name] = append(list, rollout.Program{Name: p.Name, Kind: p.Kind, Beside: len(p.Replace) > 0}), p
 	}
 	began := time.Now()
 	now := func() float64 { return time.Since(began).Seconds() }
@@ -132,16 +153,30 @@
 		return
 	}
 	u.asking[i] = true
-	p := u.list[i]
+	p, before := u.list[i], u.before[i]
+	doors := p.Doors
+	if len(doors) == 0 {
+		doors = []string{p.Door}
+	}
 	go func() {
-		status, err := u.call(http.MethodGet, "http://"+p.Door+"/v1/readyz")
-		busy := false
-		if p.Status != "" && err == nil {
-			busy = u.busy(p.Status)
+		heard, yes := false, ""
+		for _, door := range doors {
+			status, err := u.call(http.MethodGet, "http://"+door+"/v1/readyz")
+			heard = heard || err == nil
+			if err == nil && status/100 == 2 && door != before {
+				yes = door
+			}
 		}
+		busy := p.Status != "" && heard && u.busy(p.Status)
 		u.events <- func(now float64) {
 			u.asking[i] = false
-			u.r.Answer(now, i, err == nil, status/100 == 2, busy)
+			if before != u.before[i] {
+				return // asked before it was replaced
+			}
+			if yes != "" {
+				u.last[i] = yes
+			}
+			u.r.Answer(now, i, heard, yes != "", busy)
 		}
 	}()
 }
@@ -172,10 +207,20 @@
 // Restart implements rollout.Out.
 func (u *upgrader) Restart(i int) {
 	p := u.list[i]
+	command, env := p.Restart, os.Environ()
+	if len(p.Replace) > 0 {
+		command, u.before[i] = p.Replace, u.last[i]
+		free := p.Doors[0]
+		if free == u.last[i] {
+			free = p.Doors[1]
+		}
+		env = append(env, doorEnv+"="+free)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), restartMost)
 		defer cancel()
-		c := exec.CommandContext(ctx, p.Restart[0], p.Restart[1:]...)
+		c := exec.CommandContext(ctx, command[0], command[1:]...)
+		c.Env = env
 		c.Stdout, c.Stderr = os.Stderr, os.Stderr
 		err := c.Run()
 		u.events <- func(now float64) { u.r.Restarted(now, i, err) }
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -456,6 +456,10 @@
 			in.peers.resume()
 		}
 	}
+	if in.heirs.asked != nil { // the new one had taken its place on the file system: the next would find nobody
+		in.heirs.asked.Close()
+		in.awaitSuccessor()
+	}
 	if in.signalled { // to end: it takes nothing again, and what was to be passed on ends with its drain
 		return
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -216,7 +216,7 @@
 			return err
 		}
 		p := f.proc("ingress", f.Party(i), file, listen, "")
-		if err := f.doors(p, file); err != nil {
+		if err := f.doors(p, "ingress", file, nil); err != nil {
 			return err
 		}
 		f.Forwarders = append(f.Forwarders, p)
@@ -315,12 +315,15 @@
 		for p := range f.cfg.Planners {
 			at = append(at, strconv.Quote(f.Links[p][i].Addr()))
 		}
-		file := filepath.Join(f.cfg.Dir, f.Party(i)+".toml")
-		text := f.common(i, base, status) + "planners_at = [" + strings.Join(at, ", ") + "]\n"
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		p := f.proc("forwarder", f.Party(i), "", listen, status)
+		if err := f.doors(p, "forwarder", base, func(n int, base string) (string, error) {
+			file := filepath.Join(f.cfg.Dir, fmt.Sprintf("%s-%d.toml", f.Party(i), n))
+			text := f.common(i, base, status) + "planners_at = [" + strings.Join(at, ", ") + "]\n"
+			return file, os.WriteFile(file, []byte(text), 0o600)
+		}); err != nil {
 			return err
 		}
-		f.Forwarders = append(f.Forwarders, f.proc("forwarder", f.Party(i), file, listen, status))
+		f.Forwarders = append(f.Forwarders, p)
 	}
 	return nil
 }
--- a/internal/lab/operators.go
+++ b/internal/lab/operators.go
@@ -29,8 +29,9 @@
 // door is one address of a program's operators' door, and the configuration that names it.
 type door struct{ console, file string }
 
-// doors gives a program two configurations that differ in the door alone, and a folder that outlives it.
-func (f *Fleet) doors(p *Proc, file string) error {
+// doors gives a program two configurations that differ in the door alone, and a folder that outlives it. wrap, if not nil, words the
+// operator's file that names a configuration; the program is given that one.
+func (f *Fleet) doors(p *Proc, kind, file string, wrap func(n int, base string) (string, error)) error {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return err
@@ -53,10 +54,15 @@
 		if err != nil {
 			return err
 		}
+		if wrap != nil {
+			if path, err = wrap(i, path); err != nil {
+				return err
+			}
+		}
 		p.doors[i] = door{addr, path}
 	}
 	p.cmd = func() *exec.Cmd {
-		c := f.cfg.Spawn("ingress", p.door().file)
+		c := f.cfg.Spawn(kind, p.door().file)
 		if c.Env == nil {
 			c.Env = os.Environ()
 		}
@@ -95,6 +101,46 @@
 	}
 }
 
+// ReplaceInVain starts the program a second time beside itself, has meanwhile run from its first yes on, and kills it. The first
+// process goes on; it returns when that one takes clients again.
+func (p *Proc) ReplaceInVain(meanwhile func()) error {
+	p.mu.Lock()
+	old, exited, paused, turn := p.run, p.exited, p.paused, p.turn
+	p.turn++
+	p.mu.Unlock()
+	if old == nil || !p.Up() {
+		return errors.New("nothing runs that could be replaced")
+	}
+	err := p.start(false)
+	if err == nil {
+		p.ready(replaceMost / 2)
+		meanwhile()
+		p.Kill()
+	}
+	select {
+	case <-exited: // it had nothing left: what died was the program
+		return p.start(true)
+	default:
+	}
+	p.mu.Lock()
+	p.run, p.exited, p.paused, p.turn = old, exited, paused, turn
+	p.mu.Unlock()
+	if err == nil && !p.ready(replaceMost/2) {
+		err = fmt.Errorf("%s: the first program does not take clients again", p.Name)
+	}
+	return err
+}
+
+// ready waits until the program's door says that it takes clients; false if it does not come to that.
+func (p *Proc) ready(most time.Duration) bool {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(callRetry / 10) {
+		if status, err := p.Call(context.Background(), http.MethodGet, "/v1/readyz"); err == nil && status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 var operators = http.Client{Timeout: callMost, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // Call makes an operator's call and returns its status.
@@ -200,6 +246,16 @@
 			}
 			f.Hist.Replace(i, from, f.Hist.Now())
 		}}
+	kinds["fleet replaced"] = kind{"operators replace a forwarder's program beside itself", 2, 2, onForwarder, kinds["replaced"].do}
+	kinds["successor dies"] = kind{"operators replace a forwarder's program, and the new one dies of it", 1, 2, onForwarder,
+		func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+			i, from := x.A%len(f.Forwarders), f.Hist.Now()
+			err := f.Forwarders[i].ReplaceInVain(func() { wait(time.Duration(0.4 * x.X * float64(time.Second))) })
+			f.Hist.Outage(i, from, f.Hist.Now()) // what the new one had taken is its clients' to try again
+			if err != nil {
+				f.Hist.Fault("not replaced in vain: " + err.Error())
+			}
+		}}
 	kinds["held"] = kind{"operators take a node out at every ingress, restart it at times, and call it back", 1, 4, one("held"),
 		func(f *Fleet, x Fault, wait func(time.Duration) bool) {
 			n := f.pick(x.A)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -82,6 +82,7 @@
 	Length   time.Duration
 	Faults   []Fault
 	Floors   map[string]int // see audit.Rules
+	Upgrades int            // of the whole fleet, one after the other, in two levels
 }
 
 // Run starts a fleet, lets clients and faults loose on it and has the auditor judge.
@@ -116,8 +117,17 @@
 		defer close(faults)
 		f.play(ctx, sc.Faults, log)
 	}()
+	upgraded := make(chan struct{})
+	go func() {
+		defer close(upgraded)
+		if sc.Upgrades > 0 {
+			took, err := f.UpgradeAll(ctx, sc.Upgrades)
+			fmt.Fprintf(log, "upgraded whole %d times, in %v; %v\n", len(took), took, err)
+		}
+	}()
 	f.clients.Run(ctx)
 	<-faults
+	<-upgraded
 	<-measured
 	ended()
 	time.Sleep(500 * time.Millisecond) // for nodes to notice what was given up
--- /dev/null
+++ b/internal/lab/upgrade.go
@@ -0,0 +1,142 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"eiderspread/internal/rollout"
+)
+
+// A whole fleet of two levels upgraded under load: planners hand over and are restarted, forwarders are replaced while they serve, one at a
+// time, as internal/rollout decides.
+
+const upgradeTick = 20 * time.Millisecond
+
+// upgrader carries a rollout out on a fleet's programs.
+type upgrader struct {
+	f      *Fleet
+	procs  []*Proc
+	number []int // of forwarders; -1: a planner
+	r      *rollout.Rollout
+	events chan func(now float64)
+	asking []bool
+	done   chan struct{}
+}
+
+// post hands the rollout's goroutine an event; none is left behind when it is over.
+func (u *upgrader) post(do func(now float64)) {
+	select {
+	case u.events <- do:
+	case <-u.done:
+	}
+}
+
+// Upgrade upgrades all programs once, and returns how long it took. Others may die meanwhile: the rollout waits for them.
+func (f *Fleet) Upgrade(ctx context.Context) (time.Duration, error) {
+	u := &upgrader{f: f, events: make(chan func(float64), 64), done: make(chan struct{})}
+	defer close(u.done)
+	var list []rollout.Program
+	for _, p := range f.Planners {
+		list = append(list, rollout.Program{Name: p.Name, Kind: rollout.Planner})
+		u.procs, u.number = append(u.procs, p), append(u.number, -1)
+	}
+	for i, p := range f.Forwarders {
+		list = append(list, rollout.Program{Name: p.Name, Kind: rollout.Forwarder, Beside: true})
+		u.procs, u.number = append(u.procs, p), append(u.number, i)
+	}
+	u.asking = make([]bool, len(list))
+	began := time.Now()
+	now := func() float64 { return time.Since(began).Seconds() }
+	times := rollout.Defaults
+	times.Settle, times.Away = 0.3, 1
+	var err error
+	if u.r, err = rollout.New(list, times, "", now(), u); err != nil {
+		return 0, err
+	}
+	tick := time.NewTicker(upgradeTick)
+	defer tick.Stop()
+	for {
+		select {
+		case do := <-u.events:
+			do(now())
+		case <-tick.C:
+			u.r.Tick(now())
+		case <-ctx.Done():
+			done, at, phase := u.r.Where()
+			return time.Since(began), fmt.Errorf("%d done, %s %s: %w", done, at.Name, phase, ctx.Err())
+		}
+		if over, err := u.r.Over(); over {
+			return time.Since(began), err
+		}
+	}
+}
+
+// Ask implements rollout.Out.
+func (u *upgrader) Ask(i int) {
+	if u.asking[i] {
+		return
+	}
+	u.asking[i] = true
+	go func() {
+		status, err := u.procs[i].Call(context.Background(), http.MethodGet, "/v1/readyz")
+		u.post(func(now float64) {
+			u.asking[i] = false
+			u.r.Answer(now, i, err == nil, status == http.StatusOK, false)
+		})
+	}()
+}
+
+// Drain implements rollout.Out.
+func (u *upgrader) Drain(i int) {
+	go func() {
+		status, err := u.procs[i].Call(context.Background(), http.MethodPost, "/v1/ingress/drain")
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("drain is answered with %d", status)
+		}
+		u.post(func(now float64) { u.r.Drained(now, i, err) })
+	}()
+}
+
+// Restart implements rollout.Out.
+func (u *upgrader) Restart(i int) {
+	p, n := u.procs[i], u.number[i]
+	target := onPlanner(u.f, Fault{A: i})
+	if n >= 0 {
+		target = onForwarder(u.f, Fault{A: n})
+	}
+	restart := func() {
+		var err error
+		if from := u.f.Hist.Now(); n >= 0 {
+			if err = p.Replace(); err == nil {
+				u.f.Hist.Replace(n, from, u.f.Hist.Now())
+			}
+		} else {
+			p.Term()
+			err = p.Start()
+		}
+		u.post(func(now float64) { u.r.Restarted(now, i, err) })
+	}
+	go func() { // once no fault has the program
+		for !u.f.claim(target, restart) {
+			select {
+			case <-u.done:
+				return
+			case <-time.After(upgradeTick):
+			}
+		}
+	}()
+}
+
+// UpgradeAll upgrades the fleet again and again, so many times or until ctx ends, and returns how long each took.
+func (f *Fleet) UpgradeAll(ctx context.Context, times int) (took []time.Duration, err error) {
+	for range times {
+		d, err := f.Upgrade(ctx)
+		if err != nil {
+			return took, fmt.Errorf("upgrade %d: %w", len(took)+1, err)
+		}
+		took = append(took, d)
+	}
+	return took, nil
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -20,8 +20,9 @@
 
 // Program is one of the fleet's.
 type Program struct {
-	Name string
-	Kind Kind
+	Name   string
+	Kind   Kind
+	Beside bool // it is replaced by a second process beside it, and need not be sent away
 }
 
 // Times bound what a rollout waits for, in seconds.
@@ -52,7 +53,7 @@
 type Out interface {
 	Ask(i int) // whether program i is ready, and whether anything is left on it
 	Drain(i int)
-	Restart(i int)
+	Restart(i int) // of one that is replaced beside itself: starts the new process
 }
 
 // Rollout is one rollout. It is not safe for concurrent use.
@@ -187,6 +188,9 @@
 	case Waits:
 		missing := r.others(now)
 		switch {
+		case missing == "" && r.list[r.at].Beside:
+			r.enter(now, Restarts)
+			r.out.Restart(r.at)
 		case missing == "":
 			r.enter(now, Leaves)
 			r.out.Drain(r.at)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -52,6 +52,7 @@
 func (w *world) Restart(i int) {
 	name := w.r.list[i].Name
 	w.restarts[i]++
+	w.ready[i] = false // one that is replaced: the old process no longer says yes, the new one not yet
 	w.order = append(w.order, name)
 	w.after(0.2, func() { w.r.Restarted(w.now, i, nil) })
 	if !w.dead[name] {
@@ -98,10 +99,10 @@
 
 func fleet() (list []Program) {
 	for i := range 4 {
-		list = append(list, Program{fmt.Sprint("f", i), Forwarder})
+		list = append(list, Program{Name: fmt.Sprint("f", i), Kind: Forwarder})
 	}
 	for i := range 3 {
-		list = append(list, Program{fmt.Sprint("p", i), Planner})
+		list = append(list, Program{Name: fmt.Sprint("p", i), Kind: Planner})
 	}
 	return list
 }
@@ -185,8 +186,44 @@
 	}
 }
 
+// Those that are replaced beside themselves are not sent away, and one whose new process does not come up stops the rollout.
+func TestReplacedBeside(t *testing.T) {
+	list := fleet()
+	for i := range list {
+		list[i].Beside = list[i].Kind == Forwarder
+	}
+	for _, dead := range []string{"", "f2"} {
+		w, err := play(t, list, "", func(w *world) {
+			w.dead[dead] = true
+			for _, p := range w.r.list {
+				if p.Beside {
+					w.drainErr[p.Name] = errors.New("it was to be sent away")
+				}
+			}
+		})
+		switch {
+		case dead == "" && err != nil:
+			t.Error(err)
+		case dead != "" && (err == nil || !strings.Contains(err.Error(), "-from "+dead)):
+			t.Errorf("with a dead successor: %v", err)
+		}
+		for i, p := range w.r.list {
+			if want := b2i(dead == "" || p.Name <= dead || p.Kind == Planner); w.restarts[i] != want {
+				t.Errorf("%s was replaced %d times, want %d", p.Name, w.restarts[i], want)
+			}
+		}
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func TestListsThatAreWrong(t *testing.T) {
-	for want, list := range map[string][]Program{"no programs": nil, "unknown kind": {{"a", "node"}}, "twice": {{"a", Planner}, {"a", Planner}}} {
+	for want, list := range map[string][]Program{"no programs": nil, "unknown kind": {{Name: "a", Kind: "node"}}, "twice": {{Name: "a", Kind: Planner}, {Name: "a", Kind: Planner}}} {
 		if _, err := New(list, Defaults, "", 0, nil); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v", want, err)
 		}
