--- a/internal/ingress/door_test.go
+++ b/internal/ingress/door_test.go
@@ -389,3 +389,68 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards chains: a process that is replaced while the one before it still ends. Idle connections come to the last one by way of the
+// middle one, what the first holds is answered, and each ends when all before it have.
+func TestReplacedWhileTheFirstStillEnds(t *testing.T) {
+	addr, conns := listen(t)
+	cfg := withDoor(t, addr)
+	first := start(t, cfg, sendTo(0))
+	cfg.Listen = first.in.listener.Addr().String()
+	busy, idle := first.client(), first.client()
+	idle.send("PING")
+	idle.line()
+	busy.send(look("busy")...)
+	b := get(t, conns)
+	b.command()
+	second := start(t, cfg, sendTo(0))
+	second.until("the second serves", second.in.taking.Load)
+	third := start(t, cfg, nil)
+	third.until("the third serves", third.in.taking.Load)
+	idle.send("PING")
+	if idle.line() != "+PONG" {
+		t.Fatal("an idle connection did not come through")
+	}
+	select {
+	case <-second.end:
+		t.Fatal("the second ended while the first has a request open: the first would go on by itself")
+	default:
+	}
+	io.WriteString(b, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+	if busy.line() != "$1" || busy.line() != "v" {
+		t.Fatal("not answered")
+	}
+	get(t, first.end)
+	get(t, second.end)
+	busy.send(look("again")...)
+	if q := get(t, third.mod.requests); q.ID != "again" {
+		t.Errorf("%+v came to the third", q)
+	}
+	third.until("nothing is left of the others", func() bool { return third.in.heir == nil })
+}
+
+// Guards ten replacements in a row, with connections that live through all of them.
+func TestTenReplacementsInARow(t *testing.T) {
+	addr, conns := listen(t)
+	go serveBackend(conns)
+	cfg := withDoor(t, addr)
+	was := start(t, cfg, sendTo(0))
+	cfg.Listen = was.in.listener.Addr().String()
+	var clients []*wire
+	for range 5 {
+		clients = append(clients, was.client())
+	}
+	for n := range 10 {
+		for i, w := range clients {
+			w.send(look(fmt.Sprint("r", n, "-", i))...)
+			if w.line() != "$1" || w.line() != "v" {
+				t.Fatalf("client %d is not served by process %d", i, n)
+			}
+		}
+		is := start(t, cfg, sendTo(0))
+		is.until("the next serves", is.in.taking.Load)
+		get(t, was.end)
+		is.until("the link has ended", func() bool { return is.in.heir == nil })
+		was = is
+	}
+}
