--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"fmt"
 	"strings"
+	"time"
 
 	"eiderspread/internal/lab"
 	"eiderspread/internal/lab/audit"
@@ -40,17 +41,21 @@
 				break
 			}
 		}
-		s.ask(a, class, "", class.DeadlineS, 0)
+		s.ask(a, class, "", class.DeadlineS)
 		next()
 	}
 	s.after(1+s.rng.ExpFloat64()*mean/a.Rate, ask)
 }
 
 // ask sends a try of an account through one of its ingresses: most of them through the same one for some seconds.
-func (s *Sim) ask(a lab.Account, class policy.Class, first string, left float64, tries int) {
+func (s *Sim) ask(a lab.Account, class policy.Class, first string, left float64) {
 	s.nextID++
 	id := fmt.Sprint("r", s.nextID)
 	first = cmp.Or(first, id)
+	if s.asks[first] == nil {
+		s.asks[first] = &asked{sent: s.Hist.Now()}
+	}
+	s.asks[first].tries++
 	i := a.First + int(s.t/7)%a.Spread
 	if s.rng.Float64() < 0.4 {
 		i = a.First + s.rng.IntN(a.Spread)
@@ -65,27 +70,27 @@
 
 const retries = 2
 
+// asked is what a client knows of something that it asks for: when it first did, and how often.
+type asked struct {
+	sent  time.Duration
+	tries int
+}
+
 // again has the client of a refused try come once more, if it has time left.
 func (s *Sim) again(t *audit.Try) {
 	class := s.class(t.Class)
-	var was *audit.Try // its first
-	n := 0
-	for k := len(s.Hist.Tries) - 1; k >= 0 && s.Hist.Now()-s.Hist.Tries[k].Sent < 20e9; k-- {
-		if s.Hist.Tries[k].First == t.First {
-			was = s.Hist.Tries[k]
-			n++
-		}
-	}
-	if was == nil || n > retries {
+	x := s.asks[t.First]
+	if x == nil || x.tries > retries {
+		delete(s.asks, t.First)
 		return
 	}
-	left := class.DeadlineS - (s.Hist.Now() - was.Sent).Seconds()
+	left := class.DeadlineS - (s.Hist.Now() - x.sent).Seconds()
 	if left < 0.05 {
 		return
 	}
 	for _, a := range s.cfg.Accounts {
 		if a.Name == t.Account {
-			s.ask(a, class, t.First, left, n)
+			s.ask(a, class, t.First, left)
 		}
 	}
 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -87,6 +87,7 @@
 	fog      lab.Weather // of all
 	lateS    float64     // how late the roster tells
 	floods   map[string]float64
+	asks     map[string]*asked // by first try; as many as the run has
 	breach   map[string]int
 	first    string
 	Leads    int // moments at which a cell was found led: that fencing was looked at
@@ -112,7 +113,7 @@
 
 // New makes a fleet that has just been started.
 func New(cfg Config) *Sim {
-	s := &Sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), breach: map[string]int{}, keys: node.NewKeys(), floods: map[string]float64{}, byHand: map[string]bool{}}
+	s := &Sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), breach: map[string]int{}, keys: node.NewKeys(), floods: map[string]float64{}, asks: map[string]*asked{}, byHand: map[string]bool{}}
 	s.Hist = audit.NewAt(func() time.Duration { return time.Duration(s.t * float64(time.Second)) })
 	if cfg.Planners > 0 {
 		s.p = fleet.Params{Name: "sim", Forwarders: cfg.Forwarders, Planners: cfg.Planners, Cells: cfg.Cells}
