Large values on their way go to the new process; nothing cuts them off

The backend's reader stops between two chunks, and both connections go over with what was read and the answers behind. Loopback tests: moves whole with what is behind it, waits for what is open behind it, stays if the new process dies.

--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -65,8 +65,9 @@
 
 // passing is a connection on its way to the new process.
 type passing struct {
-	c    *client
-	rest []byte // what was read of it and not used
+	c     *client
+	body  []byte      // what was read of it and not used, or with a value a carried
+	value *largeValue // that goes along, with its backend's connection; nil: nothing is open
 }
 
 type stage int
@@ -206,7 +207,8 @@
 			in.heard(h, m.Body)
 			continue
 		}
-		if m.Kind != takeover.Client || len(m.Files) != 1 {
+		if m.Kind == takeover.Client && len(m.Files) != 1 || m.Kind == takeover.Value && len(m.Files) != 2 ||
+			m.Kind != takeover.Client && m.Kind != takeover.Value {
 			m.Close()
 			continue
 		}
@@ -217,12 +219,7 @@
 			h.link.Close()
 			return
 		}
-		conn, err := takeover.TCPConn(m.Files[0])
-		if err == nil {
-			if err = in.welcome(conn, m.Body); err != nil {
-				conn.Close()
-			}
-		}
+		err = in.arrives(m)
 		if err != nil {
 			<-in.clients.room
 			in.Post(func(float64) { in.note("a connection was not taken over", "error", err) })
@@ -242,6 +239,31 @@
 	})
 }
 
+// arrives takes a connection that the old process passed on, or with it a value that is on its way.
+func (in *Ingress) arrives(m takeover.Message) error {
+	var conns []*net.TCPConn
+	var err error
+	for _, f := range m.Files {
+		var c *net.TCPConn
+		if c, err = takeover.TCPConn(f); err == nil {
+			conns = append(conns, c)
+		}
+	}
+	switch {
+	case len(conns) < len(m.Files):
+	case m.Kind == takeover.Value:
+		err = in.carryOn(conns[0], conns[1], m.Body)
+	default:
+		err = in.welcome(conns[0], m.Body)
+	}
+	if err != nil {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+	return err
+}
+
 // welcome begins to read a connection that was passed on, with what the old process had read of it.
 func (in *Ingress) welcome(conn *net.TCPConn, rest []byte) error {
 	c, err := in.newClient(conn)
@@ -376,7 +398,11 @@
 	for c := range in.clients.all {
 		c.halt()
 	}
-	s.end = in.after(drainMost.Seconds(), in.stop)
+	in.after(moveAfter, in.moveValues)
+	s.end = in.after(failAfter, func() {
+		in.failOwed()
+		s.end = in.after(endAfter-failAfter, in.stop)
+	})
 }
 
 // pass gives a parked connection on which nothing is open to the new process; false if that can't be.
@@ -385,7 +411,7 @@
 		return false
 	}
 	c.passing = true
-	in.heirs.queue <- passing{c, bytes.Clone(c.buf.b)}
+	in.heirs.queue <- passing{c: c, body: bytes.Clone(c.buf.b)}
 	return true
 }
 
@@ -421,13 +447,20 @@
 				return
 			}
 		case p := <-queue:
-			err := link.Send(takeover.Client, p.rest, linkMost, p.c.conn)
-			if err != nil {
+			kind, conns := takeover.Client, []syscall.Conn{p.c.conn}
+			if p.value != nil {
+				kind, conns = takeover.Value, append(conns, p.value.flow.back.conn)
+			}
+			if err := link.Send(kind, p.body, linkMost, conns...); err != nil {
 				link.Close() // its reader tells the loop, which goes on with what was not passed
 				return
 			}
 			in.post(in.clock.Now(), func() {
 				in.heirs.passed++
+				if p.value != nil {
+					in.moved(p.value)
+					return
+				}
 				in.closeClient(p.c)
 			})
 		}
@@ -449,6 +482,7 @@
 		in.adopt(kept.Back(s.kept))
 	}
 	in.heirs = succession{asked: s.asked, pause: make(chan struct{})}
+	in.valuesStay()
 	if was == handed {
 		in.backends.most = in.backends.whole
 		LimitMemory(in.cfg.MemoryMB, MemoryShare)
@@ -460,6 +494,9 @@
 		in.heirs.asked.Close()
 		in.awaitSuccessor()
 	}
+	if in.signalled && was == handed {
+		in.after(drainMost.Seconds(), in.stop)
+	}
 	if in.signalled { // to end: it takes nothing again, and what was to be passed on ends with its drain
 		return
 	}
--- a/internal/ingress/large.go
+++ b/internal/ingress/large.go
@@ -1,9 +1,7 @@
 package ingress
 
 import (
-	"bytes"
 	"errors"
-	"strconv"
 	"time"
 
 	"eiderspread/policy"
@@ -53,6 +51,7 @@
 	a       *attempt
 	lent    chan struct{} // closed once the reader may write to the client
 	started bool
+	flow    *flow
 }
 
 // pass carries a large value on, with what follows it, and tells the loop what came of it. It returns whether the
@@ -60,7 +59,8 @@
 func (c *backConn) pass(in *Ingress, buf *buffer, at float64) bool {
 	start, size, parts, _ := largeHead(buf.b)
 	got := make(chan *largeValue, 1)
-	in.post(at, func() { got <- in.begin(c) })
+	f := newFlow(c, size, buf.b[start:min(len(buf.b), start+size)])
+	in.post(at, func() { got <- in.begin(c, f) })
 	var v *largeValue
 	select {
 	case v = <-got:
@@ -77,7 +77,11 @@
 	case <-in.done:
 		return false
 	}
-	err := c.copy(in, buf, v.c, start, size)
+	buf.drop(min(len(buf.b), start+size))
+	err := v.carry(in, buf)
+	if errors.Is(err, errMoves) {
+		return false
+	}
 	v.c.conn.SetWriteDeadline(time.Time{})
 	res := result{status: policy.OK}
 	switch {
@@ -94,52 +98,6 @@
 	return err == nil && !c.dead.Load()
 }
 
-// copy writes the value to the client in the form of a bulk string. Its last bytes go out when it has proved whole.
-func (c *backConn) copy(in *Ingress, buf *buffer, to *client, start, size int) error {
-	write := func(b []byte) error {
-		to.conn.SetWriteDeadline(time.Now().Add(stallMost))
-		if _, err := to.conn.Write(b); err != nil {
-			return errClientEnd
-		}
-		return nil
-	}
-	head := append(strconv.AppendInt([]byte{'$'}, int64(size), 10), '\r', '\n')
-	have := buf.b[start:min(len(buf.b), start+size)]
-	if err := write(append(head, have...)); err != nil {
-		return err
-	}
-	left := size - len(have)
-	buf.drop(start + len(have))
-	if left > 0 {
-		chunk := make([]byte, readSize)
-		if in.input.take(chunkSize) {
-			defer in.input.give(chunkSize)
-			chunk = make([]byte, chunkSize)
-		}
-		for left > 0 {
-			c.conn.SetReadDeadline(time.Now().Add(stallMost))
-			n, err := c.conn.Read(chunk[:min(left, len(chunk))])
-			if n > 0 {
-				if err := write(chunk[:n]); err != nil {
-					return err
-				}
-				left -= n
-			}
-			if err != nil && left > 0 {
-				return errStalled
-			}
-		}
-	}
-	if err := c.more(buf, 2); err != nil {
-		return err
-	}
-	if !bytes.HasPrefix(buf.b, []byte("\r\n")) {
-		return errValueEnd
-	}
-	buf.drop(2)
-	return write([]byte("\r\n"))
-}
-
 // more reads until so many bytes are there.
 func (c *backConn) more(buf *buffer, n int) error {
 	for len(buf.b) < n {
@@ -151,7 +109,7 @@
 		m, err := c.conn.Read(room)
 		buf.grew(m)
 		if err != nil && len(buf.b) < n {
-			return errStalled
+			return err
 		}
 	}
 	return nil
@@ -185,7 +143,7 @@
 }
 
 // begin gives the request of a large value its final answer, of which nothing is written yet; nil if nobody waits.
-func (in *Ingress) begin(c *backConn) *largeValue {
+func (in *Ingress) begin(c *backConn, f *flow) *largeValue {
 	a := c.attempt
 	if c.closed || a == nil || a.done || a.req == nil || a.req.over || a.req.client.closed {
 		if a != nil && !a.done {
@@ -197,7 +155,8 @@
 	in.stopTimer(a.timer)
 	a.firstAt = in.now
 	r := a.req
-	v := &largeValue{c: r.client, a: a, lent: make(chan struct{})}
+	v := &largeValue{c: r.client, a: a, lent: make(chan struct{}), flow: f}
+	in.flows[v] = struct{}{}
 	r.slot.value = v
 	in.end(r)
 	if g, ok := in.gate.(Starter); ok {
@@ -225,16 +184,19 @@
 		c.writing = false
 	}
 	if bad != nil && !errors.Is(bad, errClientEnd) {
-		in.note("a large value broke off", "id", v.a.req.ID, "why", bad)
+		id := ""
+		if v.a != nil {
+			id = v.a.req.ID
+		}
+		in.note("a large value broke off", "id", id, "why", bad)
 	}
-	back := v.a.conn
-	if back != nil && bad == nil {
-		if !back.dead.Load() && back.written.Load() {
+	if v.a != nil && v.a.conn != nil && bad == nil {
+		if back := v.a.conn; !back.dead.Load() && back.written.Load() {
 			v.a.conn = nil
 			in.release(back)
 		}
 	}
-	in.finish(v.a, res, in.now) // closes what was not released
+	in.over(v, res)
 	if c.closed {
 		return
 	}
--- a/internal/ingress/large_test.go
+++ b/internal/ingress/large_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"eiderspread/internal/takeover"
 	"eiderspread/policy"
 )
 
@@ -261,3 +262,139 @@
 		}()
 	}
 }
+
+// slowLarge has a client ask for a large value at r, and its backend give so much of it.
+func slowLarge(t *testing.T, r *rig, conns chan *wire, id string, first int) (w, b *wire, text, rest []byte) {
+	t.Helper()
+	text, answer := large(1<<20, 9)
+	w = r.client()
+	w.send(look(id)...)
+	w.send("PING") // answered behind it
+	b = get(t, conns)
+	if b.command() == nil {
+		t.Fatal("not sent")
+	}
+	b.Write(answer[:first])
+	r.until("it has begun", func() bool { return len(r.in.flows) == 1 })
+	return w, b, text, answer[first:]
+}
+
+// Guards large values at a replacement: one that is on its way goes on in the new process, whole, with what waits behind it and what its
+// client still asks, and the old one ends without it.
+func TestLargeValueMoves(t *testing.T) {
+	addr, conns := listen(t)
+	cfg := withDoor(t, addr)
+	old := start(t, cfg, sendTo(0))
+	cfg.Listen = old.in.listener.Addr().String()
+	w, b, text, rest := slowLarge(t, old, conns, "large", 100_000)
+	io.WriteString(w, command(look("next")...)[:40])
+	young := start(t, cfg, sendTo(0))
+	young.until("the new process serves", young.in.taking.Load)
+	old.until("its reader rests", func() bool {
+		for c := range old.in.clients.all {
+			if !c.parked {
+				return false
+			}
+		}
+		return old.in.heirs.stage == handed
+	})
+	old.do(old.in.moveValues) // as if so long had passed
+	get(t, old.end)
+	young.until("it has the value", func() bool { return len(young.in.flows) == 1 })
+	go func() {
+		for len(rest) > 0 {
+			n := min(len(rest), 5000)
+			b.Write(rest[:n])
+			rest = rest[n:]
+		}
+	}()
+	if got := w.bulk(); !bytes.Equal(got, text) {
+		t.Fatalf("%d bytes came, of %d", len(got), len(text))
+	}
+	if got := w.line(); got != "+PONG" {
+		t.Fatalf("behind it: %q", got)
+	}
+	io.WriteString(w, command(look("next")...)[40:])
+	if q := get(t, young.mod.requests); q.ID != "next" {
+		t.Errorf("%+v came in place of the request in two halves", q)
+	}
+	get(t, conns)
+	young.until("nothing is left of it", func() bool { return len(young.in.flows) == 0 && young.in.backends.open == 1 })
+}
+
+// Guards a value whose client has another request open: it waits for that one, which fails at the last, and moves then.
+func TestLargeValueWaitsForWhatIsBehindIt(t *testing.T) {
+	addr, conns := listen(t)
+	cfg := withDoor(t, addr)
+	old := start(t, cfg, sendTo(0))
+	cfg.Listen = old.in.listener.Addr().String()
+	w, b, text, rest := slowLarge(t, old, conns, "large", 100_000)
+	w.send(look("behind")...)
+	get(t, conns).command()
+	young := start(t, cfg, sendTo(0))
+	young.until("the new process serves", young.in.taking.Load)
+	old.until("its reader rests", func() bool {
+		for c := range old.in.clients.all {
+			if !c.parked {
+				return false
+			}
+		}
+		return old.in.heirs.stage == handed
+	})
+	old.do(func() {
+		old.in.moveValues()
+		for v := range old.in.flows {
+			if v.flow.moving {
+				t.Error("it was to move without the answer behind it")
+			}
+		}
+		old.in.failOwed()
+	})
+	get(t, old.end)
+	go b.Write(rest)
+	if got := w.bulk(); !bytes.Equal(got, text) {
+		t.Fatalf("%d bytes came, of %d", len(got), len(text))
+	}
+	if got := w.line() + w.line(); got != "+PONG-ERR failed" {
+		t.Fatalf("behind it: %q", got)
+	}
+}
+
+// Guards a value against a new process that dies before it has it: it goes on where it was.
+func TestLargeValueStays(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, withDoor(t, addr), sendTo(0))
+	w, b, text, rest := slowLarge(t, r, conns, "large", 100_000)
+	path, err := takeover.Path(os.TempDir(), r.in.cfg.Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	link := successor(t, path)
+	takeOver(t, link)
+	r.until("its reader rests", func() bool {
+		for c := range r.in.clients.all {
+			if !c.parked {
+				return false
+			}
+		}
+		return true
+	})
+
+	r.do(func() {
+		r.in.heirs.queue = make(chan passing, 8)
+		r.in.moveValues()
+	})
+	r.until("it has stopped", func() bool { return len(r.in.heirs.queue) == 1 })
+
+	link.Close()
+	go b.Write(rest)
+	if got := w.bulk(); !bytes.Equal(got, text) {
+		t.Fatalf("%d bytes came, of %d", len(got), len(text))
+	}
+	if got := w.line(); got != "+PONG" {
+		t.Fatalf("behind it: %q", got)
+	}
+	if w.send("PING"); w.line() != "+PONG" {
+		t.Error("the client is not served any more")
+	}
+}
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -89,6 +89,7 @@
 	listener    *net.TCPListener
 	clients     clientSet
 	requests    map[string]*request
+	flows       map[*largeValue]struct{} // large values on their way; as many as there are clients at most
 	backends    backendSet
 	watcher     *roster.Watcher
 	held        *held.Table // what operators took out; nil without a door and out of a fleet
@@ -156,7 +157,7 @@
 // open makes an ingress and its sockets; nothing is read from them yet.
 func open(cfg Config, log *slog.Logger) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: mono.New(), events: make(chan event, eventQueue),
-		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
+		done: make(chan struct{}), requests: map[string]*request{}, flows: map[*largeValue]struct{}{}, wake: time.NewTimer(time.Hour),
 		acceptFor: acceptAfterTerm}
 	in.now = in.clock.Now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
@@ -344,7 +345,9 @@
 	in.taking.Store(false)
 	in.listener.Close()
 	in.clients.closeIdle(in)
-	in.after((drainMost - acceptAfterTerm).Seconds(), in.stop)
+	if in.heirs.stage != handed { // else it ends by the hand-over
+		in.after((drainMost - acceptAfterTerm).Seconds(), in.stop)
+	}
 }
 
 // ---- Timers ----
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -133,15 +133,20 @@
 	}
 }
 
-// stop ends a drain that takes too long: what is still owed fails while its client can hear of it.
-func (in *Ingress) stop() {
-	in.stopped = true
+// failOwed fails what is still owed.
+func (in *Ingress) failOwed() {
 	for _, r := range in.requests {
 		if !r.over {
 			in.fail(r)
 			in.gate.Gone(in.now, r.ID)
 		}
 	}
+}
+
+// stop ends a drain that takes too long: what is still owed fails while its client can hear of it.
+func (in *Ingress) stop() {
+	in.stopped = true
+	in.failOwed()
 	for c := range in.clients.all {
 		in.closeClient(c)
 	}
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -8,6 +8,7 @@
 //	old  -> new  kept    a part of what its decision module knows
 //	old  -> new  go      the old one takes nothing more; with the list of backends as it knows it, and how many clients it has
 //	old  -> new  client  a client's connection on which nothing is open, and what was read from it and not used
+//	old  -> new  value   a client's connection with a large value on its way there, and the backend's that it comes from
 //
 // and, where all that decides has moved to the new process, until the old one's last request has ended
 //
@@ -39,6 +40,7 @@
 	Kept    Kind = 'K'
 	Go      Kind = 'G'
 	Client  Kind = 'C'
+	Value   Kind = 'V'
 	Event   Kind = 'E'
 	Order   Kind = 'O'
 )
