The laboratory judges the limit of attempts and keys that fewer nodes share

Need: two guards that nothing saw. Nodes of two zones remember keys for themselves (scenario 'zones').

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -34,6 +34,7 @@
 	Classes        []policy.Class
 	Plans          []policy.Plan
 	MaxRetryAfterS float64
+	MaxAttempts    int // of a request, whoever decides on them; 0: as many as planners want
 	Seed           uint64
 }
 
@@ -355,6 +356,11 @@
 			o.tries = append(o.tries, -1)
 			return
 		}
+		if c.spent(o) {
+			c.out.Link(p, link.Msg{Kind: link.Gone, Handle: o.handle})
+			c.end(o)
+			return
+		}
 		o.counted = true
 		if m.Round > 0 {
 			c.usage.note(o.Customer, used{o.plan, m.Epoch, m.Round, m.Value, c.now})
@@ -387,6 +393,11 @@
 	return !o.ran && o.out == 0 || k.Effect == policy.Safe || k.Effect == policy.Keyed && k.KeyScope == policy.ScopeAll
 }
 
+// spent tells that no attempt is left. A leader counts those that it decided on itself; this forwarder counts them all.
+func (c *Core) spent(o *open) bool {
+	return c.cfg.MaxAttempts > 0 && len(o.done) >= c.cfg.MaxAttempts
+}
+
 // mayRunAgain tells whether another attempt, which a successor decides on, could do harm. The successor knows
 // nothing of the earlier ones, so what it may not know rules the request out: a group of servers for the key.
 func (c *Core) mayRunAgain(o *open) bool {
@@ -457,7 +468,7 @@
 	if c.moved {
 		return
 	}
-	if !c.mayRunAgain(o) {
+	if !c.mayRunAgain(o) || c.spent(o) {
 		c.end(o)
 		return
 	}
--- a/internal/forward/core_test.go
+++ b/internal/forward/core_test.go
@@ -431,3 +431,37 @@
 		t.Errorf("%d answers: %v", answers, r.said)
 	}
 }
+
+// Guards the limit of attempts over a change of leaders, each of which counts its own alone.
+func TestAttemptsOverLeaders(t *testing.T) {
+	r := newRig(t)
+	r.core.cfg.MaxAttempts = 3
+	r.lead(0, 1)
+	r.ask("a", "look")
+	r.ask("b", "look")
+	for _, id := range []string{"a", "a", "b", "b"} {
+		r.core.handles = r.core.byID[id].handle
+		r.sent(0, 1, "z1", 1)
+		r.ended(id, len(r.core.byID[id].done)-1, policy.Reset)
+	}
+	r.core.handles = 2
+	r.core.LinkDown(r.now, 0)
+	r.now += r.core.cfg.LeaseS + 0.01
+	r.said = nil
+	r.lead(1, 2)
+	r.want("p1 grant", "p1 tale", "p1 end", "p1 request", "p1 request")
+	for h := range 2 {
+		r.core.handles = uint64(3 + h)
+		r.sent(1, 2, "z2", 1)
+	}
+	r.want("send a z2", "send b z2")
+	r.ended("a", 2, policy.Full)
+	r.want("p1 outcome")
+	r.core.handles = 3
+	r.sent(1, 2, "z3", 2) // the third of this leader's, the fourth in all
+	r.want("p1 gone", "refuse a")
+	r.core.LinkDown(r.now, 1)
+	r.said = nil
+	r.ended("b", 2, policy.Reset)
+	r.want("refuse b") // no leader is asked any more
+}
--- a/internal/forward/remote.go
+++ b/internal/forward/remote.go
@@ -49,7 +49,7 @@
 		}
 		s := cfg.Base.Settings
 		r.core = New(Config{Params: cfg.Params, Number: cfg.Number, Classes: s.Classes, Plans: s.Plans,
-			MaxRetryAfterS: s.MaxRetryAfterS, Seed: cfg.Base.Seed ^ r.life}, host.Now(), r)
+			MaxRetryAfterS: s.MaxRetryAfterS, MaxAttempts: s.MaxAttempts, Seed: cfg.Base.Seed ^ r.life}, host.Now(), r)
 		if cfg.Status != "" {
 			if err := r.serveStatus(ctx, host.Heir()); err != nil {
 				return nil, err
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -16,6 +16,7 @@
 	Answer   = "one answer"
 	Order    = "answers in order"
 	Out      = "one attempt out"
+	Limit    = "attempts limited"
 	Twice    = "no effect twice"
 	Drains   = "drains kept"
 	Held     = "nodes that operators hold left alone"
@@ -29,7 +30,7 @@
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale, Views, Held, Replaced}
+var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale, Views, Held, Replaced}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
@@ -38,6 +39,7 @@
 	DrainS              float64        // grace after a drain was told; the network's 50 ms come on top
 	AnswerS             float64        // time past a try's deadline in which its answer still counts
 	HeldS               float64        // past its deadline, a refusal or failure of a try with nothing under way was held back; 0: not judged
+	Attempts            int            // of a try, that may reach nodes; 0: not judged
 	OverlapS            float64        // for which two attempts may seem to overlap, since nodes notice an end late
 	CeilingS            float64        // of a ceiling's rate, that its slack is wider by
 	SlackUnit           float64        // the largest request
@@ -285,6 +287,14 @@
 			rep.breach(Answer, a.At, "%s came to %s %v after its final answer", a.ID, a.Node, a.At-t.Answered)
 		}
 	}
+	if rules.Attempts > 0 {
+		if len(list) >= rules.Attempts {
+			rep.saw(Limit, "tries with as many attempts as are allowed")
+		}
+		if len(list) > rules.Attempts {
+			rep.breach(Limit, list[rules.Attempts].At, "%s came to nodes %d times, %d are allowed", list[0].ID, len(list), rules.Attempts)
+		}
+	}
 	if c.Effect == policy.Unsafe && began > 1 {
 		rep.breach(Twice, list[0].At, "%s ran %d times", list[0].ID, began)
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -49,6 +49,7 @@
 	Exact                bool    // quotas have QuotaSlack alone: for runs in which no node is slow
 	Quota                float64 // of the rule on quotas; 0: QuotaSlack in two levels, not judged in one
 	CapX                 float64 // of the rule on caps; 0: 2 in two levels, not judged in one
+	Zones                int     // of nodes, in turn, each of which remembers keys for itself; 0: one, and all remember alike
 	Direct               bool    // no links between clients, ingresses and nodes: for measurements of cost
 	// Discovery, if set, gives the address at which a party asks, in place of the stand-in roster.
 	Discovery func(f *Fleet, party string) (string, error)
@@ -106,13 +107,23 @@
 	StatedFallS    = 1.0
 )
 
+// MaxAttempts is how often a request may be sent to nodes.
+const MaxAttempts = 5
+
+// ZoneOf is the zone of a node, of so many, by its id.
+func ZoneOf(id string, zones int) string {
+	n, _ := strconv.Atoi(strings.TrimPrefix(id, "z"))
+	return string(rune('a' + n%max(zones, 1)))
+}
+
 // settingsOf words classes and plans as the platform does.
 func settingsOf(cfg FleetConfig, me int, peers bool) map[string]any {
 	effects := map[policy.Effect]string{policy.Safe: "retryable", policy.Keyed: "dedup", policy.Unsafe: "fragile"}
+	scopes := map[policy.Scope]string{policy.ScopeAll: "all", policy.ScopeZone: "zone", policy.ScopeCell: "cell"}
 	var profiles, packages []map[string]any
 	for _, c := range cfg.Classes {
 		profiles = append(profiles, map[string]any{"name": c.Name, "aimS": c.AimS, "deadlineS": c.DeadlineS,
-			"effect": effects[c.Effect], "keyScope": "all", "keyTtlS": c.KeyTTLS, "worth": c.Worth})
+			"effect": effects[c.Effect], "keyScope": scopes[c.KeyScope], "keyTtlS": c.KeyTTLS, "worth": c.Worth})
 	}
 	for _, p := range cfg.Plans {
 		packages = append(packages, map[string]any{"name": p.Name, "unitsPerS": p.Rate, "peakUnits": p.Burst,
@@ -121,7 +132,7 @@
 	}
 	return map[string]any{"balancers": cfg.Forwarders, "me": me, "myZone": "a",
 		"familyInfo": map[string]any{"maxUnits": 6, "peerIntake": 40.0}, "feedback": map[string]any{"how": "answers"},
-		"limits": map[string]any{"cancel": true, "connIdleS": 15.0, "dialTimeoutS": 0.25, "maxAttempts": 5,
+		"limits": map[string]any{"cancel": true, "connIdleS": 15.0, "dialTimeoutS": 0.25, "maxAttempts": MaxAttempts,
 			"maxRetryAfterS": 1.0, "mostHeld": 20000, "peerMessages": peers, "retryAfter": true},
 		"profiles": profiles, "packages": packages, "tickS": 0.004,
 		"rules": map[string]any{"answerSlackS": 0.05, "coldFrom": StatedColdFrom, "coldS": StatedColdS, "fallMultiple": StatedMultiple,
@@ -386,7 +397,9 @@
 	f.nodeSeq++
 	seed := f.cfg.Seed + uint64(f.nodeSeq)
 	f.mu.Unlock()
-	n, err := f.net.Start(id, addr, f.cfg.Node, cold, seed)
+	cfg := f.cfg.Node
+	cfg.Zone = ZoneOf(id, f.cfg.Zones)
+	n, err := f.net.Start(id, addr, cfg, cold, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -425,7 +438,7 @@
 	if n.born() {
 		started = n.started.UnixMilli()
 	}
-	t := roster.Target{ID: n.ID, Addr: n.Addr(), Zone: "a", State: state, Weight: 1, StartedMS: started}
+	t := roster.Target{ID: n.ID, Addr: n.Addr(), Zone: ZoneOf(n.ID, f.cfg.Zones), State: state, Weight: 1, StartedMS: started}
 	if f.cfg.Source == nil || f.cfg.Source(f, t) {
 		f.Roster.Set(t)
 	}
@@ -506,7 +519,7 @@
 	}
 	quota, caps = cmp.Or(f.cfg.Quota, quota), cmp.Or(f.cfg.CapX, caps)
 	return audit.Rules{Quota: quota, QuotaS: QuotaSeconds(f.cfg.Exact, f.cfg.Classes), Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25 + f.cfg.SlowS, AnswerS: 0.25 + f.cfg.SlowS,
-		HeldS: 0.03 + f.cfg.SlowS, OverlapS: 0.1 + f.cfg.SlowS, CeilingS: 0.15, SlackUnit: 6, CapX: caps, FallMultiple: f.cfg.Node.FallMultiple, FallS: f.cfg.Node.FallS,
+		HeldS: 0.03 + f.cfg.SlowS, OverlapS: 0.1 + f.cfg.SlowS, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Attempts: MaxAttempts, FallMultiple: f.cfg.Node.FallMultiple, FallS: f.cfg.Node.FallS,
 		ColdSlack: 0.1, StaleS: f.cfg.StaleS, LateMost: 90*time.Millisecond + seconds(f.cfg.SlowS)}
 }
 
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -44,6 +44,12 @@
 	{Name: "the first attempt that may have run counts", Rule: "no effect twice",
 		Edits: edit(module, "o.Status == Moot; !never && r.ran == nil {", "o.Status == Moot; !never {"),
 		Runs:  []string{simOne + "keys", simTwo + "keys"}},
+	{Name: "a request has so many attempts", Rule: "attempts limited", Unit: "./policy",
+		Edits: edit(module, "case len(r.attempts) >= max(1, g.s.MaxAttempts):", "case len(r.attempts) >= 99:"), Runs: []string{simOne + "errors"}},
+	{Name: "and over a change of leaders too", Rule: "attempts limited", Unit: "./internal/forward",
+		Edits: edit(core, "len(o.done) >= c.cfg.MaxAttempts", "len(o.done) >= 99"), Runs: []string{simTwo + "errors"}},
+	{Name: "a key goes where it is remembered", Rule: "no effect twice", Unit: "./policy",
+		Edits: edit(module, "!sameGroup(r.cls.KeyScope, r.ran, s) {", "!sameGroup(ScopeAll, r.ran, s) {"), Runs: []string{simOne + "zones"}},
 	// ---- The module: quotas, caps and ceilings ----
 	{Name: "the owner's window", Rule: "quotas kept", Unit: "./policy",
 		Edits: edit(module, "case p.Rate > 0 && units > l.Room:", "case p.Rate > 0 && units > l.Room+1e9:"), Runs: []string{simTwo + "ceilings"}},
--- a/internal/lab/node/model.go
+++ b/internal/lab/node/model.go
@@ -10,6 +10,7 @@
 
 // Config is what a node can do. Times are in seconds.
 type Config struct {
+	Zone     string  // whose nodes share a memory of keys
 	Cores    int     // attempts in work at once
 	Queue    int     // attempts that may wait; further ones are turned away
 	Speed    float64 // factor on the work
@@ -181,7 +182,7 @@
 func (m *Model) Arrive(now float64, a *Attempt) (work float64) {
 	m.Advance(now)
 	mean := m.cfg.Work[a.Class]
-	a.repeat = a.Key != "" && m.keys.known(now, a.Account+"/"+a.Key, m.cfg.KeyedS) // it is dropped, however long it waits
+	a.repeat = a.Key != "" && m.keys.known(now, m.cfg.Zone+"/"+a.Account+"/"+a.Key, m.cfg.KeyedS) // it is dropped, however long it waits
 	a.work = min(mean*math.Exp(0.5*m.rng.NormFloat64()-0.125), 6*mean)
 	if m.fallen {
 		m.out.Ended(now, a, "down")
@@ -240,7 +241,7 @@
 		a.began = true
 		a.doneAt = now + a.work*slow/(m.cfg.Speed*m.cfg.Share(now-m.born))
 		m.working = append(m.working, a)
-		repeat := a.repeat || a.Key != "" && !m.keys.first(now, a.Account+"/"+a.Key, m.cfg.KeyedS)
+		repeat := a.repeat || a.Key != "" && !m.keys.first(now, m.cfg.Zone+"/"+a.Account+"/"+a.Key, m.cfg.KeyedS)
 		m.out.Began(now, a, a.work, repeat)
 	}
 }
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -24,6 +24,7 @@
 	batches float64
 	rude    int
 	nodes   int // 0: as asked
+	zones   int // see FleetConfig
 	plans   func([]policy.Plan)
 	exact   bool                 // see FleetConfig
 	quota   float64              // see FleetConfig; below 0: not judged
@@ -85,6 +86,16 @@
 		kinds: []string{"kill", "kill", "snow", "snow", "slow"}, load: 2, every: 700 * time.Millisecond, plans: smallCaps, quota: -1, floors: map[string]int{audit.Caps: 2}},
 	"lonely": {what: "accounts at small caps, slow nodes, and forwarders that are cut off from all planners with attempts out",
 		kinds: []string{"lone", "lone", "snow", "slow"}, every: 700 * time.Millisecond, plans: smallCaps, quota: -1, floors: map[string]int{audit.Caps: 2}},
+	"zones": {what: "nodes of two zones, each of which remembers keys for itself, err, break off and are slow",
+		classes: func(list []policy.Class) {
+			for i := range list {
+				if list[i].Effect == policy.Keyed {
+					list[i].KeyScope = policy.ScopeZone
+				}
+			}
+		}, zones: 2, weather: 0.35, kinds: []string{"kill", "split", "forwarder", "crash"}, every: 1500 * time.Millisecond, floors: trouble},
+	"errors": {what: "nodes turn nearly everything away, err and break off: requests come to the end of their attempts", weather: 0.85,
+		kinds: []string{"kill", "kill", "split", "all"}, every: time.Second, quota: -1, floors: map[string]int{audit.Limit: 20, audit.Out: 100}},
 	"blinks": {what: "forwarders die and are back at once while planners are cut off from them", kinds: []string{"blink", "blink", "cut", "split", "kill"}, exact: true,
 		every: 300 * time.Millisecond, weather: 0.02},
 	"hands": {what: "operators of a fleet of two levels take nodes out and call them back at whichever planner, and send planners away, while programs die",
@@ -146,6 +157,7 @@
 		sc.Classes = slices.Clone(sc.Classes)
 		s.classes(sc.Classes)
 	}
+	sc.Zones = max(sc.Zones, s.zones)
 	sc.Exact, sc.Quota, sc.CapX = s.exact, s.quota, s.capX
 	if s.plans != nil {
 		sc.Plans = slices.Clone(sc.Plans)
--- a/internal/lab/sim/replace.go
+++ b/internal/lab/sim/replace.go
@@ -77,6 +77,9 @@
 // order has the old process do something to a request that it holds; false if it holds none of that id.
 func (f *simForwarder) order(id string, o kept.Order) bool {
 	r := f.open[id]
+	if r != nil && f.lives[r.life] == nil {
+		return true // whoever held it has died, and the news is on its way
+	}
 	if f.old == nil || r == nil || r.life != f.oldLife {
 		return false
 	}
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -134,6 +134,6 @@
 		quota, caps = lab.QuotaSlack, 2
 	}
 	quota, caps = cmp.Or(s.cfg.Quota, quota), cmp.Or(s.cfg.CapX, caps)
-	return audit.Rules{Classes: s.cfg.Classes, Plans: s.cfg.Plans, DrainS: 0.25, AnswerS: 0.1, OverlapS: 0.005, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Quota: quota, QuotaS: lab.QuotaSeconds(s.cfg.Exact, s.cfg.Classes),
+	return audit.Rules{Classes: s.cfg.Classes, Plans: s.cfg.Plans, DrainS: 0.25, AnswerS: 0.1, OverlapS: 0.005, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Attempts: lab.MaxAttempts, Quota: quota, QuotaS: lab.QuotaSeconds(s.cfg.Exact, s.cfg.Classes),
 		Drift: Drift, FallMultiple: s.cfg.Node.FallMultiple, FallS: s.cfg.Node.FallS, ColdSlack: 0.1, Floors: s.cfg.Floors}
 }
--- a/internal/lab/sim/scenario.go
+++ b/internal/lab/sim/scenario.go
@@ -32,7 +32,7 @@
 	if err := lab.Make(name, &sc, chosen, 0); err != nil {
 		return Config{}, err
 	}
-	return Config{Forwarders: sc.Forwarders, Planners: sc.Planners, Cells: 4, Nodes: sc.Nodes, Classes: sc.Classes, Plans: sc.Plans, Node: sc.Node,
+	return Config{Forwarders: sc.Forwarders, Planners: sc.Planners, Cells: 4, Nodes: sc.Nodes, Zones: sc.Zones, Classes: sc.Classes, Plans: sc.Plans, Node: sc.Node,
 		Weather: sc.Weather, Accounts: sc.Accounts, Shares: lab.LabShares, Units: lab.LabUnits, LengthS: lengthS, Faults: sc.Faults, Exact: sc.Exact, Quota: sc.Quota, CapX: sc.CapX, Seed: seed}, nil
 }
 
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -26,6 +26,7 @@
 
 // Config is one run.
 type Config struct {
+	Zones                              int // see lab.FleetConfig
 	Forwarders, Planners, Cells, Nodes int // with Planners 0 the forwarders are one-program ingresses
 	Classes                            []policy.Class
 	Plans                              []policy.Plan
@@ -150,7 +151,7 @@
 // settings are the module's, for gateway me of so many.
 func (s *Sim) settings(me, gateways int, peers bool) policy.Settings {
 	return policy.Settings{Me: me, Gateways: gateways, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxUnits: 6, Peers: peers, PeerIntake: 40,
-		Cancel: true, RetryAfter: true, MaxAttempts: 5, MaxRetryAfterS: 1, ReportByAnswer: true, AnswerSlackS: 0.02, ColdFrom: lab.StatedColdFrom,
+		Cancel: true, RetryAfter: true, MaxAttempts: lab.MaxAttempts, MaxRetryAfterS: 1, ReportByAnswer: true, AnswerSlackS: 0.02, ColdFrom: lab.StatedColdFrom,
 		ColdS: lab.StatedColdS, FallMultiple: lab.StatedMultiple, FallS: lab.StatedFallS, TickS: 0.004, Zone: "a"}
 }
 
@@ -186,6 +187,7 @@
 		n.born = s.t
 	}
 	cfg := s.cfg.Node
+	cfg.Zone = lab.ZoneOf(n.id, s.cfg.Zones)
 	n.life = s.Hist.Life(audit.Life{Node: n.id, Started: started, Capacity: float64(cfg.Cores) * cfg.Speed, ColdFrom: cfg.ColdFrom, ColdS: cfg.ColdS})
 	n.open, n.wakeAt, n.listed = map[uint64]*simAttempt{}, math.Inf(1), true
 	n.model = node.New(cfg, s.keys, s.rng.Uint64(), born, n)
@@ -303,7 +305,7 @@
 
 // entry is a node as a party sees it: times by its own clock.
 func (n *simNode) entry(c clock, state policy.State) policy.Server {
-	e := policy.Server{ID: n.id, Zone: "a", State: state, Weight: 1}
+	e := policy.Server{ID: n.id, Zone: lab.ZoneOf(n.id, n.s.cfg.Zones), State: state, Weight: 1}
 	if n.born > 0 {
 		e.SinceS = c.at(n.born)
 	}
@@ -484,7 +486,8 @@
 
 func (f *simForwarder) newCore() *forward.Core {
 	s := f.s
-	return forward.New(forward.Config{Params: s.p, Number: f.n, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxRetryAfterS: 1, Seed: s.rng.Uint64()}, f.now(), f)
+	return forward.New(forward.Config{Params: s.p, Number: f.n, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxRetryAfterS: 1,
+		MaxAttempts: lab.MaxAttempts, Seed: s.rng.Uint64()}, f.now(), f)
 }
 
 // begin gives a process its life.
