Requests wait for a node that is well; one answer does not clear a node that errs

Others were at their limit, and what errs fast always has a place. Excluded: the cost of a sick node (16 to 28 times) and that the choice does not know it. Now what finds no place at a well node waits for one while most are well; a share of errors is kept that a good answer lowers instead of clearing; unsafe requests keep off a node that errs on any class.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,7 +79,8 @@
 	downS         = 0.5   // a server that refuses connections is left alone so long, then probed
 	downFrom      = 2     // such failures in a row: one tells of a connection, not of its server
 	onceSick      = 0.1   // how sick that one makes it
-	errorsSick    = 0.9   // the same for errors in a row: they come fast, and draw work on a server
+	errorWeight   = 0.25  // how far one answer moves the share of errors that a server is taken to have,
+	errorFew      = 0.2   // so much of which is forgiven by an answer
 	fullS         = 0.05  // a server that turns work away is left alone so long, twice as long each time
 	fullMostS     = 0.8   // and at most
 	timeoutWeight = 0.15  // how far one attempt that timed out moves a server's speed and limit
@@ -115,7 +116,7 @@
 func newServer(g *Gateway) *server {
 	n := len(g.classList)
 	return &server{speed: 1, utilAt: math.Inf(-1), sick: make([]sick, n), okAt: make([]float64, n),
-		errs: make([]int, n)}
+		erred: make([]float64, n)}
 }
 
 // newCustomer is a customer as a gateway knows it when it is first heard of: with a full window, but
@@ -828,7 +829,7 @@
 	g.list(list, whole, func(s *server) {
 		s.speed, s.downUntil, s.broken, s.fulls = 1, 0, 0, 0
 		clear(s.sick)
-		clear(s.errs)
+		clear(s.erred)
 	})
 	g.part = float64(len(g.order)) / float64(g.s.Gateways)
 	g.weigh()
@@ -860,8 +861,8 @@
 
 // choose picks the server for the request's next attempt, nil if none has room.
 func (g *Gateway) choose(r *request) *server {
-	var best *server
-	low := math.Inf(1)
+	var best, worse *server // worse: of those that are sick
+	low, lowSick, seen, well := math.Inf(1), math.Inf(1), 0, 0
 	if g.full(r) {
 		return nil
 	}
@@ -870,7 +871,19 @@
 	look, from := max(lookLeast, n*lookAll/g.s.Gateways), g.rng.IntN(max(1, n))
 	for k := 0; k < n && look > 0; k++ {
 		s := g.order[(from+k)%n]
-		if s.State != Up || g.now < s.downUntil || !g.coldRoom(s, r.cls.lat) ||
+		if s.State != Up || g.now < s.downUntil {
+			continue
+		}
+		ill := g.sickness(s, r.cls)
+		for _, k := range g.classList {
+			if r.cls.Effect == Unsafe { // others' errors cost an attempt, its own cost the request
+				ill = max(ill, min(g.sickness(s, k), s.erred[k.index]))
+			}
+		}
+		if seen++; ill < hedgeSick {
+			well++
+		}
+		if !g.coldRoom(s, r.cls.lat) ||
 			float64(s.inflight) >= math.Ceil(partWeight*g.limit/float64(n)/s.speed) ||
 			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
 			continue
@@ -888,15 +901,18 @@
 				load += againWeight
 			}
 		}
-		ill := g.sickness(s, r.cls)
-		if ill < hedgeSick {
-			look--
-		}
 		cost := load * s.speed * (1 + sickWeight*ill) * (1 + 0.02*g.rng.Float64())
-		if cost < low {
-			best, low = s, cost
+		if ill < hedgeSick {
+			if look--; cost < low {
+				best, low = s, cost
+			}
+		} else if cost < lowSick {
+			worse, lowSick = s, cost
 		}
 	}
+	if best == nil && 2*well < seen { // else it waits for a place at a well one: what errs fast always has one
+		return worse
+	}
 	return best
 }
 
@@ -939,7 +955,8 @@
 	slow := min(o.SpentS/c.lat, 4)
 	switch o.Status {
 	case OK:
-		s.okAt[c.index], s.sick[c.index], s.errs[c.index] = g.now, sick{}, 0
+		s.erred[c.index] *= 1 - errorWeight // one good answer is no health: it may err on two of three
+		s.okAt[c.index], s.sick[c.index] = g.now, sick{max(s.erred[c.index]-errorFew, 0), g.now}
 		s.broken, s.fulls = 0, 0
 		c.n++
 		c.lat += (o.SpentS - c.lat) * max(0.02, 1/float64(c.n+1))
@@ -948,12 +965,8 @@
 		g.fails(s, c, errorSick)
 		s.speed += timeoutWeight * max(4-s.speed, 0) // slow, if not silent
 	case Error:
-		s.errs[c.index]++
-		by := errorSick
-		if s.errs[c.index] >= downFrom {
-			by = errorsSick
-		}
-		g.fails(s, c, by)
+		s.erred[c.index] += errorWeight * (1 - s.erred[c.index])
+		g.fails(s, c, max(errorSick, s.erred[c.index]))
 	case ConnectFailed, Reset:
 		s.broken++
 		if s.broken < downFrom {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1265,3 +1265,53 @@
 		t.Fatalf("room is %v after a member handed back 1", room)
 	}
 }
+
+// A server that errs is quick about it, so it always has a place: what finds no other waits for one, as long as most servers are well.
+// Guards against five attempts within 5 ms at the one server that errs.
+func TestRequestsWaitForAServerThatIsWell(t *testing.T) {
+	g, r := gateway(t, alone)
+	g.limit = 4.5 // two at each server
+	erring := func(id string, class string) {
+		ask(g, 100, id, class, "wide", 1)
+		g.reqs[id].attempts[0].srv = g.servers["s1"]
+		g.servers["s1"].inflight++
+		g.Outcome(100, Outcome{ID: id, Status: Error, SpentS: 0.001})
+		g.Outcome(100, Outcome{ID: id, Attempt: 1, Status: OK, Over: true, SpentS: 0.01})
+	}
+	for i := range 3 {
+		erring(fmt.Sprint("e", i), "read")
+	}
+	if s := g.servers["s1"]; g.sickness(s, g.classes["read"]) < 0.5 || s.erred[g.classes["read"].index] < errorFew {
+		t.Fatalf("no occasion: %+v", s)
+	}
+	g.servers["s1"].inflight = 0
+	for i := range 6 {
+		ask(g, 100, fmt.Sprint("q", i), "read", "wide", 1)
+	}
+	for _, a := range r.of("send", "") {
+		if strings.HasPrefix(a.id, "q") && a.server == "s1" {
+			t.Errorf("%s went to the server that errs", a.id)
+		}
+	}
+	if len(g.queue) == 0 {
+		t.Fatal("no occasion: nothing had to wait")
+	}
+	waits := g.queue[0].ID
+	r.acts = nil
+	g.Outcome(100.01, Outcome{ID: "q0", Status: OK, Over: true, SpentS: 0.01})
+	if a := r.of("send", waits); len(a) != 1 || a[0].server == "s1" {
+		t.Errorf("what waited went %v", a)
+	}
+	ask(g, 100.01, "unsafe", "pay", "wide", 1)
+	if a := r.of("send", "unsafe"); len(a) > 0 && a[0].server == "s1" {
+		t.Error("an unsafe request went to a server that errs on another class")
+	}
+	for _, id := range []string{"s2", "s3"} { // now most are sick: the one with room will do
+		g.fails(g.servers[id], nil, 0.95)
+	}
+	r.acts = nil
+	g.Timer(100.02, 1)
+	if len(r.of("send", "")) == 0 {
+		t.Error("nothing is sent though no server is well")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -43,9 +43,9 @@
 	askedAt      float64 // last probe
 	sick         []sick  // by class
 	okAt         []float64
-	errs         []int // by class: errors since it last answered
-	broken       int   // attempts that found no connection, or lost it, since it last answered
-	fulls        int   // attempts it turned away since then
+	erred        []float64 // by class: the share of errors of late
+	broken       int       // attempts that found no connection, or lost it, since it last answered
+	fulls        int       // attempts it turned away since then
 	downUntil    float64
 	sentLog      fade.Log // while cold
 }
@@ -53,10 +53,8 @@
 // sick tells how sure it was that a server leaves a class unanswered.
 type sick struct{ level, at float64 }
 
-type (
-	item   = peermsg.Item
-	record = peermsg.Record
-)
+type item = peermsg.Item
+type record = peermsg.Record
 
 // list takes in a list of servers; it calls restarted for each that has started anew.
 func (g *Gateway) list(list []Server, whole bool, restarted func(*server)) {
@@ -343,7 +341,7 @@
 			i = len(g.classList)
 			g.classList = append(g.classList, newClass(c, i))
 			for _, s := range g.servers {
-				s.sick, s.okAt, s.errs = append(s.sick, sick{}), append(s.okAt, 0), append(s.errs, 0)
+				s.sick, s.okAt, s.erred = append(s.sick, sick{}), append(s.okAt, 0), append(s.erred, 0)
 			}
 		} else if g.classList[i].Class != c {
 			k := *g.classList[i]
