A large value whose backend has gone ends at once, though its client is not reading

The writer looks at the backend's connection while its client does not read. A loopback test fails without it.

--- a/internal/ingress/flow.go
+++ b/internal/ingress/flow.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"eiderspread/internal/takeover"
 	"eiderspread/policy"
 )
@@ -23,6 +25,8 @@
 	failAfter = 3.4  // seconds, after which what the old process still owes fails: values behind which it waits move then
 	endAfter  = 3.6  // and after which it ends; SIGKILL may come 3.7 s after the signal
 	moveBytes = 90e3 // that may go along with a value, so that they fit a message
+
+	blockedLook = 20 * time.Millisecond // how often the backend is looked at while the client does not read
 )
 
 var errMoves = errors.New("another process is to carry the value on")
@@ -51,29 +55,54 @@
 	return err == nil && f.move.Load() || errors.Is(err, os.ErrDeadlineExceeded) && f.move.Load()
 }
 
-// write writes what was read, until all of it is out or the value is to move.
-func (f *flow) write(to net.Conn) error {
-	for len(f.out) > 0 {
-		to.SetWriteDeadline(time.Now().Add(stallMost)) // before the look at move: the loop sets move first, and then a deadline of its own
+// write writes what was read, until all of it is out or the value is to move. A value of which the rest can't come any more ends at once:
+// its client may read what there is for seconds, and would then be cut off by nobody but this ingress.
+func (f *flow) write(c *backConn, to net.Conn) error {
+	for wrote := time.Now(); len(f.out) > 0; {
+		to.SetWriteDeadline(time.Now().Add(blockedLook)) // before the look at move: the loop sets move first, and then a deadline of its own
 		if f.moves(nil) {
 			return errMoves
 		}
 		n, err := to.Write(f.out)
-		f.out = f.out[n:]
-		if f.moves(err) && err != nil {
+		if f.out = f.out[n:]; n > 0 {
+			wrote = time.Now()
+		}
+		switch {
+		case err == nil:
+		case f.moves(err):
 			return errMoves
-		} else if err != nil {
+		case !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(wrote) > stallMost:
 			return errClientEnd
+		case f.left > 0 && c.endsBefore(f.left):
+			return errStalled
 		}
 	}
 	return nil
 }
 
+// endsBefore tells that the backend has ended the connection, and that not so many bytes of it are left to be read.
+func (c *backConn) endsBefore(bytes int) bool {
+	ends := false
+	raw, err := c.conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	bad := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.State != unix.BPF_TCP_CLOSE && info.State != unix.BPF_TCP_CLOSE_WAIT {
+			return
+		}
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		ends = err == nil && n < bytes
+	})
+	return bad != nil || ends
+}
+
 // run carries the value on until it is whole, breaks off, or is to move. Its last bytes go out when it has proved whole.
 func (f *flow) run(in *Ingress, c *backConn, buf *buffer, to net.Conn) error {
 	var chunk []byte
 	for {
-		if err := f.write(to); err != nil {
+		if err := f.write(c, to); err != nil {
 			f.out = bytes.Clone(f.out)
 			return err
 		}
@@ -110,7 +139,7 @@
 	buf.drop(2)
 	f.out = []byte("\r\n")
 	for {
-		if err := f.write(to); !errors.Is(err, errMoves) {
+		if err := f.write(c, to); !errors.Is(err, errMoves) {
 			return err
 		}
 		f.move.Store(false) // two bytes are no matter for another process
--- a/internal/ingress/large_test.go
+++ b/internal/ingress/large_test.go
@@ -398,3 +398,33 @@
 		t.Error("the client is not served any more")
 	}
 }
+
+// Guards a client that reads slowly against an ingress that cuts it off seconds after its backend has gone: a value that can't become whole
+// ends at once, though its client is not reading.
+func TestLargeValueEndsWithItsBackend(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), sendTo(0))
+	w := r.client()
+	w.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	_, answer := large(largeMost, 3)
+	w.send(look("a")...)
+	b := get(t, conns)
+	b.command()
+	wrote := make(chan struct{})
+	go func() {
+		defer close(wrote)
+		for rest := answer[:len(answer)-1]; len(rest) > 0; { // until nothing goes on any more
+			b.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+			n, err := b.Write(rest[:min(len(rest), 64<<10)])
+			if rest = rest[n:]; err != nil {
+				return
+			}
+		}
+	}()
+	<-wrote
+	b.Conn.(*net.TCPConn).SetLinger(0)
+	b.Close()
+	if o := get(t, r.mod.outcomes); o.Status != policy.Reset {
+		t.Errorf("ended as %v, want as one that its backend broke off", o.Status)
+	}
+}
