The test of a value whose backend has gone fails without its guard

The one committed before passed without it: the sockets' buffers took all, and the client was not known yet when they were made small. It waits now until the ingress is blocked by its client.

--- a/internal/ingress/flow.go
+++ b/internal/ingress/flow.go
@@ -37,6 +37,7 @@
 	left int    // bytes of the value that are not read yet
 
 	move    atomic.Bool // set by the loop: stop between two chunks
+	blocked atomic.Bool // the client has not read for a while
 	verdict chan bool   // from the loop, to a reader that has stopped: whether the value is another process's now
 
 	// Loop only.
@@ -67,6 +68,7 @@
 		if f.out = f.out[n:]; n > 0 {
 			wrote = time.Now()
 		}
+		f.blocked.Store(n == 0 && err != nil)
 		switch {
 		case err == nil:
 		case f.moves(err):
--- a/internal/ingress/large_test.go
+++ b/internal/ingress/large_test.go
@@ -406,22 +406,38 @@
 	r := start(t, testConfig(addr), sendTo(0))
 	w := r.client()
 	w.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	r.until("the client is known", func() bool {
+		for c := range r.in.clients.all {
+			c.conn.SetWriteBuffer(4 << 10)
+			return true
+		}
+		return false
+	})
 	_, answer := large(largeMost, 3)
 	w.send(look("a")...)
 	b := get(t, conns)
 	b.command()
-	wrote := make(chan struct{})
+	wrote := make(chan int)
 	go func() {
-		defer close(wrote)
+		left := 0
+		defer func() { wrote <- left }()
 		for rest := answer[:len(answer)-1]; len(rest) > 0; { // until nothing goes on any more
 			b.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
 			n, err := b.Write(rest[:min(len(rest), 64<<10)])
 			if rest = rest[n:]; err != nil {
+				left = len(rest)
 				return
 			}
 		}
 	}()
-	<-wrote
+	left := <-wrote
+	r.until("the ingress is blocked by its client", func() bool {
+		for v := range r.in.flows {
+			return v.flow.blocked.Load()
+		}
+		return false
+	})
+	t.Logf("%d bytes were not taken from the backend", left)
 	b.Conn.(*net.TCPConn).SetLinger(0)
 	b.Close()
 	if o := get(t, r.mod.outcomes); o.Status != policy.Reset {
