--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -150,6 +150,14 @@
 	"crash": {"a node crashes and comes back at its address with a new start", 2, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
 		f.crash(f.pick(x.A), "", x, wait)
 	}},
+	"lone crash": {"the first node crashes, however few there are, and comes back", 0, 0, one("first node"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		for _, n := range f.Nodes() {
+			if n.ID == "z1" {
+				f.crash(n, "", x, wait)
+				return
+			}
+		}
+	}},
 	"replace": {"a node crashes, another comes under a new id at its address", 1, 0, nil, func(f *Fleet, x Fault, wait func(time.Duration) bool) {
 		f.crash(f.pick(x.A), f.newNodeID(), x, wait)
 	}},
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -77,6 +77,8 @@
 		floors: map[string]int{audit.Drains: 10}},
 	"cold": {what: "nodes crash in concert and come back cold under a full load", kinds: []string{"crashes", "crashes", "crash"}, every: 3 * time.Second, load: 1.4,
 		nodes: 6, floors: map[string]int{audit.Cold: 200}},
+	"back": {what: "many gateways wait with requests for one of two nodes, which comes back cold", kinds: []string{"lone crash"}, every: 4 * time.Second, load: 8,
+		nodes: 2, quota: -1, floors: map[string]int{audit.Cold: 200}},
 	"ceilings": {what: "accounts far beyond quotas and ceilings, and ceilings that bind, while programs die", bound: true, exact: true,
 		kinds: []string{"flood", "flood", "kill", "split", "all", "peers", "forwarder"}, every: time.Second,
 		floors: map[string]int{audit.Ceilings: 300, audit.Quotas: 300}},
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -238,6 +238,13 @@
 		}
 	},
 	"crash": func(s *Sim, x lab.Fault) { s.crash(s.pick(x.A), x) },
+	"lone crash": func(s *Sim, x lab.Fault) {
+		for _, n := range s.nodes {
+			if n.listed && n.model != nil && !n.model.Fallen() && n.id == "z1" {
+				s.crash(n, x)
+			}
+		}
+	},
 	"crashes": func(s *Sim, x lab.Fault) {
 		for i, n := range slices.Clone(s.nodes) {
 			if n.listed && i%2 == x.B%2 {
