--- a/cmd/eiderfleet/upgrade_test.go
+++ b/cmd/eiderfleet/upgrade_test.go
@@ -55,7 +55,8 @@
 			t.Errorf("%v, %v\n%s", err, last, log.String())
 		}
 	}
-	for want, text := range map[string]string{"door and restart": "[[program]]\nname = \"a\"\nkind = \"planner\"\n", "no programs": "", "unknown key": "x = 1\n"} {
+	for want, text := range map[string]string{"replace goes with two doors": "[[program]]\nname = \"a\"\nkind = \"forwarder\"\ndoors = [\"x\"]\nreplace = [\"y\"]\n",
+		"is not replaced beside itself": "[[program]]\nname = \"a\"\nkind = \"planner\"\ndoors = [\"x\", \"z\"]\nreplace = [\"y\"]\n", "door and restart": "[[program]]\nname = \"a\"\nkind = \"planner\"\n", "no programs": "", "unknown key": "x = 1\n"} {
 		path := filepath.Join(t.TempDir(), "upgrade.toml")
 		os.WriteFile(path, []byte(text), 0o600)
 		if err := run([]string{"upgrade", path}); err == nil || !strings.Contains(err.Error(), want) {
@@ -63,3 +64,38 @@
 		}
 	}
 }
+
+// Guards a program that is replaced beside itself: its command gets the free door, nothing is sent away, and only the new process's yes
+// counts.
+func TestUpgradeBeside(t *testing.T) {
+	for _, rises := range []bool{true, false} {
+		file := filepath.Join(t.TempDir(), "started")
+		var doors []string
+		for i := range 2 {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, err := os.Stat(file)
+				started := err == nil
+				switch {
+				case r.Method != http.MethodGet:
+					t.Errorf("%s %s", r.Method, r.URL)
+				case i == 0 && started && rises, i == 1 && !(started && rises): // the old process goes on if the new one does not come up
+					http.Error(w, "no", http.StatusServiceUnavailable)
+				}
+			}))
+			defer srv.Close()
+			doors = append(doors, strings.TrimPrefix(srv.URL, "http://"))
+		}
+		path := filepath.Join(t.TempDir(), "upgrade.toml")
+		text := fmt.Sprintf("up_s = 1.0\nsettle_s = 0.2\n[[program]]\nname = \"f0\"\nkind = \"forwarder\"\ndoors = [%q, %q]\n"+
+			"replace = [\"sh\", \"-c\", \"echo $EIDERFLEET_DOOR > %s\"]\n", doors[0], doors[1], file)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var log strings.Builder
+		err := upgrade([]string{path}, &log)
+		given, _ := os.ReadFile(file)
+		if rises != (err == nil) || strings.TrimSpace(string(given)) != doors[1] {
+			t.Errorf("rises %v: %v, given the door %q of %v\n%s", rises, err, given, doors, log.String())
+		}
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -189,8 +189,12 @@
 		missing := r.others(now)
 		switch {
 		case missing == "" && r.list[r.at].Beside:
-			r.enter(now, Restarts)
-			r.out.Restart(r.at)
+			if a.ready && now <= a.at+r.times.Fresh { // something runs that can be replaced, and where is known
+				r.enter(now, Restarts)
+				r.out.Restart(r.at)
+			} else if waited > r.times.Others {
+				r.stop("it is not ready, so there is nothing to replace")
+			}
 		case missing == "":
 			r.enter(now, Leaves)
 			r.out.Drain(r.at)
