--- a/internal/ingress/large_test.go
+++ b/internal/ingress/large_test.go
@@ -265,6 +265,32 @@
 	}
 }
 
+// rests waits until all clients were handed over, or could be.
+func (r *rig) rests() {
+	r.t.Helper()
+	r.until("its readers rest", func() bool {
+		for c := range r.in.clients.all {
+			if !c.parked {
+				return false
+			}
+		}
+		return r.in.heirs.stage == handed
+	})
+}
+
+// slow makes the buffers between the one client and the ingress small, so that a client that does not read is noticed.
+func (r *rig) slow(w *wire) {
+	r.t.Helper()
+	w.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	r.until("the client is known", func() bool {
+		for c := range r.in.clients.all {
+			c.conn.SetWriteBuffer(4 << 10)
+			return true
+		}
+		return false
+	})
+}
+
 // slowLarge has a client ask for a large value at r, and its backend give so much of it.
 func slowLarge(t *testing.T, r *rig, conns chan *wire, id string, first int) (w, b *wire, text, rest []byte) {
 	t.Helper()
@@ -292,14 +318,7 @@
 	io.WriteString(w, command(look("next")...)[:40])
 	young := start(t, cfg, sendTo(0))
 	young.until("the new process serves", young.in.taking.Load)
-	old.until("its reader rests", func() bool {
-		for c := range old.in.clients.all {
-			if !c.parked {
-				return false
-			}
-		}
-		return old.in.heirs.stage == handed
-	})
+	old.rests()
 	old.do(old.in.moveValues) // as if so long had passed
 	get(t, old.end)
 	young.until("it has the value", func() bool { return len(young.in.flows) == 1 })
@@ -335,14 +354,7 @@
 	get(t, conns).command()
 	young := start(t, cfg, sendTo(0))
 	young.until("the new process serves", young.in.taking.Load)
-	old.until("its reader rests", func() bool {
-		for c := range old.in.clients.all {
-			if !c.parked {
-				return false
-			}
-		}
-		return old.in.heirs.stage == handed
-	})
+	old.rests()
 	old.do(func() {
 		old.in.moveValues()
 		for v := range old.in.flows {
@@ -373,14 +385,7 @@
 	}
 	link := successor(t, path)
 	takeOver(t, link)
-	r.until("its reader rests", func() bool {
-		for c := range r.in.clients.all {
-			if !c.parked {
-				return false
-			}
-		}
-		return true
-	})
+	r.rests()
 
 	r.do(func() {
 		r.in.heirs.queue = make(chan passing, 8)
@@ -407,14 +412,7 @@
 	addr, conns := listen(t)
 	r := start(t, testConfig(addr), sendTo(0))
 	w := r.client()
-	w.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-	r.until("the client is known", func() bool {
-		for c := range r.in.clients.all {
-			c.conn.SetWriteBuffer(4 << 10)
-			return true
-		}
-		return false
-	})
+	r.slow(w)
 	_, answer := large(largeMost, 3)
 	w.send(look("a")...)
 	b := get(t, conns)
@@ -454,14 +452,7 @@
 	old := start(t, cfg, sendTo(0))
 	cfg.Listen = old.in.listener.Addr().String()
 	w := old.client()
-	w.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-	old.until("the client is known", func() bool {
-		for c := range old.in.clients.all {
-			c.conn.SetWriteBuffer(4 << 10)
-			return true
-		}
-		return false
-	})
+	old.slow(w)
 	text, answer := large(150_000, 4)
 	w.send(look("a")...)
 	b := get(t, conns)
@@ -486,14 +477,7 @@
 	b.Close() // resets it
 	young := start(t, cfg, sendTo(0))
 	young.until("the new process serves", young.in.taking.Load)
-	old.until("its reader rests", func() bool {
-		for c := range old.in.clients.all {
-			if !c.parked {
-				return false
-			}
-		}
-		return old.in.heirs.stage == handed
-	})
+	old.rests()
 	old.do(old.in.moveValues)
 	get(t, old.end)
 	if got := w.bulk(); !bytes.Equal(got, text) {
