Planners write the trace of decisions, and fleets of two levels in virtual time

Need: the trace told why only in one level. trace and trace_mb in planner.toml; the same records, by forwarder and handle. With a trace a schedule is the same to the attempt.

--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -32,15 +32,12 @@
 	length := set.Duration("for", 30*time.Second, "virtual time of each")
 	jobs := set.Int("jobs", runtime.NumCPU(), "schedules at a time")
 	shrink := set.Bool("shrink", true, "cut a schedule that fails down to the faults that matter")
-	folder := set.String("trace", "", "a folder: decisions of the first schedule's ingresses are written there, for eidertrace (one level)")
+	folder := set.String("trace", "", "a folder: decisions of the first schedule's ingresses, or planners, are written there, for eidertrace")
 	rule := set.String("rule", "", "with this, only a breach of this rule fails a schedule")
 	if err := set.Parse(args); err != nil {
 		return err
 	}
 	play := func(cfg sim.Config) *audit.Report { return sim.New(cfg).Run() }
-	if *folder != "" && *planners > 0 {
-		return fmt.Errorf("sim: -trace is for one level: -planners 0")
-	}
 	fails := func(r *audit.Report) bool {
 		return *rule == "" && len(r.Counts) > 0 || *rule != "" && r.Counts[*rule] > 0
 	}
@@ -64,7 +61,7 @@
 				}
 				var told [][]why.Decision
 				if n == 0 && *folder != "" {
-					told = make([][]why.Decision, cfg.Forwarders)
+					told = make([][]why.Decision, cmp.Or(cfg.Planners, cfg.Forwarders))
 					cfg.Trace = func(i int, d why.Decision) { told[i] = append(told[i], d) }
 				}
 				r := play(cfg)
@@ -145,7 +142,7 @@
 		if err != nil {
 			return err
 		}
-		w, err := trace.NewWriter(f, trace.Header{Name: fmt.Sprint("sim", i), Me: i, Gateways: cfg.Forwarders, Plans: cfg.Plans, Classes: cfg.Classes})
+		w, err := trace.NewWriter(f, trace.Header{Name: fmt.Sprint("sim", i), Me: i, Gateways: len(told), Plans: cfg.Plans, Classes: cfg.Classes})
 		if err == nil {
 			err = w.Write(list, 0)
 		}
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -19,6 +19,7 @@
 	"eiderspread/internal/mono"
 	"eiderspread/internal/roster"
 	"eiderspread/internal/takeover"
+	"eiderspread/internal/trace"
 	"eiderspread/policy"
 )
 
@@ -115,7 +116,7 @@
 // configuration that comes on reread, which may be nil, the address of discovery, the classes and the attempts are taken
 // over.
 func Run(ctx context.Context, cfg Config, reread <-chan Config, log *slog.Logger) error {
-	var why *tracing
+	var why *trace.Recorder
 	err := RunWith(ctx, cfg, reread, log, func(life context.Context, h Host) (Gateway, error) {
 		gate, err := policy.New(cfg.Settings.Settings, cfg.Seed, h.Now(), h)
 		if err != nil {
@@ -126,7 +127,7 @@
 		}
 		return gate, nil
 	})
-	why.wait()
+	why.Wait()
 	return err
 }
 
--- a/internal/ingress/status.go
+++ b/internal/ingress/status.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"eiderspread/internal/operator"
 	"eiderspread/internal/roster"
+	"eiderspread/internal/trace"
 )
 
 // Operator is the operator's file of an ingress, deploy/ingress.toml: what the platform's configuration does not know. All
@@ -32,13 +32,8 @@
 			return o, fmt.Errorf("%s: %w", path, err)
 		}
 	}
-	if o.TraceMB < 0 {
-		return o, fmt.Errorf("%s: trace_mb must not be below 0", path)
-	}
-	if o.Trace != "" {
-		if st, err := os.Stat(o.Trace); err != nil || !st.IsDir() {
-			return o, fmt.Errorf("%s: trace: %s is no folder", path, o.Trace)
-		}
+	if err := trace.CheckFolder(o.Trace, o.TraceMB); err != nil {
+		return o, fmt.Errorf("%s: %w", path, err)
 	}
 	return o, nil
 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -42,7 +42,7 @@
 	Quota                              float64        // of the rule on quotas; 0: lab.QuotaSlack in two levels, not judged in one
 	CapX                               float64        // of the rule on caps; 0: 2 in two levels, not judged in one
 	Seed                               uint64
-	Trace                              func(ingress int, d why.Decision) // told of each decision, if not nil; one level, true times
+	Trace                              func(decider int, d why.Decision) // told of each decision of an ingress, in two levels of a planner, if not nil; true times
 }
 
 // Drift is what the fastest clock makes of a second.
@@ -353,6 +353,12 @@
 		panic(err)
 	}
 	p.host = host
+	if p.s.cfg.Trace != nil {
+		host.Trace(func(d why.Decision) {
+			d.At = p.s.t
+			p.s.cfg.Trace(p.n, d)
+		})
+	}
 	host.Servers(p.now(), p.s.list(p.clock), true)
 	var tick func()
 	tick = func() {
--- /dev/null
+++ b/internal/lab/sim/trace_test.go
@@ -0,0 +1,34 @@
+package sim
+
+import (
+	"testing"
+
+	"eiderspread/internal/why"
+)
+
+// Guards the trace of planners: each attempt that a node saw was decided by one of them, each refusal has its reason, and the schedule is the
+// same with a trace and without.
+func TestTraceOfPlanners(t *testing.T) {
+	cfg, err := Make("friday", true, 3, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	was := New(cfg).Run()
+	sends, refusals, by := 0, map[why.Reason]int{}, map[int]bool{}
+	cfg.Trace = func(planner int, d why.Decision) {
+		by[planner] = true
+		switch d.Step {
+		case why.Send:
+			sends++
+		case why.Refuse, why.Fail:
+			refusals[d.Why]++
+		}
+	}
+	rep := New(cfg).Run()
+	if rep.Attempts != was.Attempts || rep.Tries != was.Tries {
+		t.Errorf("%d attempts of %d tries with a trace, %d of %d without", rep.Attempts, rep.Tries, was.Attempts, was.Tries)
+	}
+	if sends < rep.Attempts || len(by) != cfg.Planners || len(refusals) < 3 || refusals[why.None] > 0 {
+		t.Errorf("%d sends decided, %d attempts seen, by %v, refusals by reason %v", sends, rep.Attempts, by, refusals)
+	}
+}
--- a/internal/planner/file.go
+++ b/internal/planner/file.go
@@ -8,6 +8,7 @@
 	"eiderspread/internal/ingress"
 	"eiderspread/internal/link"
 	"eiderspread/internal/operator"
+	"eiderspread/internal/trace"
 )
 
 // File is a planner's operator's file, checked.
@@ -17,6 +18,8 @@
 	Listen  string
 	Status  string
 	Console string   // where operators call; empty: nowhere
+	Trace   string   // folder for traces of decisions; empty: none are written
+	TraceMB int      // bounds each file
 	Allowed []string // with TLS: the common name of each forwarder's certificate, by its number
 	TLS     link.Identity
 	Base    ingress.Config
@@ -28,6 +31,8 @@
 		fleet.File
 		Listen  string
 		Console string
+		Trace   string
+		TraceMB int `toml:"trace_mb"`
 		Allowed []string
 	}
 	if err := operator.Decode(path, &f); err != nil {
@@ -37,6 +42,9 @@
 	if err == nil {
 		err = out.door(f.Console)
 	}
+	if out.Trace, out.TraceMB = f.Trace, f.TraceMB; err == nil {
+		err = trace.CheckFolder(f.Trace, f.TraceMB)
+	}
 	if err != nil {
 		return out, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -10,6 +10,7 @@
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/link"
 	"eiderspread/internal/peermsg"
+	"eiderspread/internal/why"
 	"eiderspread/internal/withhold"
 	"eiderspread/policy"
 )
@@ -47,6 +48,7 @@
 	lives    uint64
 	fwdLives []uint64 // by forwarder
 	Stats    Stats
+	tracer   func(why.Decision) // nil: nobody asks for reasons
 }
 
 // Stats counts, from the start on.
@@ -121,6 +123,7 @@
 		return
 	}
 	c.gate = gate
+	gate.Trace(h.tracer)
 	c.win.lead(now)
 	h.Stats.Leads++
 	list := make([]policy.Server, 0, len(h.servers))
@@ -132,6 +135,10 @@
 	h.out.Log("leads", "cell", number, "epoch", epoch, "untold", c.win.missing)
 }
 
+// Trace has the decisions of every module told from the next lead on; a request's id is its forwarder's number and handle. What f does must
+// be quick.
+func (h *Host) Trace(f func(why.Decision)) { h.tracer = f }
+
 func (h *Host) lost(number int) {
 	c := &h.cells[number]
 	if c.gate != nil {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -18,6 +18,7 @@
 	"eiderspread/internal/link"
 	"eiderspread/internal/mono"
 	"eiderspread/internal/roster"
+	"eiderspread/internal/trace"
 )
 
 const (
@@ -120,6 +121,17 @@
 		go c.Serve()
 		defer c.Close()
 	}
+	if s.cfg.Trace != "" {
+		set := s.cfg.Base.Settings
+		to, err := trace.Start(life, s.cfg.Trace, s.cfg.TraceMB, trace.Header{Name: fmt.Sprint("planner-", s.cfg.Number), Me: s.cfg.Number, Gateways: s.cfg.Planners,
+			Started: s.clock.Now(), Plans: set.Plans, Classes: set.Classes}, s.log)
+		if err != nil {
+			return err
+		}
+		defer to.Wait() // after life has ended
+		defer end()
+		s.host.Trace(to.Put)
+	}
 	s.host.Servers(s.clock.Now(), s.cfg.Base.Known.Policy(), true)
 	go roster.New(s.cfg.Base.Discovery, s.cfg.Base.Known.Version, func(t roster.List) {
 		s.post(func(now float64) { s.host.Servers(now, t.Policy(), t.Full) })
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"eiderspread/internal/why"
@@ -52,6 +55,46 @@
 	return r, nil
 }
 
+// Start is Open for a program: at SIGUSR1 what is there is written at once.
+func Start(ctx context.Context, dir string, mostMB int, h Header, log *slog.Logger) (*Recorder, error) {
+	r, err := Open(ctx, dir, mostMB, h, log)
+	if err != nil {
+		return nil, err
+	}
+	flush := make(chan os.Signal, 1)
+	signal.Notify(flush, syscall.SIGUSR1)
+	go func() {
+		defer signal.Stop(flush)
+		for {
+			select {
+			case <-flush:
+				r.Flush(ctx)
+			case <-r.Done():
+				return
+			}
+		}
+	}()
+	return r, nil
+}
+
+// Wait returns when all is written, once the context that the recorder was started with has ended; at once for none.
+func (r *Recorder) Wait() {
+	if r != nil {
+		<-r.done
+	}
+}
+
+// CheckFolder tells what is wrong with an operator's settings of a trace.
+func CheckFolder(dir string, mostMB int) error {
+	if mostMB < 0 {
+		return errors.New("trace_mb must not be below 0")
+	}
+	if st, err := os.Stat(dir); dir != "" && (err != nil || !st.IsDir()) {
+		return fmt.Errorf("trace: %s is no folder", dir)
+	}
+	return nil
+}
+
 // Put takes a record; it is what the module is given. Of the loop.
 func (r *Recorder) Put(d why.Decision) { r.ring.Put(d) }
 
