--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,7 +56,7 @@
 	minLimit      = 3.0   // and at least
 	lookLeast     = 2     // healthy servers looked at for a request, at least
 	lookAll       = 12    // gateways, up to which each looks at all servers
-	coldAhead     = 2.0   // times what is answered, is what may be taken for asked: under overload that is far more
+	coldAhead     = 2.0   // times what is answered, is at most taken for asked: under overload that is far more
 	coldChance    = 0.5   // of a gateway's part of a cold server, where that is under one request
 	utilS         = 3.0   // a load report counts for so long
 	utilWeight    = 2.0   // attempts that a server's cores all busy stand for
