A new process of a forwarder that got no promises does not serve

Cause, found by reading the whole change again: a hand-over that brought no parts, or parts that could not be joined, left the new process with the lease that it reckoned at its own start; promises that the old one gave after that could be given a second time. Now it refuses to go on without parts, and parts that can't be joined count as a start: nothing is promised for a lease. The sender of orders ends with the old process. Tests of forward and ingress pass (2 packages, 7 s); no test makes parts that can't be joined yet.

--- a/internal/forward/remote.go
+++ b/internal/forward/remote.go
@@ -110,6 +110,7 @@
 func (r *Remote) Settle(now, shift float64, parts []kept.Part) error {
 	m, ok := kept.Join(parts)
 	if !ok {
+		r.core.TakeBack(now) // promises that it gave may run: none is given for a lease
 		return errors.New("what the process before knew is not a forwarder's")
 	}
 	m.Shift(shift)
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -166,6 +166,9 @@
 	}
 	in.clients.elsewhere, h.boot = max(0, w.Clients), w.Boot
 	if in.lock != nil {
+		if err == nil && len(h.parts) == 0 { // promises that nobody knows of could be given twice
+			err = fmt.Errorf("nothing of what it knows came over")
+		}
 		if err == nil {
 			err = in.takeLock()
 		}
@@ -234,6 +237,9 @@
 		in.backends.most = in.backends.whole
 		in.clients.elsewhere = 0
 		in.heir = nil
+		if h.orders != nil {
+			close(h.orders) // ends its sender: orders are given by the loop alone, and to an heir's link
+		}
 		in.bereaved()
 		LimitMemory(in.cfg.MemoryMB, MemoryShare)
 	})
