--- a/internal/forward/move_test.go
+++ b/internal/forward/move_test.go
@@ -205,3 +205,19 @@
 		t.Error("something is lost")
 	}
 }
+
+// Guards fencing against a process before whose knowledge can't be read: what it may have promised stands for a lease from then on, not
+// from this one's start.
+func TestUnreadableParts(t *testing.T) {
+	r := newRig(t) // whose own lease is over by now
+	remote := &Remote{core: r.core}
+	if remote.Settle(r.now, 0, []kept.Part{{}}) == nil {
+		t.Error("parts of something else were taken")
+	}
+	r.core.LinkUp(r.now, 0, 7)
+	r.msg(0, link.Msg{Kind: link.Claim, Cell: r.cell(), Epoch: 5, Round: 1})
+	r.want()
+	r.now += r.core.cfg.LeaseS + 0.01
+	r.msg(0, link.Msg{Kind: link.Claim, Cell: r.cell(), Epoch: 5, Round: 2})
+	r.want("p0 grant", "p0 end")
+}
