The shared count of one level is judged by an error budget, both ways

Cause: an owner that never takes off what it grants kept every rule of the laboratory, since what one level overshoots was a figure; and nothing looked at what is refused for the count's sake.

Virtual time bounds what an ingress takes in (40 messages a second, as on the platform) and has scenarios crowd and crowd-split of many accounts through up to all ingresses.

--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -23,6 +23,7 @@
 	Replaced = "nothing lost when a program is replaced" // counts occasions; what is lost breaks the other rules
 	Cold     = "cold nodes stand"
 	Quotas   = "quotas kept"
+	Used     = "quotas can be used" // no more is refused for the count's sake than its error budget has
 	Caps     = "caps kept"
 	Ceilings = "ceilings kept"
 	Stale    = "none on a stale word"
@@ -30,28 +31,30 @@
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Caps, Ceilings, Stale, Views, Held, Replaced}
+var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Used, Caps, Ceilings, Stale, Views, Held, Replaced}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
 	Classes             []policy.Class
 	Plans               []policy.Plan
-	DrainS              float64        // grace after a drain was told; the network's 50 ms come on top
-	AnswerS             float64        // time past a try's deadline in which its answer still counts
-	HeldS               float64        // past its deadline, a refusal or failure of a try with nothing under way was held back; 0: not judged
-	Attempts            int            // of a try, that may reach nodes; 0: not judged
-	OverlapS            float64        // for which two attempts may seem to overlap, since nodes notice an end late
-	CeilingS            float64        // of a ceiling's rate, that its slack is wider by
-	SlackUnit           float64        // the largest request
-	Quota               float64        // units beyond a quota that are a breach; 0: none are
-	QuotaS              float64        // of a quota\'s rate, that its slack is wider by: what is counted waits in the module for a server
-	CapX                float64        // times a cap on open attempts that may be out; 0: no bound is stated
-	Drift               float64        // what the fastest of the clocks makes of a second; 0 stands for 1
-	FallMultiple, FallS float64        // of the rule on cold nodes
-	StaleS              float64        // for which a word of membership counts as fresh; 0: not judged
-	ColdSlack           float64        // share of the budget that chance and the network's delays may add
-	Floors              map[string]int // by rule: occasions under which a run shows nothing
-	LateMost            time.Duration  // lateness of the laboratory from which on a run is void; 0: no bound
+	DrainS              float64         // grace after a drain was told; the network's 50 ms come on top
+	AnswerS             float64         // time past a try's deadline in which its answer still counts
+	HeldS               float64         // past its deadline, a refusal or failure of a try with nothing under way was held back; 0: not judged
+	Attempts            int             // of a try, that may reach nodes; 0: not judged
+	OverlapS            float64         // for which two attempts may seem to overlap, since nodes notice an end late
+	CeilingS            float64         // of a ceiling's rate, that its slack is wider by
+	SlackUnit           float64         // the largest request
+	Quota               float64         // units beyond a quota that are a breach; 0: none are
+	QuotaS              float64         // of a quota\'s rate, that its slack is wider by: what is counted waits in the module for a server
+	Homes               map[string]Home // of accounts, whose shared count is judged by the error budget of one level; none: it is not
+	Gateways            int             // that Homes speak of
+	CapX                float64         // times a cap on open attempts that may be out; 0: no bound is stated
+	Drift               float64         // what the fastest of the clocks makes of a second; 0 stands for 1
+	FallMultiple, FallS float64         // of the rule on cold nodes
+	StaleS              float64         // for which a word of membership counts as fresh; 0: not judged
+	ColdSlack           float64         // share of the budget that chance and the network's delays may add
+	Floors              map[string]int  // by rule: occasions under which a run shows nothing
+	LateMost            time.Duration   // lateness of the laboratory from which on a run is void; 0: no bound
 }
 
 // Breach is one break of a rule.
@@ -85,6 +88,8 @@
 	ByPlan     map[string]float64
 	ByClass    map[string]float64
 	Retries    map[string]int // further attempts, by class and by how the one before ended
+	Ideal      float64        // units that counts without fault would have let in, of accounts whose count is judged
+	Withheld   float64        // and of these, that were not let in
 	floors     map[string]int
 }
 
@@ -181,6 +186,7 @@
 	rep.cold(h, rules)
 	rep.caps(h, rules, plans)
 	inside := rep.quotas(h, rules, plans)
+	rep.counts(h, rules)
 	rep.asked(h, plans)
 	rep.service(h, classes, plans, inside)
 	sort.SliceStable(rep.Breaches, func(i, j int) bool { return rep.Breaches[i].At < rep.Breaches[j].At })
--- a/internal/lab/audit/history.go
+++ b/internal/lab/audit/history.go
@@ -39,6 +39,7 @@
 	Left                     time.Duration // the client hung up, 0: it did not
 	Batch                    int           // place in a batch on one connection, from 1; 0: it was alone
 	Untaken                  bool          // nobody took its connection
+	Why                      int           // the module's why.Reason for a refusal, where the laboratory was told
 }
 
 func (t *Try) key() string { return t.ID + "/" + t.Account }
@@ -104,6 +105,7 @@
 	Blind     []Blind // when parties could hear nothing of a source
 	Outages   []Outage
 	Restarts  []Outage
+	Peers     []PeerTrouble
 	Replaced  []Outage // programs replaced beside themselves: nothing may be lost by it
 	HeldNodes []Hold   // of nodes by operators
 	Faults    []Fault
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -96,11 +96,13 @@
 		f.cutPlanners(x, wait, func(_, i int) bool { return i == x.A%len(f.Forwarders) })
 	}},
 	"peers": {"ingresses are split in two halves", 1, 1, one("peers"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		defer f.Hist.PeersTroubled(2, 0)()
 		f.Peers.All(Weather{Cut: true}, func(i, j int) bool { return i%2 != j%2 })
 		wait(x.For)
 		f.Peers.All(Weather{}, nil)
 	}},
 	"fog": {"messages between ingresses are lost, late and doubled", 1, 1, one("peers"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		defer f.Hist.PeersTroubled(0, 0.3*x.X)()
 		f.Peers.All(Weather{Loss: 0.3 * x.X, Double: 0.2, Delay: 20 * time.Millisecond, Jitter: 60 * time.Millisecond}, nil)
 		wait(x.For)
 		f.Peers.All(Weather{}, nil)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -73,6 +73,40 @@
 	return list
 }
 
+// Crowd are accounts of many ingresses: a third come through all of them, the others through a quarter. One in ten asks for three to six times its
+// quota all the time, one in five for nearly all of it, and one in seven floods now and then.
+func Crowd(forwarders int, seed uint64) []Account {
+	rng := rand.New(rand.NewPCG(seed, 14))
+	list := Accounts(60, 40, 16, forwarders, forwarders, seed)
+	for i := range list {
+		a := &list[i]
+		p := LabPlans[slices.IndexFunc(LabPlans, func(p policy.Plan) bool { return p.Name == a.Plan })]
+		a.Rate, a.FloodX = p.Rate*(0.2+0.3*rng.Float64()), 0
+		if i%3 > 0 {
+			a.Spread = max(forwarders/4, min(3, forwarders))
+		}
+		a.First = rng.IntN(forwarders - a.Spread + 1)
+		switch x := rng.Float64(); {
+		case x < 0.1:
+			a.Rate = p.Rate * (3 + 3*rng.Float64())
+		case x < 0.3:
+			a.Rate = p.Rate * (0.8 + 0.15*rng.Float64())
+		case x < 0.45:
+			a.FloodX, a.FloodEvery, a.FloodFor = 8, 8*time.Second, 3*time.Second
+		}
+	}
+	return list
+}
+
+// Homes is where accounts come in.
+func Homes(list []Account) map[string]audit.Home {
+	homes := map[string]audit.Home{}
+	for _, a := range list {
+		homes[a.Name] = audit.Home{First: a.First, Entries: a.Spread}
+	}
+	return homes
+}
+
 // Scenario is one run of a fleet under faults.
 type Scenario struct {
 	FleetConfig
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -23,8 +23,9 @@
 	hangUps float64
 	batches float64
 	rude    int
-	nodes   int // 0: as asked
-	zones   int // see FleetConfig
+	nodes   int  // 0: as asked
+	crowd   bool // many accounts that come through many gateways each
+	zones   int  // see FleetConfig
 	plans   func([]policy.Plan)
 	exact   bool                 // see FleetConfig
 	quota   float64              // see FleetConfig; below 0: not judged
@@ -118,6 +119,10 @@
 		classes: shortKeys, keyedS: 0.6, weather: 0.5, quota: -1, kinds: []string{"fleet replaced", "fleet replaced", "successor dies", "kill", "snow"}, every: 200 * time.Millisecond, floors: trouble},
 	"friday": {what: "Friday supper: floods on chaine, accounts that shift, a node that is sick", kinds: []string{"flood", "flood", "shift", "sick", "slow"},
 		every: 1500 * time.Millisecond, weather: 0.02, load: 1.2, bound: true, floors: map[string]int{audit.Ceilings: 200, audit.Quotas: 200}},
+	"crowd": {what: "accounts through up to all of many ingresses, some at several times their quotas, others just inside them", crowd: true, nodes: 48, exact: true,
+		kinds: []string{"flood"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
+	"crowd-split": {what: "the same, while ingresses are split in halves, lose messages and die", crowd: true, nodes: 48, exact: true,
+		kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
 	"snow": {what: "snowstorm evening: every node slow again and again, some pausing, under a full load", kinds: []string{"snow", "snow", "node pause", "far"},
 		every: 2 * time.Second, weather: 0.02, load: 1.2, floors: map[string]int{audit.Lost: 50, audit.Quotas: 100}},
 	"playoff": {what: "playoff night: planned restarts of ingresses and planners one after the other, accounts shift, nodes are replaced",
@@ -171,6 +176,9 @@
 	if s.nodes > 0 {
 		sc.Nodes = s.nodes
 	}
+	if s.crowd {
+		sc.Accounts = Crowd(sc.Forwarders, sc.Seed)
+	}
 	if s.load > 0 {
 		for i := range sc.Accounts {
 			sc.Accounts[i].Rate *= s.load
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -221,11 +221,13 @@
 	},
 	"peers": func(s *Sim, x lab.Fault) {
 		s.peerWay.Cut = true
-		s.after(x.For.Seconds(), func() { s.peerWay.Cut = false })
+		end := s.Hist.PeersTroubled(2, 0)
+		s.after(x.For.Seconds(), func() { s.peerWay.Cut = false; end() })
 	},
 	"fog": func(s *Sim, x lab.Fault) {
 		s.fog = lab.Weather{Loss: 0.3 * x.X, Double: 0.2, Delay: 20 * time.Millisecond, Jitter: 60 * time.Millisecond}
-		s.after(x.For.Seconds(), func() { s.fog = lab.Weather{} })
+		end := s.Hist.PeersTroubled(0, s.fog.Loss)
+		s.after(x.For.Seconds(), func() { s.fog = lab.Weather{}; end() })
 	},
 	"forwarder": func(s *Sim, x lab.Fault) { s.killForwarder(x.A%len(s.fwds), x.For.Seconds()) },
 	"blink":     func(s *Sim, x lab.Fault) { s.killForwarder(x.A%len(s.fwds), 0.02+0.05*x.X) },
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -134,6 +134,10 @@
 		quota, caps = lab.QuotaSlack, 2
 	}
 	quota, caps = cmp.Or(s.cfg.Quota, quota), cmp.Or(s.cfg.CapX, caps)
-	return audit.Rules{Classes: s.cfg.Classes, Plans: s.cfg.Plans, DrainS: 0.25, AnswerS: 0.1, OverlapS: 0.005, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Attempts: lab.MaxAttempts, Quota: quota, QuotaS: lab.QuotaSeconds(s.cfg.Exact, s.cfg.Classes),
+	var homes map[string]audit.Home
+	if s.cfg.Planners == 0 && s.cfg.Quota >= 0 {
+		homes = lab.Homes(s.cfg.Accounts)
+	}
+	return audit.Rules{Homes: homes, Gateways: s.cfg.Forwarders, Classes: s.cfg.Classes, Plans: s.cfg.Plans, DrainS: 0.25, AnswerS: 0.1, OverlapS: 0.005, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Attempts: lab.MaxAttempts, Quota: quota, QuotaS: lab.QuotaSeconds(s.cfg.Exact, s.cfg.Classes),
 		Drift: Drift, FallMultiple: s.cfg.Node.FallMultiple, FallS: s.cfg.Node.FallS, ColdSlack: lab.ColdSlack, Floors: s.cfg.Floors}
 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -150,7 +150,7 @@
 
 // settings are the module's, for gateway me of so many.
 func (s *Sim) settings(me, gateways int, peers bool) policy.Settings {
-	return policy.Settings{Me: me, Gateways: gateways, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxUnits: 6, Peers: peers, PeerIntake: 40,
+	return policy.Settings{Me: me, Gateways: gateways, Classes: s.cfg.Classes, Plans: s.cfg.Plans, MaxUnits: 6, Peers: peers, PeerIntake: peerIntake,
 		Cancel: true, RetryAfter: true, MaxAttempts: lab.MaxAttempts, MaxRetryAfterS: 1, ReportByAnswer: true, AnswerSlackS: 0.02, ColdFrom: lab.StatedColdFrom,
 		ColdS: lab.StatedColdS, FallMultiple: lab.StatedMultiple, FallS: lab.StatedFallS, TickS: 0.004, Zone: "a"}
 }
@@ -423,6 +423,21 @@
 	pending []func()                // outcomes that an action yielded, for when its event has returned
 	busy    bool
 	downAt  float64
+	intake  intake
+}
+
+// peerIntake is how many messages of others an ingress takes in a second, as on the platform; what comes beyond is lost.
+const peerIntake = 40
+
+type intake struct{ left, at float64 }
+
+func (i *intake) take(now float64) bool {
+	i.left = min(i.left+peerIntake*(now-i.at), peerIntake/4)
+	if i.at = now; i.left < 1 {
+		return false
+	}
+	i.left--
+	return true
 }
 
 // simRequest is one try that a forwarder has taken.
@@ -481,12 +496,14 @@
 	if f.gate, err = policy.New(s.settings(f.n, s.cfg.Forwarders, true), s.rng.Uint64(), f.now(), f); err != nil {
 		panic(err)
 	}
-	if s.cfg.Trace != nil {
-		f.gate.Trace(func(d why.Decision) {
-			d.At = s.t
+	f.gate.Trace(func(d why.Decision) {
+		if r := f.open[d.ID]; r != nil && d.Step == why.Refuse {
+			r.try.Why = int(d.Why)
+		}
+		if d.At = s.t; s.cfg.Trace != nil {
 			s.cfg.Trace(f.n, d)
-		})
-	}
+		}
+	})
 	f.gate.Servers(f.now(), s.list(f.clock), true)
 }
 
@@ -618,7 +635,7 @@
 		for range 1 + boolInt(s.rng.Float64() < s.fog.Double) {
 			d := 0.0023 + 0.01*s.rng.Float64() + s.fog.Delay.Seconds() + s.rng.Float64()*s.fog.Jitter.Seconds()
 			s.after(d, func() {
-				if x := s.fwds[g]; x.gate != nil {
+				if x := s.fwds[g]; x.gate != nil && x.intake.take(s.t) {
 					x.do(func() { x.gate.Peer(x.now(), f.n, data) })
 				}
 			})
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -39,3 +39,18 @@
 	}
 	return 0, false
 }
+
+// Points is how many points each of so many gateways has: as many as in the post on HashRing, but on the whole ring no more than 8192, or 8
+// each.
+func Points(gateways int) int { return min(512, max(8, 8192/gateways)) }
+
+// Order lists the gateways among those wanted as they stand on the ring from a position on: each is whom the ones before it leave to.
+func (r Ring) Order(from uint64, wanted func(gw int) bool) (list []int) {
+	for {
+		gw, ok := r.Walk(from, func(gw int) bool { return wanted(gw) && !slices.Contains(list, gw) })
+		if !ok {
+			return list
+		}
+		list = append(list, gw)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,8 +19,6 @@
 
 // Constants, with their reasons. Times are in seconds.
 const (
-	ringPoints   = 512  // points a gateway, as in the post, but
-	ringMost     = 8192 // on the whole ring no more than about so many
 	batchS       = 0.1  // least time between reports to one owner: "a few times a second"
 	reportShare  = 0.45 // of peerIntake that a gateway's own reports may take
 	holdShare    = 0.5  // of peerIntake that members refused by their owner may ask for again
@@ -103,7 +101,7 @@
 	g.tokens, g.tokensAt = 2, now
 	g.limit = startLimit / float64(s.Gateways) // for one server
 	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
-	g.setUp(min(ringPoints, max(8, ringMost/s.Gateways)))
+	g.setUp()
 	g.act.SetTimer(1, tickS)
 	return g, nil
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -349,13 +349,13 @@
 }
 
 // setUp makes the classes, the plans and the ring.
-func (g *Gateway) setUp(points int) {
+func (g *Gateway) setUp() {
 	g.setClasses()
 	for i, p := range g.s.Plans {
 		g.plans = append(g.plans, &plan{Plan: p, index: i})
 		g.byPlan[p.Name] = g.plans[i]
 	}
-	g.ring = ring.New(g.s.Gateways, points)
+	g.ring = ring.New(g.s.Gateways, ring.Points(g.s.Gateways))
 }
 
 // coldShare is the least part of its capacity that the server must have by now.
