Lost reports are no silence, debts of a count are owed, ceilings of many gateways paid whole

Change: how many unanswered reports are a silence goes by the share that is lost (2 to 4); a count owes up to half a burst; a ceiling is one gateway's where a part would hold no half request.

--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -46,8 +46,11 @@
 	var all sync.WaitGroup
 	var next atomic.Uint64
 	var failed []sim.Config
+	size := 0
 	seen, counts, nearest := map[string]int{}, map[string]int{}, map[string]float64{}
-	tries, attempts := 0, 0
+	tries, attempts, messages, drowned := 0, 0, 0, 0
+	var ideal, withheld, beyond, service float64
+	reasons, byPlan := map[why.Reason]int{}, map[string]float64{}
 	for range *jobs {
 		all.Go(func() {
 			for n := next.Add(1) - 1; n < uint64(*schedules); n = next.Add(1) - 1 {
@@ -59,6 +62,9 @@
 					mu.Unlock()
 					return
 				}
+				mu.Lock()
+				size = cfg.Forwarders
+				mu.Unlock()
 				var told [][]why.Decision
 				if n == 0 && *folder != "" {
 					told = make([][]why.Decision, cmp.Or(cfg.Planners, cfg.Forwarders))
@@ -75,6 +81,17 @@
 				}
 				mu.Lock()
 				tries, attempts = tries+r.Tries, attempts+r.Attempts
+				ideal, withheld, service = ideal+r.Ideal, withheld+r.Withheld, service+r.Service
+				for _, o := range r.Overshoots {
+					beyond += o.Units
+				}
+				messages, drowned = messages+r.Messages, drowned+r.Drowned
+				for k, v := range r.ByPlan {
+					byPlan[k] += v
+				}
+				for k, n := range r.Reasons {
+					reasons[why.Reason(k)] += n
+				}
 				for k, v := range r.Seen {
 					seen[k] += v
 				}
@@ -109,6 +126,24 @@
 	for _, what := range slices.Sorted(maps.Keys(nearest)) {
 		fmt.Printf("  nearest to %s: %.2f\n", what, nearest[what])
 	}
+	played := float64(max(1, min(int(next.Load()), *schedules)))
+	fmt.Printf("  service %.3f", service/played)
+	for _, k := range slices.Sorted(maps.Keys(byPlan)) {
+		fmt.Printf(" %s %.3f", k, byPlan[k]/played)
+	}
+	fmt.Println()
+	if ideal > 0 {
+		fmt.Printf("  counts: %.0f units would be let in without fault, %.1f%% of them were withheld; the worst moments of accounts add up to %.1f%% beyond\n",
+			ideal, 100*withheld/ideal, 100*beyond/ideal)
+		list := slices.SortedFunc(maps.Keys(reasons), func(a, b why.Reason) int { return reasons[b] - reasons[a] })
+		fmt.Printf("  messages between ingresses: %.1f a second at each, %.1f%% of them beyond its intake\n",
+			float64(messages)/played/length.Seconds()/float64(max(1, size)), 100*float64(drowned)/float64(max(1, messages)))
+		fmt.Print("  refused:")
+		for _, k := range list {
+			fmt.Printf(" %v %d", k, reasons[k])
+		}
+		fmt.Println()
+	}
 	if len(failed) == 0 {
 		return nil
 	}
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -73,24 +73,26 @@
 
 // Report is what an Audit found.
 type Report struct {
-	Breaches   []Breach
-	Counts     map[string]int     // of breaches, by rule
-	Seen       map[string]int     // occasions, by rule: times at which it could have been broken
-	Occasions  map[string]int     // the same in detail
-	Nearest    map[string]float64 // how near a run came to what a rule allows, 1: at it
-	Void       string             // why the run can't be judged, "" if it can
-	Tries      int
-	Results    map[Result]int
-	Attempts   int
-	Overshoots []Overshoot // of accounts that went beyond, the worst first
-	Service    float64     // in-quota worth answered in time over worth asked for inside the quotas
-	Windows    []float64   // service by second of asking, of accounts that stay inside their quotas; -1: nothing asked
-	ByPlan     map[string]float64
-	ByClass    map[string]float64
-	Retries    map[string]int // further attempts, by class and by how the one before ended
-	Ideal      float64        // units that counts without fault would have let in, of accounts whose count is judged
-	Withheld   float64        // and of these, that were not let in
-	floors     map[string]int
+	Breaches          []Breach
+	Counts            map[string]int     // of breaches, by rule
+	Seen              map[string]int     // occasions, by rule: times at which it could have been broken
+	Occasions         map[string]int     // the same in detail
+	Nearest           map[string]float64 // how near a run came to what a rule allows, 1: at it
+	Void              string             // why the run can't be judged, "" if it can
+	Tries             int
+	Results           map[Result]int
+	Attempts          int
+	Overshoots        []Overshoot // of accounts that went beyond, the worst first
+	Service           float64     // in-quota worth answered in time over worth asked for inside the quotas
+	Windows           []float64   // service by second of asking, of accounts that stay inside their quotas; -1: nothing asked
+	ByPlan            map[string]float64
+	ByClass           map[string]float64
+	Retries           map[string]int // further attempts, by class and by how the one before ended
+	Ideal             float64        // units that counts without fault would have let in, of accounts whose count is judged
+	Withheld          float64        // and of these, that were not let in
+	Messages, Drowned int            // between ingresses, where they are counted; of these, lost since an ingress takes in no more
+	Reasons           map[int]int    // refusals by the module's why.Reason, where it was told
+	floors            map[string]int
 }
 
 // Verdict is nil for a run that shows that the rules hold: no breach, and occasions enough.
--- a/internal/lab/audit/history.go
+++ b/internal/lab/audit/history.go
@@ -39,6 +39,7 @@
 	Left                     time.Duration // the client hung up, 0: it did not
 	Batch                    int           // place in a batch on one connection, from 1; 0: it was alone
 	Untaken                  bool          // nobody took its connection
+	Queued                   bool          // it was let in and waited for a server, where the laboratory was told
 	Why                      int           // the module's why.Reason for a refusal, where the laboratory was told
 }
 
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -70,8 +70,41 @@
 	return delta
 }
 
-// Spend takes units off the room, which they may not bring below 0; below 0 gives back.
-func (l *Ledger) Spend(units float64) { l.Room = max(l.Room-units, min(l.Room, 0)) }
+// Spend takes units off the room; below 0 gives back. What members let in that the room did not hold is owed, up to so many units: the window
+// fills that up first. More than that is forgiven, so that the debts of a failure end.
+func (l *Ledger) Spend(units, most float64) { l.Room = max(l.Room-units, min(l.Room, -most)) }
+
+// Bucket is a store of units that one gateway keeps for itself.
+type Bucket struct{ Level, At float64 }
+
+// Fill brings it up to now and returns what it holds.
+func (b *Bucket) Fill(now, rate, most float64) float64 {
+	b.Level, b.At = min(most, b.Level+rate*(now-b.At)), now
+	return b.Level
+}
 
 // Quarters rounds a difference of two totals, of which one has come over the wire in quarters of a unit and may have wrapped there.
 func Quarters(x float64) float64 { return float64(int16(int64(math.Floor(x*4+0.5)))) / 4 }
+
+// Pack is the count as plain figures, for another process that takes it over.
+func (l *Ledger) Pack() (figures []float64, members map[int][5]float64) {
+	members = map[int][5]float64{}
+	for i, m := range l.Members {
+		members[i] = [5]float64{float64(m.Boot), m.Total, m.Rate, float64(m.Out), m.At}
+	}
+	return []float64{l.Room, l.At, l.Born, l.Demand, l.DemandAt}, members
+}
+
+// Unpack takes back what Pack gave; figures that are missing are 0.
+func Unpack(figures []float64, members map[int][5]float64) *Ledger {
+	l := New(0, 0)
+	for i, to := range []*float64{&l.Room, &l.At, &l.Born, &l.Demand, &l.DemandAt} {
+		if i < len(figures) {
+			*to = figures[i]
+		}
+	}
+	for i, f := range members {
+		l.Members[i] = &Member{Boot: uint8(f[0]), Total: f[1], Rate: f[2], Out: int(f[3]), At: f[4]}
+	}
+	return l
+}
--- a/policy/keep.go
+++ b/policy/keep.go
@@ -12,12 +12,9 @@
 func (s *server) figures() []*float64 {
 	return []*float64{&s.speed, &s.util, &s.utilAt, &s.busy, &s.sentAt}
 }
-func ledgerFigures(l *tally.Ledger) []*float64 {
-	return []*float64{&l.Room, &l.At, &l.Born, &l.Demand, &l.DemandAt}
-}
 func (c *customer) figures() []*float64 { // the ceiling's first
-	return []*float64{&c.ceil, &c.ceilAt, &c.pool, &c.poolAt, &c.usedAt, &c.turnedAt, &c.total, &c.acked, &c.demand,
-		&c.demandAt, &c.room, &c.roomAt, &c.others, &c.holdTill, &c.local, &c.localAt}
+	return []*float64{&c.ceil.Level, &c.ceil.At, &c.pool.Level, &c.pool.At, &c.usedAt, &c.turnedAt, &c.total, &c.acked, &c.demand,
+		&c.demandAt, &c.room, &c.roomAt, &c.others, &c.holdTill, &c.local.Level, &c.local.At}
 }
 
 // Keep returns all that is to be handed on. This gateway passes nothing more under a ceiling: what is left is the other's.
@@ -41,13 +38,10 @@
 		x := kept.Customer{Key: c.key, Hash: c.hash, Plan: c.plan.Name, First: c.first, Entries: c.entries, Known: c.known,
 			Out: c.out > 0, Figures: kept.Values(c.figures())}
 		if c.led != nil {
-			x.Ledger, x.Members = kept.Values(ledgerFigures(c.led)), map[int][5]float64{}
-			for i, m := range c.led.Members {
-				x.Members[i] = [5]float64{float64(m.Boot), m.Total, m.Rate, float64(m.Out), m.At}
-			}
+			x.Ledger, x.Members = c.led.Pack()
 		}
 		parts = kept.Add(parts, x)
-		c.ceil, c.pool = kept.None, kept.None
+		c.ceil.Level, c.pool.Level = kept.None, kept.None
 	}
 	return parts
 }
@@ -83,11 +77,7 @@
 			c.prime = g.walk(c, false)
 		}
 		if x.Ledger != nil {
-			c.led = tally.New(0, 0)
-			kept.Restore(ledgerFigures(c.led), x.Ledger)
-			for i, f := range x.Members {
-				c.led.Members[i] = &tally.Member{Boot: uint8(f[0]), Total: f[1], Rate: f[2], Out: int(f[3]), At: f[4]}
-			}
+			c.led = tally.Unpack(x.Ledger, x.Members)
 		}
 		if x.Out || c.total != c.acked {
 			g.note(c, false)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,8 +25,10 @@
 	freshS       = 0.5  // a verdict no older is split; with an older one the owner is asked
 	askWaitS     = 0.08 // how long a request waits for the owner's word before it is asked again
 	reportWaitS  = 0.3  // the same for reports with no request waiting
-	askTries     = 3    // then the local window decides
-	missMost     = 2    // a peer that leaves so many unanswered is silent: it leaves the ring
+	missLeast    = 2    // a peer that leaves so many unanswered is silent: it leaves the ring,
+	missMost     = 4    // but where messages are lost all the time, not before chance would leave them so
+	missChance   = 0.01 // as rarely as this
+	lostWeight   = 0.02 // how far one report moves the share of them that is taken to be left unanswered
 	silentRetryS = 1.0  // for so long
 	gapS         = 0.1  // no event for so long: this gateway itself stood still
 	poolShare    = 0.5  // of a ceiling, that grants of the first gateway on the ring are paid from
@@ -37,6 +39,7 @@
 	memberS      = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
 	wantNone     = 0.25 // an owner's answer that grants nothing
 	outS         = 3.0  // a member's attempts out are believed for so long
+	debtShare    = 0.5  // of the burst, that an account owes at most for what was let in beyond its window
 	youngS       = 2.0  // a ledger younger than this believes the room that members hand back
 	forgetS      = 10.0 // customers unused for longer are forgotten: after memberS at any owner, so that
 	// the count that starts at 0 then is not taken for units handed back
@@ -123,7 +126,7 @@
 func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
 	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now,
 		turnedAt: math.Inf(-1),
-		ceilAt:   g.born, poolAt: g.born}
+		ceil:     tally.Bucket{At: g.born}, pool: tally.Bucket{At: g.born}}
 	g.custs[key] = c
 	return c
 }
@@ -350,7 +353,13 @@
 // alive tells that a peer answers: reports in a row without one take it off the ring for a while.
 func (g *Gateway) alive(gw int) bool {
 	p := &g.peers[gw]
-	return gw == g.s.Me || p.missed < missMost || g.now-p.missAt > silentRetryS
+	return gw == g.s.Me || p.missed < g.missLimit() || g.now-p.missAt > silentRetryS
+}
+
+// missLimit is how many reports a peer leaves unanswered before it is silent, by the share of all that are.
+func (g *Gateway) missLimit() int {
+	few := math.Ceil(math.Log(missChance) / math.Log(max(g.lost, 1e-9)))
+	return int(min(max(few, missLeast), missMost))
 }
 
 // owner is the gateway that counts the customer.
@@ -460,9 +469,9 @@
 	case !r.owes:
 		return
 	case g.ceilingHolds(r.cust, r.Units):
-		r.cust.ceil -= r.Units
+		r.cust.ceil.Level -= r.Units
 	default:
-		r.cust.pool -= r.Units
+		r.cust.pool.Level -= r.Units
 	}
 	r.owes = false
 	r.cust.owed -= r.Units
@@ -470,7 +479,7 @@
 
 func (g *Gateway) charge(c *customer, units float64) {
 	if g.owner(c) == g.s.Me {
-		g.ledger(c).Spend(units)
+		g.ledger(c).Spend(units, debtShare*c.plan.Burst)
 	}
 	c.total += units
 	if c.total > c.acked || units < 0 {
@@ -568,8 +577,8 @@
 	g.act.Tell(to, b)
 }
 
-// unanswered looks after reports without a reply: they are told again, after a second silence to the
-// next on the ring, and after a third the request falls back to the local window. A gap in this
+// unanswered looks after reports without a reply: they are told again, after some to the next on the
+// ring, and after one more the request falls back to the local window. A gap in this
 // gateway's own time is nobody's silence.
 func (g *Gateway) unanswered() {
 	for _, c := range g.waiting {
@@ -581,10 +590,11 @@
 			if !c.dirty { // it was told
 				p := &g.peers[c.askOf]
 				p.missed, p.missAt = p.missed+1, g.now
+				g.lost += lostWeight * (1 - g.lost)
 			}
 			c.tries++
 			c.waitFrom, c.asked = 0, 0
-			if c.tries >= askTries {
+			if c.tries > g.missLimit() {
 				c.tries = 0
 				g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false, why.LocalRoom)
 			} else {
@@ -606,12 +616,11 @@
 	if p.Parallel > 0 && c.out+c.othersOut >= p.Parallel {
 		return false
 	}
-	c.local = min(max(p.Burst/n, float64(g.s.MaxUnits)), c.local+p.Rate/n*(g.now-c.localAt))
-	c.localAt = g.now
-	if p.Rate > 0 && units > min(c.local, g.roomNow(c)) {
+	c.local.Fill(g.now, p.Rate/n, max(p.Burst/n, float64(g.s.MaxUnits)))
+	if p.Rate > 0 && units > min(c.local.Level, g.roomNow(c)) {
 		return false
 	}
-	c.local -= units
+	c.local.Level -= units
 	return true
 }
 
@@ -666,6 +675,7 @@
 		switch {
 		case r.Plan >= len(g.plans):
 		case r.Owner && c != nil && c.askOf == from:
+			g.lost -= lostWeight * g.lost
 			g.heard(c, r)
 		case !r.Owner:
 			if c == nil {
@@ -695,7 +705,7 @@
 		m = &tally.Member{Boot: g.peers[from].order.Boot, Total: r.Total - r.Unacked}
 		l.Members[from] = m
 	}
-	l.Spend(l.Told(m, r.Total, r.Rate, r.Out, g.now, demandTauS))
+	l.Spend(l.Told(m, r.Total, r.Rate, r.Out, g.now, demandTauS), debtShare*c.plan.Burst)
 	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true}
 	if r.Want > 0 {
 		grant, short := 0.0, why.None
@@ -712,8 +722,8 @@
 		if grant > 0 {
 			// The shared part of the ceiling pays as far as it reaches; the rest asks again.
 			if r.Flag && g.poolHolds(c, r.First) {
-				v.Flag, grant = true, min(grant, math.Floor(c.pool*4)/4)
-				c.pool -= grant
+				v.Flag, grant = true, min(grant, math.Floor(c.pool.Level*4)/4)
+				c.pool.Level -= grant
 			}
 			v.Want = grant
 			l.Room -= grant
@@ -768,10 +778,17 @@
 	if p.CeilingRate <= 0 {
 		return true
 	}
-	part := (1 - poolShare) / n
-	c.ceil = min(p.CeilingBurst*part, c.ceil+p.CeilingRate*part*(g.now-c.ceilAt))
-	c.ceilAt = g.now
-	return units <= c.ceil
+	part := (1 - g.poolPart(c)) / n
+	return units <= c.ceil.Fill(g.now, p.CeilingRate*part, p.CeilingBurst*part)
+}
+
+// poolPart is the part of a ceiling that the first gateway on the ring pays grants from. Where a gateway's
+// part of the rest would not hold half of the largest request, as with very many gateways, it is all of it.
+func (g *Gateway) poolPart(c *customer) float64 {
+	if 2*c.plan.CeilingBurst*(1-poolShare) < float64(g.s.MaxUnits*max(c.entries, 1)) {
+		return 1
+	}
+	return poolShare
 }
 
 // ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind
@@ -782,13 +799,14 @@
 	if p.CeilingRate <= 0 {
 		return true
 	}
-	share := (1 - poolShare) / float64(max(c.entries, 1))
+	pool := g.poolPart(c)
+	share := (1 - pool) / float64(max(c.entries, 1))
 	most, all := share, share
 	g.ceilingHolds(c, 0)
-	have := c.ceil
+	have := c.ceil.Level
 	if c.prime == g.s.Me {
 		g.poolHolds(c, 0)
-		have, most, all = have+c.pool, poolShare, share+poolShare
+		have, most, all = have+c.pool.Level, pool, share+pool
 	}
 	left := max(min(r.aimAt-r.cls.lat, r.halfAt)-g.now, 0)
 	return r.Units <= p.CeilingBurst*most && c.owed+r.Units <= have+p.CeilingRate*all*left
@@ -814,9 +832,8 @@
 	if c.prime != g.s.Me || c.plan.CeilingRate <= 0 {
 		return false
 	}
-	c.pool = min(c.plan.CeilingBurst*poolShare, c.pool+c.plan.CeilingRate*poolShare*(g.now-c.poolAt))
-	c.poolAt = g.now
-	return units <= c.pool
+	pool := g.poolPart(c)
+	return units <= c.pool.Fill(g.now, c.plan.CeilingRate*pool, c.plan.CeilingBurst*pool)
 }
 
 // ---- Servers ----
@@ -921,13 +938,13 @@
 		if c == nil || k.index == c.index {
 			x := g.sickness(s, k)
 			s.sick[k.index] = sick{x + by*(1-x), g.now}
-			g.spread(item{Server: s.hash, Class: k.tag, Value: s.sick[k.index].level, At: g.now})
+			g.spread(peermsg.Item{Server: s.hash, Class: k.tag, Value: s.sick[k.index].level, At: g.now})
 		}
 	}
 }
 
 // told takes in what another gateway tells of a server, and tells it on while it is new.
-func (g *Gateway) told(n item) {
+func (g *Gateway) told(n peermsg.Item) {
 	s := g.byHash[n.Server]
 	if s == nil || s.SinceS > n.At {
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -53,7 +54,6 @@
 // sick tells how sure it was that a server leaves a class unanswered.
 type sick struct{ level, at float64 }
 
-type item = peermsg.Item
 type record = peermsg.Record
 
 // list takes in a list of servers; it calls restarted for each that has started anew.
@@ -130,17 +130,16 @@
 	room, roomAt   float64 // as last reported
 	others         float64 // what the others are asked for
 	othersOut      int
-	holdTill       float64    // the owner refuses until then
-	asks           []*request // wait for the owner's word
-	asked, tries   int        // asked: of them, told to the owner
-	waitFrom       float64    // since when a report is unanswered, 0: none
-	waiting        bool       // in Gateway.waiting
-	dirty          bool       // to be reported
-	askOf          int        // to this gateway
-	ceil, ceilAt   float64
-	pool, poolAt   float64
-	local, localAt float64
-	owed           float64 // units let in that no part of the ceiling has paid for
+	holdTill       float64      // the owner refuses until then
+	asks           []*request   // wait for the owner's word
+	asked, tries   int          // asked: of them, told to the owner
+	waitFrom       float64      // since when a report is unanswered, 0: none
+	waiting        bool         // in Gateway.waiting
+	dirty          bool         // to be reported
+	askOf          int          // to this gateway
+	ceil, pool     tally.Bucket // this gateway's part of the ceiling, and what it pays grants from
+	local          tally.Bucket // where no owner answers
+	owed           float64      // units let in that no part of the ceiling has paid for
 	led            *tally.Ledger
 }
 
@@ -174,7 +173,7 @@
 	stretch, spent   float64     // means of latency over aim, of time until an answer or a time-out
 	sentAt           float64
 	probes           float64 // that may be sent
-	news             []item
+	news             []peermsg.Item
 	byHash           map[uint16]*server
 	classList        []*class
 	maxWorth         float64 // of any class, a unit
@@ -273,7 +272,7 @@
 }
 
 // spread keeps what is to be told to other gateways of servers, newest last.
-func (g *Gateway) spread(n item) {
+func (g *Gateway) spread(n peermsg.Item) {
 	if g.news = append(g.news, n); len(g.news) > newsKept {
 		g.news = g.news[1:]
 	}
@@ -406,7 +405,7 @@
 	} else {
 		room = g.roomNow(c)
 	}
-	local := c.local + p.Rate/n*(g.now-c.localAt)
+	local := c.local.Level + p.Rate/n*(g.now-c.local.At)
 	if p.Rate > 0 && (room < p.Burst-eps || local < max(p.Burst/n, float64(g.s.MaxUnits))) {
 		return false
 	}
@@ -415,17 +414,14 @@
 	}
 	g.ceilingHolds(c, 0)
 	g.poolHolds(c, 0)
-	return c.ceil >= p.CeilingBurst*(1-poolShare)/n-eps && (c.prime != g.s.Me || c.pool >= p.CeilingBurst*poolShare-eps)
+	pool := g.poolPart(c)
+	return c.ceil.Level >= p.CeilingBurst*(1-pool)/n-eps && (c.prime != g.s.Me || c.pool.Level >= p.CeilingBurst*pool-eps)
 }
 
 // forgetServers drops servers that are not listed any more once nothing is out there.
 func (g *Gateway) forgetServers() {
 	before := len(g.servers)
-	for id, s := range g.servers {
-		if !s.listed && s.inflight == 0 {
-			delete(g.servers, id)
-		}
-	}
+	maps.DeleteFunc(g.servers, func(_ string, s *server) bool { return !s.listed && s.inflight == 0 })
 	if len(g.servers) == before {
 		return
 	}
@@ -492,7 +488,7 @@
 func (g *Gateway) report(s *server, l *Load) {
 	if l != nil && l.Util >= 0 {
 		s.util, s.utilAt = l.Util, g.now
-		g.spread(item{Server: s.hash, Class: peermsg.LoadItem, Value: l.Util, At: g.now})
+		g.spread(peermsg.Item{Server: s.hash, Class: peermsg.LoadItem, Value: l.Util, At: g.now})
 	}
 }
 
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -38,7 +38,7 @@
 	if c.plan.CeilingRate > 0 {
 		g.ceilingHolds(c, 0)
 		g.poolHolds(c, 0)
-		d.Ceil, d.Pool = float32(c.ceil), float32(c.pool)
+		d.Ceil, d.Pool = float32(c.ceil.Level), float32(c.pool.Level)
 	}
 }
 
