--- a/cmd/eiderfleet/main.go
+++ b/cmd/eiderfleet/main.go
@@ -22,6 +22,8 @@
   judge FILE                judges a run that lab -record kept, without running it again
   shrink FILE [-runs N]     cuts the faults of a run that lab -record kept down to those that its breach needs
   sim [flags]               the decision parts alone in virtual time, many schedules; sim -h lists the flags
+  budget [flags]            by how much the shared count of an account may be wrong in each failure; budget -h lists the flags
+  counts [flags]            plays each such failure in virtual time, beside its budget; counts -h lists the flags
   mutants [flags]           takes guards out one by one and has the laboratory find out; mutants -h lists the flags
 `
 
@@ -63,6 +65,10 @@
 		return shrink(rest)
 	case "sim":
 		return runSim(rest)
+	case "budget":
+		return printBudget(rest, os.Stdout)
+	case "counts":
+		return printCounts(rest, os.Stdout)
 	case "mutants":
 		return runMutants(rest)
 	case "help", "-h", "--help":
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -71,6 +71,9 @@
 	At            time.Duration
 }
 
+// Margin is a figure beside what its budget allows at that moment, in units.
+type Margin struct{ Units, Allowed float64 }
+
 // Report is what an Audit found.
 type Report struct {
 	Breaches          []Breach
@@ -89,6 +92,8 @@
 	ByClass           map[string]float64
 	Retries           map[string]int // further attempts, by class and by how the one before ended
 	Ideal             float64        // units that counts without fault would have let in, of accounts whose count is judged
+	Counted           map[int]Margin // the worst of any account, by the length of time in seconds: let in beyond rate and burst
+	Short             map[int]Margin // and withheld
 	Withheld          float64        // and of these, that were not let in
 	Messages, Drowned int            // between ingresses, where they are counted; of these, lost since an ingress takes in no more
 	Reasons           map[int]int    // refusals by the module's why.Reason, where it was told
--- a/internal/lab/audit/counts.go
+++ b/internal/lab/audit/counts.go
@@ -54,7 +54,7 @@
 			passed[a.Account] = append(passed[a.Account], pass{a.At.Seconds(), a.Units})
 		}
 	}
-	rep.Reasons = map[int]int{}
+	rep.Reasons, rep.Counted, rep.Short = map[int]int{}, map[int]Margin{}, map[int]Margin{}
 	for _, t := range h.Tries {
 		if t.Why > 0 {
 			rep.Reasons[t.Why]++
@@ -144,6 +144,9 @@
 			}
 			allowed, met := budget.Within(a, troubles, x.at-length, x.at)
 			allowed += a.Rate * rules.QuotaS
+			if x := rep.Counted[int(length)]; beyond > x.Units {
+				rep.Counted[int(length)] = Margin{beyond, allowed}
+			}
 			what := "budget of a count in calm"
 			if len(met) > 0 {
 				what = fmt.Sprintf("budget of a count, %v", met[0].Kind)
@@ -205,6 +208,9 @@
 				continue
 			}
 			allowed := budget.Refused(a, troubles, x.at-length, x.at) + budget.Share*inside + helds.until(x.at) - helds.until(x.at-length)
+			if x := rep.Short[int(length)]; short > x.Units {
+				rep.Short[int(length)] = Margin{short, allowed}
+			}
 			rep.near("budget of what a count withholds", short/allowed)
 			rep.saw(Used, fmt.Sprintf("less let in than the quota holds within %.0f s", length))
 			if short > allowed && !broken {
