--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,6 @@
 	holdShare    = 0.5  // of peerIntake that members refused by their owner may ask for again
 	freshS       = 0.5  // a verdict no older is split; with an older one the owner is asked
 	askWaitS     = 0.08 // how long a request waits for the owner's word before it is asked again
-	lostWaits    = 3.0  // times the share of reports unanswered, longer
 	reportWaitS  = 0.3  // the same for reports with no request waiting
 	missLeast    = 2    // a peer that leaves so many unanswered is silent: it leaves the ring,
 	missMost     = 4    // but where messages are lost all the time, not before chance would leave them so
@@ -585,7 +584,7 @@
 	for _, c := range g.waiting {
 		most := reportWaitS
 		if len(c.asks) > 0 {
-			most = askWaitS * (1 + lostWaits*g.lost) // who drowns in reports is not helped by more of them
+			most = askWaitS
 		}
 		if c.waitFrom > 0 && g.now-max(c.waitFrom, g.gapAt) > most {
 			if !c.dirty { // it was told
