--- a/test.sh
+++ b/test.sh
@@ -7,8 +7,11 @@
 go vet ./...
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "no build command in deploy/balancer.toml"; exit 1; }
-bash -c "$build"
 go build -o bin/ ./cmd/...
+bash -c "$build"   # last, so that what tests and people run from bin/ is what the platform runs
+run=$(sed -n 's/^run = "exec \(.*\)"$/\1/p' deploy/balancer.toml)
+[ -n "$run" ] || { echo "run in deploy/balancer.toml does not end by exec"; exit 1; }
+readelf -l "$run" | grep -q INTERP || { echo "$run is not linked dynamically"; exit 1; }
 go test -race -count=1 ./...
 go test -tags unfenced -count=1 -run Unfenced ./internal/lab/sim   # the same schedules must show breaches without fencing
 for f in $(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",'); do
