Places under a cap are lent by time: a lost word no longer keeps one for three seconds

At fault: count() added each grant to a member's attempts for outS = 3 s, and heard of an end in a report that is not urgent; a full book answered 'ask again'. Change: internal/places keeps what an owner lends with an end (by the class's latency and its deviation), and a line of members that wait; a place that comes free goes to the first in line unasked. A member renews what lasts longer and tells of an end at once where others may wait; such words are not answered. Gateways that don't lend are believed as before.

--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -98,6 +99,27 @@
 	return list
 }
 
+// Capped are accounts of a plan with a cap, each through a thirtieth to two thirds of many ingresses, beside small ones and a few large ones. Most
+// ask for a third to half of their quota, one in six for nearly all of it, one in twelve for three times as much.
+func Capped(forwarders int, seed uint64) []Account {
+	rng := rand.New(rand.NewPCG(seed, 15))
+	list := Accounts(forwarders, forwarders*3/2, max(forwarders/6, 1), forwarders, forwarders, seed)
+	for i := range list {
+		a := &list[i]
+		p := LabPlans[slices.IndexFunc(LabPlans, func(p policy.Plan) bool { return p.Name == a.Plan })]
+		a.Rate, a.FloodX = p.Rate*(0.3+0.2*rng.Float64()), 0
+		a.Spread = min(max(int(float64(forwarders)/30*math.Pow(20, rng.Float64())), 3), forwarders)
+		a.First = rng.IntN(forwarders - a.Spread + 1)
+		switch {
+		case i%6 == 1:
+			a.Rate = p.Rate * (0.8 + 0.1*rng.Float64())
+		case i%12 == 2:
+			a.Rate = 3 * p.Rate
+		}
+	}
+	return list
+}
+
 // Homes is where accounts come in.
 func Homes(list []Account) map[string]audit.Home {
 	homes := map[string]audit.Home{}
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -23,9 +23,10 @@
 	hangUps float64
 	batches float64
 	rude    int
-	nodes   int  // 0: as asked
-	crowd   bool // many accounts that come through many gateways each
-	zones   int  // see FleetConfig
+	nodes   int                                         // 0: as asked
+	work    float64                                     // factor on what requests cost nodes; 0 stands for 1
+	crowd   func(forwarders int, seed uint64) []Account // its accounts; nil: as asked
+	zones   int                                         // see FleetConfig
 	plans   func([]policy.Plan)
 	exact   bool                 // see FleetConfig
 	quota   float64              // see FleetConfig; below 0: not judged
@@ -46,6 +47,15 @@
 	}
 }
 
+// capOfTwo is the plan with a cap as the operators' largest days have it.
+func capOfTwo(list []policy.Plan) {
+	for i := range list {
+		if p := &list[i]; p.Parallel > 0 {
+			p.Parallel, p.Rate, p.Burst = 2, 8.6, 19
+		}
+	}
+}
+
 // shortKeys has nodes remember keys for less than a request lasts. Quotas are not judged with it: what is counted waits for a server for up to
 // the long aim, and is sent on that much later.
 func shortKeys(list []policy.Class) {
@@ -119,10 +129,14 @@
 		classes: shortKeys, keyedS: 0.6, weather: 0.5, quota: -1, kinds: []string{"fleet replaced", "fleet replaced", "successor dies", "kill", "snow"}, every: 200 * time.Millisecond, floors: trouble},
 	"friday": {what: "Friday supper: floods on chaine, accounts that shift, a node that is sick", kinds: []string{"flood", "flood", "shift", "sick", "slow"},
 		every: 1500 * time.Millisecond, weather: 0.02, load: 1.2, bound: true, floors: map[string]int{audit.Ceilings: 200, audit.Quotas: 200}},
-	"crowd": {what: "accounts through up to all of many ingresses, some at several times their quotas, others just inside them", crowd: true, nodes: 48, exact: true,
+	"crowd": {what: "accounts through up to all of many ingresses, some at several times their quotas, others just inside them", crowd: Crowd, nodes: 48, exact: true,
 		kinds: []string{"flood"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
-	"crowd-split": {what: "the same, while ingresses are split in halves, lose messages and die", crowd: true, nodes: 48, exact: true,
+	"crowd-split": {what: "the same, while ingresses are split in halves, lose messages and die", crowd: Crowd, nodes: 48, exact: true,
 		kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
+	"places": {what: "accounts at a cap of two open attempts, each through up to two thirds of many ingresses", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, exact: true,
+		every: 2 * time.Second, kinds: []string{"flood"}, floors: map[string]int{audit.Caps: 100}},
+	"places-storm": {what: "the same, while ingresses die, restart, are split and lose messages, and nodes are slow", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, exact: true,
+		every: time.Second, kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder", "blink", "slow"}, floors: map[string]int{audit.Caps: 100}},
 	"snow": {what: "snowstorm evening: every node slow again and again, some pausing, under a full load", kinds: []string{"snow", "snow", "node pause", "far"},
 		every: 2 * time.Second, weather: 0.02, load: 1.2, floors: map[string]int{audit.Lost: 50, audit.Quotas: 100}},
 	"playoff": {what: "playoff night: planned restarts of ingresses and planners one after the other, accounts shift, nodes are replaced",
@@ -176,8 +190,14 @@
 	if s.nodes > 0 {
 		sc.Nodes = s.nodes
 	}
-	if s.crowd {
-		sc.Accounts = Crowd(sc.Forwarders, sc.Seed)
+	if s.work > 0 {
+		sc.Node.Work = maps.Clone(sc.Node.Work)
+		for class := range sc.Node.Work {
+			sc.Node.Work[class] *= s.work
+		}
+	}
+	if s.crowd != nil {
+		sc.Accounts = s.crowd(sc.Forwarders, sc.Seed)
 	}
 	if s.load > 0 {
 		for i := range sc.Accounts {
--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -40,6 +40,9 @@
 	First   float64 // of the first of them, up to 63.75; member only
 	Cheap   float64 // how cheap it is, 0 to 1; member only
 	Hold    float64 // seconds until it is worth asking again, up to 12.75; owner only
+	Lends   bool    // the sender knows places that are lent for a time; versions before do not
+	Places  int     // lent from now on, beside those that the member has; owner that lends only
+	Lease   float64 // seconds for which they are, or a member that lends and wants nothing asks for its attempts, up to 12.75
 }
 
 // AppendHeader begins a message; the number of its records is to be set at CountAt.
@@ -53,7 +56,7 @@
 // AppendRecord appends a record.
 func AppendRecord(b []byte, r Record) []byte {
 	head := byte(r.Plan & 15)
-	for i, on := range []bool{r.Owner, r.Known, r.Flag} {
+	for i, on := range []bool{r.Owner, r.Known, r.Flag, r.Lends} {
 		if on {
 			head |= 1 << (7 - i)
 		}
@@ -63,12 +66,16 @@
 	b = binary.BigEndian.AppendUint16(b, uint16(int16(Clamp(r.Room*4, -256, 32000))))
 	b = binary.BigEndian.AppendUint16(b, uint16(Clamp(r.Rate*4, 0, math.MaxUint16)))
 	b = binary.BigEndian.AppendUint16(b, uint16(Clamp(float64(r.Out), 0, math.MaxUint16)))
-	first := math.Ceil(r.First * 4)
-	if r.Owner {
-		first = math.Ceil(r.Hold / holdStep)
+	unacked, first, cheap := r.Unacked*4, math.Ceil(r.First*4), r.Cheap*255
+	lease := math.Floor(r.Lease/holdStep + 1e-9) // rounded towards less time
+	switch {
+	case r.Owner:
+		unacked, first, cheap = lease, math.Ceil(r.Hold/holdStep), float64(r.Places)
+	case r.Lends && r.Want <= 0:
+		first = lease
 	}
-	return append(b, byte(Clamp(r.Unacked*4, 0, 255)), byte(Clamp(math.Ceil(r.Want*4), 0, 255)),
-		byte(Clamp(first, 0, 255)), byte(Clamp(r.Cheap*255, 0, 255)))
+	return append(b, byte(Clamp(unacked, 0, 255)), byte(Clamp(math.Ceil(r.Want*4), 0, 255)),
+		byte(Clamp(first, 0, 255)), byte(Clamp(cheap, 0, 255)))
 }
 
 // Count is the message by which something that is no gateway hands counts to a customer's owner, in the place of
@@ -125,15 +132,20 @@
 	for ; n > 0; n, b = n-1, b[RecordLen:] {
 		r := Record{
 			Key: binary.BigEndian.Uint32(b), Plan: int(b[4] & 15), Owner: b[4]>>7 == 1, Known: b[4]>>6&1 == 1,
-			Flag: b[4]>>5&1 == 1, Total: float64(binary.BigEndian.Uint16(b[5:])) / 4,
+			Flag: b[4]>>5&1 == 1, Lends: b[4]>>4&1 == 1, Total: float64(binary.BigEndian.Uint16(b[5:])) / 4,
 			Room: float64(int16(binary.BigEndian.Uint16(b[7:]))) / 4,
 			Rate: float64(binary.BigEndian.Uint16(b[9:])) / 4, Out: int(binary.BigEndian.Uint16(b[11:])),
-			Unacked: float64(b[13]) / 4, Want: float64(b[14]) / 4, Cheap: float64(b[16]) / 255,
+			Want: float64(b[14]) / 4,
 		}
-		if r.Owner {
-			r.Hold = float64(b[15]) * holdStep
-		} else {
-			r.First = float64(b[15]) / 4
+		switch {
+		case r.Owner:
+			if r.Hold = float64(b[15]) * holdStep; r.Lends {
+				r.Lease, r.Places = float64(b[13])*holdStep, int(b[16])
+			}
+		case r.Lends && b[14] == 0:
+			r.Lease, r.Unacked, r.Cheap = float64(b[15])*holdStep, float64(b[13])/4, float64(b[16])/255
+		default:
+			r.First, r.Unacked, r.Cheap = float64(b[15])/4, float64(b[13])/4, float64(b[16])/255
 		}
 		recs = append(recs, r)
 	}
--- /dev/null
+++ b/internal/places/places.go
@@ -0,0 +1,193 @@
+// Package places lends the places of an account with a cap on open attempts: the right to have one attempt out, for a time. The owner of the
+// account keeps a Book of what it has lent and a line of members that wait; a member keeps what it was lent. A place comes back by a word, or by
+// itself when its time is over, so that no lost word and no dead member keeps it; who has an attempt out for longer renews it. Lengths of time
+// are told, never times of day: clocks differ. The package does no I/O and takes time as a value, in seconds of the caller's clock.
+package places
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// GraceS is for how much longer the lender believes in a place than it lent it for: a word's way to the member.
+	GraceS = 0.08
+	// RenewS before its end a place is renewed while an attempt is out on it.
+	RenewS = 0.1
+	// WordS is for how long attempts out are lent places that a member tells of, and places that nobody asked for.
+	WordS = 0.5
+	// MostS bounds the time for which a place is lent.
+	MostS = 12.0
+)
+
+// Span is for how long a place is lent to an attempt that takes so long in the mean, with such a mean deviation. Most attempts end within
+// it, and a word of their end brings the place back earlier.
+func Span(mean, dev float64) float64 { return min(1.25*mean+2*dev+RenewS, MostS) }
+
+// lease is so many places of one member, from one time to another.
+type lease struct {
+	member    int
+	n         int
+	from, end float64
+}
+
+// Waiter is a member's request for a place that has to wait.
+type Waiter struct {
+	Member       int
+	Units, First float64 // of all its requests that wait, and of the first of them
+	Cheap        float64 // of the first
+	Pool         bool    // a ceiling's shared part is to pay
+	Until        float64 // after that it has no use for the place
+}
+
+// Book is the lender's account of one account's places.
+type Book struct {
+	leases []lease
+	line   []Waiter
+	turns  float64 // seconds from one place that came free to the next, of late; 0: not known
+	turnAt float64
+}
+
+// Out is how many places are lent now, but for those of one member (-1: of all).
+func (b *Book) Out(now float64, but int) (n int) {
+	if b == nil {
+		return 0
+	}
+	b.leases = slices.DeleteFunc(b.leases, func(l lease) bool { return l.end <= now })
+	for _, l := range b.leases {
+		if l.member != but {
+			n += l.n
+		}
+	}
+	return n
+}
+
+// Lend notes that a member has so many places more, for so long from now on.
+func (b *Book) Lend(now float64, member, n int, span float64) {
+	if n > 0 {
+		b.leases = append(b.leases, lease{member, n, now, now + min(span, MostS) + GraceS})
+	}
+}
+
+// Told takes a member's word that it has so many attempts out: it stands in place of what was lent to it, but for places lent so short a time
+// ago that the word may have crossed them. The places are its own for so long from now on.
+func (b *Book) Told(now float64, member, out int, span float64) {
+	before := b.Out(now, -1)
+	b.leases = slices.DeleteFunc(b.leases, func(l lease) bool { return l.member == member && now-l.from >= GraceS })
+	for _, l := range b.leases {
+		if l.member == member { // lent just now: out may have them already
+			out -= l.n
+		}
+	}
+	b.Lend(now, member, out, span)
+	if after := b.Out(now, -1); after < before {
+		b.turn(now)
+	}
+}
+
+// turn learns how often places come free.
+func (b *Book) turn(now float64) {
+	if gap := now - b.turnAt; b.turnAt > 0 && gap < MostS {
+		if b.turns == 0 {
+			b.turns = gap
+		}
+		b.turns += 0.2 * (gap - b.turns)
+	}
+	b.turnAt = now
+}
+
+// Drop ends all that a member has: it died, or has started anew.
+func (b *Book) Drop(member int) {
+	b.leases = slices.DeleteFunc(b.leases, func(l lease) bool { return l.member == member })
+	b.Leave(member)
+}
+
+// Wait puts a member into the line, or brings what it asks for up to date where it stands, and returns how many are before it. The line holds
+// each member once.
+func (b *Book) Wait(w Waiter) (before int) {
+	if i := b.place(w.Member); i >= 0 {
+		w.Until = max(w.Until, b.line[i].Until)
+		b.line[i] = w
+		return i
+	}
+	b.line = append(b.line, w)
+	return len(b.line) - 1
+}
+
+func (b *Book) place(member int) int {
+	return slices.IndexFunc(b.line, func(w Waiter) bool { return w.Member == member })
+}
+
+// Leave takes a member out of the line.
+func (b *Book) Leave(member int) {
+	if i := b.place(member); i >= 0 {
+		b.line = slices.Delete(b.line, i, i+1)
+	}
+}
+
+// Waiting is how many members are in the line.
+func (b *Book) Waiting() int {
+	if b == nil {
+		return 0
+	}
+	return len(b.line)
+}
+
+// Next is the first in the line that can still use a place; those whose time is over leave it.
+func (b *Book) Next(now float64) (Waiter, bool) {
+	b.line = slices.DeleteFunc(b.line, func(w Waiter) bool { return w.Until <= now })
+	if len(b.line) == 0 {
+		return Waiter{}, false
+	}
+	return b.line[0], true
+}
+
+// Soon is how long it takes until somebody with so many before it gets a place, of so many places each of which is held for about so long: by
+// how often places came free of late where that is known, or as an even flow.
+func (b *Book) Soon(before, places int, span float64) float64 {
+	even := span / float64(max(places, 1))
+	if b != nil && b.turns > 0 {
+		even = min(max(b.turns, even/4), 2*even)
+	}
+	return float64(before+1) * even
+}
+
+// Held is what a member was lent of one account.
+type Held struct{ leases []lease }
+
+// Lend takes a grant of so many places, for so long from now on. The caller's count from the arrival of a word is at most GraceS behind the lender's.
+func (h *Held) Lend(now float64, n int, span float64) {
+	if n > 0 && span > 0 {
+		h.leases = append(h.leases, lease{0, n, now, now + span})
+	}
+}
+
+// Renew notes that the lender is told of so many attempts out, and for how long: nothing else is held from then on.
+func (h *Held) Renew(now float64, n int, span float64) {
+	h.leases = h.leases[:0]
+	h.Lend(now, n, span)
+}
+
+// Now is how many places are held at a time.
+func (h *Held) Now(at float64) (n int) {
+	for _, l := range h.leases {
+		if l.end > at {
+			n += l.n
+		}
+	}
+	return n
+}
+
+// Sweep forgets places whose time is over.
+func (h *Held) Sweep(now float64) {
+	h.leases = slices.DeleteFunc(h.leases, func(l lease) bool { return l.end <= now })
+}
+
+// Ahead is how many of the free places a member is lent before it asks: its part of what is asked for, rounded down, so that the parts of all
+// members add up to what is free. Half of it stays for those who ask.
+func Ahead(free int, mine, all float64) int {
+	if free < 2 || all <= 0 || mine <= 0 {
+		return 0
+	}
+	return int(math.Floor(float64(free) / 2 * min(mine/all, 1)))
+}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -18,7 +18,6 @@
 	Boot  uint8   // its life
 	Total float64 // as last told, and what was set aside for it since
 	Rate  float64 // units a second that it is asked for
-	Out   int     // its attempts out
 	At    float64 // when it last told
 }
 
@@ -27,16 +26,6 @@
 	return &Ledger{Room: room, At: now, Born: now, Members: map[int]*Member{}}
 }
 
-// Outs sums the attempts that members heard within so many seconds have out, but for one of them.
-func (l *Ledger) Outs(now, within float64, but int) (n int) {
-	for i, m := range l.Members {
-		if i != but && now-m.At < within {
-			n += m.Out
-		}
-	}
-	return n
-}
-
 // Heard counts the members heard within so many seconds.
 func (l *Ledger) Heard(now, within float64) (n int) {
 	for _, m := range l.Members {
@@ -62,11 +51,11 @@
 }
 
 // Told takes a member's report into the sums and returns the units that it is beyond what was known; below 0 when it hands back.
-func (l *Ledger) Told(m *Member, total, rate float64, out int, now, tau float64) float64 {
+func (l *Ledger) Told(m *Member, total, rate, now, tau float64) float64 {
 	delta := Quarters(total - m.Total)
 	l.Demand = l.DemandNow(now, tau) + rate - m.Rate*math.Exp((m.At-now)/tau)
 	l.DemandAt = now
-	*m = Member{Boot: m.Boot, Total: total, Rate: rate, Out: out, At: now}
+	*m = Member{Boot: m.Boot, Total: total, Rate: rate, At: now}
 	return delta
 }
 
@@ -90,7 +79,7 @@
 func (l *Ledger) Pack() (figures []float64, members map[int][5]float64) {
 	members = map[int][5]float64{}
 	for i, m := range l.Members {
-		members[i] = [5]float64{float64(m.Boot), m.Total, m.Rate, float64(m.Out), m.At}
+		members[i] = [5]float64{float64(m.Boot), m.Total, m.Rate, 0, m.At}
 	}
 	return []float64{l.Room, l.At, l.Born, l.Demand, l.DemandAt}, members
 }
@@ -104,7 +93,7 @@
 		}
 	}
 	for i, f := range members {
-		l.Members[i] = &Member{Boot: uint8(f[0]), Total: f[1], Rate: f[2], Out: int(f[3]), At: f[4]}
+		l.Members[i] = &Member{Boot: uint8(f[0]), Total: f[1], Rate: f[2], At: f[4]}
 	}
 	return l
 }
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -21,7 +21,7 @@
 		now := 0.0
 		tell := func(i int) {
 			wire := math.Mod(totals[i], 16384) // as it comes over the wire
-			l.Spend(l.Told(l.Members[i], wire, rng.Float64()*10, rng.IntN(3), now, 1.5), 0)
+			l.Spend(l.Told(l.Members[i], wire, rng.Float64()*10, now, 1.5), 0)
 		}
 		for range 400 {
 			now += rng.Float64() * 0.1
@@ -66,9 +66,9 @@
 
 func TestMembersThatFallSilent(t *testing.T) {
 	l := New(1, 0)
-	l.Members[1], l.Members[2] = &Member{Out: 2, At: 10}, &Member{Out: 3, At: 5}
-	if l.Outs(10.5, 3, -1) != 2 || l.Outs(10.5, 8, 1) != 3 || l.Heard(10.5, 8) != 2 {
-		t.Error("attempts out of members that are believed")
+	l.Members[1], l.Members[2] = &Member{At: 10}, &Member{At: 5}
+	if l.Heard(10.5, 3) != 1 || l.Heard(10.5, 8) != 2 {
+		t.Error("members that are believed")
 	}
 	if l.Drop(14, 8); len(l.Members) != 1 {
 		t.Errorf("%d members kept", len(l.Members))
@@ -78,7 +78,7 @@
 func TestACountIsHandedOnWhole(t *testing.T) {
 	l := New(7, 3)
 	l.Members[4] = &Member{Boot: 9}
-	l.Spend(l.Told(l.Members[4], 5, 2.5, 3, 6, 1.5), 1)
+	l.Spend(l.Told(l.Members[4], 5, 2.5, 6, 1.5), 1)
 	figures, members := l.Pack()
 	was, is := *l, *Unpack(figures, members)
 	m := is.Members[4]
--- a/policy/keep.go
+++ b/policy/keep.go
@@ -2,6 +2,7 @@
 
 import (
 	"eiderspread/internal/kept"
+	"eiderspread/internal/places"
 	"eiderspread/internal/tally"
 	"eiderspread/internal/why"
 )
@@ -50,6 +51,7 @@
 // or takes its own back.
 func (g *Gateway) Adopt(now float64, k kept.Part) {
 	g.clock(now)
+	g.lendFrom = now + places.WordS
 	g.boot, g.seq, g.born = k.Boot, max(g.seq, k.Seq+kept.SeqAhead), k.Born
 	g.limit = k.Limit * float64(max(1, len(g.order)))
 	kept.Restore(g.figures(), k.Figures)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"eiderspread/internal/peermsg"
+	"eiderspread/internal/places"
 	"eiderspread/internal/tally"
 	"eiderspread/internal/why"
 )
@@ -38,7 +39,7 @@
 	cheapLeaves  = 0.18 // of the burst, that the cheapest work leaves to dearer work of its customer
 	memberS      = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
 	wantNone     = 0.25 // an owner's answer that grants nothing
-	outS         = 3.0  // a member's attempts out are believed for so long
+	outS         = 3.0  // attempts out of a member that knows no places lent for a time are believed for so long
 	debtShare    = 0.5  // of the burst, that an account owes at most for what was let in beyond its window
 	youngS       = 2.0  // a ledger younger than this believes the room that members hand back
 	forgetS      = 10.0 // customers unused for longer are forgotten: after memberS at any owner, so that
@@ -101,6 +102,7 @@
 		byHash: map[uint16]*server{}, reqs: map[string]*request{}, custs: map[uint32]*customer{},
 		peers: make([]peer, s.Gateways), workAt: now}
 	g.boot = uint8(g.rng.Uint32())
+	g.lendFrom = now + places.WordS
 	g.tokens, g.tokensAt = 2, now
 	g.limit = startLimit / float64(s.Gateways) // for one server
 	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
@@ -111,7 +113,7 @@
 
 // newClass is a class as a gateway knows it at the start.
 func newClass(c Class, i int) *class {
-	return &class{Class: c, index: i, tag: peermsg.Tag(c.Name), lat: firstLat * c.AimS}
+	return &class{Class: c, index: i, tag: peermsg.Tag(c.Name), lat: firstLat * c.AimS, dev: firstLat / 2 * c.AimS}
 }
 
 // newServer is a server as a gateway knows it when it is first listed.
@@ -339,6 +341,10 @@
 	g.drain()
 	g.watch()
 	g.probe()
+	g.lined = slices.DeleteFunc(g.lined, func(c *customer) bool {
+		g.serve(c)
+		return c.book.Waiting() == 0
+	})
 	g.unanswered()
 	g.flush()
 	if now > g.sweepAt {
@@ -395,7 +401,8 @@
 		return wait, why.Silent
 	case g.now < c.holdTill:
 		return deny, why.Held
-	case p.Parallel > 0 && (age > freshS || c.out+c.othersOut+1 >= p.Parallel):
+	case p.Parallel > 0 && c.held.Now(g.now+places.RenewS) <= c.out+c.due && (age > freshS ||
+		float64(c.out+c.due+c.othersOut+1)+c.others*(age+lagS)/max(r.Units, 1) >= float64(p.Parallel)):
 		return wait, why.Cap
 	case !g.ceilingHolds(c, c.owed+r.Units) && (g.owner(c) == c.prime || !g.ceilingSoon(r)):
 		return wait, why.CeilPart // the first on the ring may pay
@@ -429,7 +436,7 @@
 	case p.Rate > 0 && g.demandNow(c)+l.DemandNow(g.now, demandTauS) > p.Rate &&
 		units+cheap*cheapLeaves*p.Burst > l.Room:
 		return why.Kept
-	case p.Parallel > 0 && c.out+l.Outs(g.now, outS, -1) >= p.Parallel:
+	case p.Parallel > 0 && g.free(c) <= 0:
 		return why.Cap
 	}
 	return why.None
@@ -460,6 +467,7 @@
 		c.owed += r.Units
 	}
 	r.taken = true
+	c.due++
 	g.charge(c, r.Units)
 }
 
@@ -506,6 +514,9 @@
 	g.trace(why.Ask, because, r, -1)
 	c.asks, r.asking = append(c.asks, r), true
 	if len(c.asks) > 1 {
+		if c.inLine {
+			g.note(c, true)
+		}
 		return // it joins the next report
 	}
 	c.tries, c.waitFrom = 0, g.now
@@ -545,13 +556,21 @@
 		c.dirty = false
 		c.usedAt = g.now
 		r := record{Key: c.key, Plan: c.plan.index, Known: c.known, Flag: i == c.prime, Total: c.total,
-			Room: g.roomNow(c), Rate: g.demandNow(c), Out: c.out, Unacked: max(c.total-c.acked, 0)}
+			Room: g.roomNow(c), Rate: g.demandNow(c), Out: c.out + c.due, Unacked: max(c.total-c.acked, 0), Lends: true}
 		c.asked = len(c.asks)
 		for k, q := range c.asks {
 			if r.Want += q.Units; k == 0 {
 				r.First, r.Cheap = q.Units, q.cheap
 			}
 		}
+		if c.plan.Parallel > 0 {
+			c.held.Renew(g.now, r.Out, places.WordS)
+			if c.lender && r.Want == 0 && r.Unacked == 0 { // of places alone: it needs no answer
+				r.Lease = places.WordS
+				b = peermsg.AppendRecord(b, r)
+				continue
+			}
+		}
 		b = peermsg.AppendRecord(b, r)
 		if c.waitFrom == 0 || c.asked > 0 {
 			c.waitFrom = g.now
@@ -587,13 +606,13 @@
 			most = askWaitS
 		}
 		if c.waitFrom > 0 && g.now-max(c.waitFrom, g.gapAt) > most {
-			if !c.dirty { // it was told
+			if !c.dirty && !c.inLine { // it was told
 				p := &g.peers[c.askOf]
 				p.missed, p.missAt = p.missed+1, g.now
 				g.lost += lostWeight * (1 - g.lost)
 			}
 			c.tries++
-			c.waitFrom, c.asked = 0, 0
+			c.waitFrom, c.asked, c.inLine = 0, 0, false
 			if c.tries > g.missLimit() {
 				c.tries = 0
 				g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false, why.LocalRoom)
@@ -682,7 +701,10 @@
 				c = g.newCustomer(r.Key, g.plans[r.Plan])
 			}
 			c.usedAt = now
-			b = peermsg.AppendRecord(b, g.count(c, from, r))
+			if v := g.count(c, from, r); r.Lease == 0 {
+				b = peermsg.AppendRecord(b, v)
+			}
+			g.serve(c)
 		}
 	}
 	g.post(from, b)
@@ -704,49 +726,129 @@
 		}
 		m = &tally.Member{Boot: g.peers[from].order.Boot, Total: r.Total - r.Unacked}
 		l.Members[from] = m
+		c.book.Drop(from)
+	}
+	l.Spend(l.Told(m, r.Total, r.Rate, g.now, demandTauS), debtShare*c.plan.Burst)
+	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true, Lends: r.Lends}
+	if c.plan.Parallel > 0 {
+		span := places.WordS
+		if !r.Lends {
+			span = outS
+		}
+		c.book.Told(g.now, from, r.Out, span)
+		if r.Want == 0 {
+			c.book.Leave(from)
+		}
 	}
-	l.Spend(l.Told(m, r.Total, r.Rate, r.Out, g.now, demandTauS), debtShare*c.plan.Burst)
-	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true}
 	if r.Want > 0 {
-		grant, short := 0.0, why.None
-		for _, w := range []float64{r.Want, r.First} {
-			if free := c.plan.Parallel - c.out - l.Outs(g.now, outS, -1); c.plan.Parallel > 0 {
-				w = min(w, r.First*float64(max(free, 1)))
-			}
-			if short = g.fits(l, c, w, r.Cheap); short == why.None {
-				grant = w
-				break
+		w := places.Waiter{Member: from, Units: r.Want, First: r.First, Cheap: r.Cheap, Pool: r.Flag}
+		switch short := g.grant(c, w, &v); {
+		case short == why.None:
+			c.book.Leave(from)
+		case short == why.Cap && r.Lends: // it gets the next place that is free, unasked
+			span, wait := g.span(r.Cheap)
+			w.Until = g.now + wait
+			v.Hold, v.Lease = c.book.Soon(c.due+c.book.Wait(w), c.plan.Parallel, span), places.WordS
+			if !slices.Contains(g.lined, c) {
+				g.lined = append(g.lined, c)
 			}
-		}
-		v.Want = wantNone
-		if grant > 0 {
-			// The shared part of the ceiling pays as far as it reaches; the rest asks again.
-			if r.Flag && g.poolHolds(c, r.First) {
-				v.Flag, grant = true, min(grant, math.Floor(c.pool.Level*4)/4)
-				c.pool.Level -= grant
-			}
-			v.Want = grant
-			l.Room -= grant
-			m.Total += grant
-			m.Out += max(int(grant/max(r.First, 1)), 1)
-		} else if short != why.Cap { // an attempt ends soon: what waits for that asks again with the next batch
+		case short != why.Cap: // an attempt ends soon: what waits for that asks again with the next batch
 			busy := g.s.PeerIntake * holdShare
 			v.Hold = float64(l.Heard(g.now, memberS)) / max(busy, 1) * min(g.inRate/max(busy, 1), 3)
 		}
-		g.traceWord(c, from, r, v, grant, short)
 	}
-	v.Total, v.Room, v.Out = m.Total, l.Room, c.out+l.Outs(g.now, outS, from)
-	v.Rate = max(l.DemandNow(g.now, demandTauS)-m.Rate, 0) + g.demandNow(c)
+	g.word(c, from, &v)
 	return v
 }
 
+// word completes what the owner says to a member.
+func (g *Gateway) word(c *customer, to int, v *record) {
+	l := g.ledger(c)
+	m := l.Members[to]
+	if c.plan.Parallel > 0 && v.Lends && v.Hold == 0 && c.book.Waiting() == 0 {
+		if n := places.Ahead(g.free(c), m.Rate, l.DemandNow(g.now, demandTauS)+g.demandNow(c)); n > 0 {
+			v.Places, v.Lease = v.Places+n, cmp.Or(v.Lease, places.WordS)
+			c.book.Lend(g.now, to, n, v.Lease)
+		}
+	}
+	v.Total, v.Room, v.Out = m.Total, l.Room, c.out+c.due+c.book.Out(g.now, to)
+	v.Rate = max(l.DemandNow(g.now, demandTauS)-m.Rate, 0) + g.demandNow(c)
+}
+
+// grant sets units aside for a member that asks, and places under a cap; it tells why not, if nothing.
+func (g *Gateway) grant(c *customer, w places.Waiter, v *record) (short why.Reason) {
+	l, grant := g.ledger(c), 0.0
+	for _, units := range []float64{w.Units, w.First} {
+		if c.plan.Parallel > 0 {
+			units = min(units, w.First*float64(max(g.free(c), 1)))
+		}
+		if short = g.fits(l, c, units, w.Cheap); short == why.None {
+			grant = units
+			break
+		}
+	}
+	if v.Want = wantNone; grant > 0 {
+		// The shared part of the ceiling pays as far as it reaches; the rest asks again.
+		if w.Pool && g.poolHolds(c, w.First) {
+			v.Flag, grant = true, min(grant, math.Floor(c.pool.Level*4)/4)
+			c.pool.Level -= grant
+		}
+		v.Want = grant
+		l.Room -= grant
+		l.Members[w.Member].Total += grant
+		if c.plan.Parallel > 0 {
+			v.Places, v.Lease = max(int(grant/max(w.First, 1)), 1), outS
+			if v.Lends {
+				v.Lease, _ = g.span(w.Cheap)
+			}
+			c.book.Lend(g.now, w.Member, v.Places, v.Lease)
+		}
+	}
+	g.traceWord(c, w, *v, grant, short)
+	return short
+}
+
+// serve lends places that came free to those in the customer's line, in turn.
+func (g *Gateway) serve(c *customer) {
+	for {
+		w, ok := c.book.Next(g.now)
+		if !ok || g.free(c) <= 0 {
+			return
+		}
+		c.book.Leave(w.Member)
+		if g.ledger(c).Members[w.Member] == nil {
+			continue
+		}
+		v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true, Lends: true}
+		g.grant(c, w, &v)
+		g.word(c, w.Member, &v)
+		g.post(w.Member, peermsg.AppendRecord(g.header(), v))
+	}
+}
+
 // heard takes in what the owner says.
 func (g *Gateway) heard(c *customer, r record) {
 	most := c.total + tally.Quarters(r.Total-c.total)
 	again := 0
 	c.known, c.room, c.roomAt, c.acked = true, r.Room, g.now, most
-	c.others, c.othersOut = r.Rate, r.Out
-	if r.Want > 0 && c.asked > 0 {
+	c.others, c.othersOut, c.lender = r.Rate, r.Out, r.Lends
+	c.held.Sweep(g.now)
+	c.held.Lend(g.now, r.Places, r.Lease)
+	if r.Lease > 0 && r.Places == 0 && c.asked > 0 { // in line: the owner's next word comes unasked, by then
+		c.inLine, c.tries, c.waitFrom, c.asked = true, 0, g.now+r.Hold, min(c.asked, len(c.asks))
+		told := len(c.asks) - c.asked
+		c.asks = slices.DeleteFunc(c.asks, func(q *request) bool {
+			if q.asking = !q.over && g.now+r.Hold <= min(q.aimAt-q.cls.lat, q.halfAt); !q.asking {
+				g.refuse(q, why.Cap)
+			}
+			return !q.asking
+		})
+		if c.asked = max(len(c.asks)-told, 0); c.asked == 0 {
+			c.inLine = false
+			g.note(c, true)
+		}
+	} else if r.Want > 0 && c.asked > 0 {
+		c.inLine = false
 		n := min(c.asked, len(c.asks))
 		c.asked, c.tries, c.holdTill = 0, 0, g.now+r.Hold
 		no := why.Denied
@@ -815,15 +917,8 @@
 // capSoon tells whether an attempt of the customer will end in time for the request, behind what waits for
 // that already.
 func (g *Gateway) capSoon(r *request) bool {
-	ahead := 1.0
-	for _, q := range g.queue {
-		if q.cust == r.cust && q.attempts == nil && !q.over {
-			ahead++
-		}
-	}
-	l, mine := g.ledger(r.cust), g.demandNow(r.cust)
-	all := 1 + l.DemandNow(g.now, demandTauS)/max(mine, 1e-9) // other gateways' requests come in between
-	return g.now+ahead*all*r.cls.lat/float64(r.plan.Parallel) <= min(r.aimAt-r.cls.lat, r.halfAt)
+	c := r.cust
+	return g.now+c.book.Soon(c.due+c.book.Waiting(), c.plan.Parallel, r.cls.lat) <= min(r.aimAt-r.cls.lat, r.halfAt)
 }
 
 // poolHolds does so for the other part, which the first gateway on the customer's ring pays grants from.
@@ -870,9 +965,9 @@
 // full tells that as much is out as may be, of the customer too before a first send. A part of one that is
 // free is rounded up while answers are fast, and makes a pause while they are slow: many round it up.
 func (g *Gateway) full(r *request) bool {
-	free, p := g.limit-float64(g.out), r.plan
+	free := g.limit - float64(g.out)
 	part := free < 1 && g.stretch >= stretchHigh && g.now-g.sentAt < max(r.cls.lat, g.spent)/free
-	return free <= 0 || part || p != nil && p.Parallel > 0 && r.attempts == nil && g.outNow(r.cust) >= p.Parallel
+	return free <= 0 || part || r.cust != nil && r.attempts == nil && g.capped(r.cust)
 }
 
 // choose picks the server for the request's next attempt, nil if none has room.
@@ -976,6 +1071,7 @@
 		s.broken, s.fulls = 0, 0
 		g.done += c.lat / demandTauS
 		c.n++
+		c.dev += (math.Abs(o.SpentS-c.lat) - c.dev) * max(0.02, 1/float64(c.n+1))
 		c.lat += (o.SpentS - c.lat) * max(0.02, 1/float64(c.n+1))
 		s.speed = max(s.speed+0.1*(slow-s.speed), 0.3)
 	case Timeout:
@@ -1021,9 +1117,16 @@
 	g.live = slices.DeleteFunc(g.live, func(r *request) bool { return r.over && r.out == 0 })
 	for _, r := range g.live {
 		if r.asking && g.now+tickS > min(r.endAt()-r.cls.lat, r.halfAt) {
-			g.refuse(r, why.Silent)
+			because := why.Silent
+			if r.cust.inLine {
+				because = why.Line
+			}
+			g.refuse(r, because)
 			continue
 		}
+		if c := r.cust; c != nil && c.lender && r.out > 0 && c.plan.Parallel > 0 && c.held.Now(g.now+places.RenewS) < c.out {
+			g.note(c, true) // its place would end before it does
+		}
 		for i := range r.attempts {
 			a := &r.attempts[i]
 			if !a.done && !a.seen && !r.stream && g.now-max(a.sentAt, g.gapAt) > max(silentX*r.cls.lat, newsStepS) &&
--- a/policy/state.go
+++ b/policy/state.go
@@ -11,6 +11,7 @@
 	"eiderspread/internal/fade"
 	"eiderspread/internal/patience"
 	"eiderspread/internal/peermsg"
+	"eiderspread/internal/places"
 	"eiderspread/internal/ring"
 	"eiderspread/internal/tally"
 	"eiderspread/internal/why"
@@ -23,6 +24,7 @@
 	index int     // its place at each server
 	tag   int     // its name between gateways
 	lat   float64 // mean latency of good answers
+	dev   float64 // and its mean deviation
 	n     int
 	times patience.Hist // what was left of the deadline when tries came
 }
@@ -125,10 +127,13 @@
 	acked          float64 // as the owner last took it in
 	demand         float64 // units a second asked for here
 	demandAt       float64
-	out            int
-	known          bool    // the owner has reported
-	room, roomAt   float64 // as last reported
-	others         float64 // what the others are asked for
+	out, due       int  // attempts out; requests let in under a cap that were not sent yet
+	lender, inLine bool // the owner lends places; requests here wait in its line
+	held           places.Held
+	book           places.Book // of places, where this gateway owns it
+	known          bool        // the owner has reported
+	room, roomAt   float64     // as last reported
+	others         float64     // what the others are asked for
 	othersOut      int
 	holdTill       float64      // the owner refuses until then
 	asks           []*request   // wait for the owner's word
@@ -158,7 +163,7 @@
 	act              Actions
 	rng              *rand.Rand
 	now              float64
-	born             float64
+	born, lendFrom   float64 // until then it lends no places: what is out is not known
 	boot             uint8
 	seq              uint16
 	gapAt            float64     // when this gateway last came back from a gap of its own
@@ -167,6 +172,7 @@
 	tokens, tokensAt float64     // reports that may be sent
 	pending          []int       // peers with reports due
 	waiting          []*customer // with reports unanswered
+	lined            []*customer // with members that wait for a place
 	limit            float64     // attempts out here, at all servers
 	part             float64     // servers a gateway
 	out              int         // attempts out
@@ -205,13 +211,22 @@
 	return true
 }
 
-// outBy counts the customer's attempts out, which a parallel plan's owner hears of.
+// outBy counts the customer's attempts out. Under a cap its owner hears of one that it lent no place to, and at once of
+// one that ended where others may wait for its place; where no place is lent, of each.
 func (g *Gateway) outBy(r *request, n int) {
-	if r.cust == nil {
+	c := r.cust
+	if c == nil {
+		return
+	}
+	if c.out += n; r.plan.Parallel == 0 {
 		return
 	}
-	if r.cust.out += n; r.plan.Parallel > 0 {
-		g.note(r.cust, false)
+	switch tight := 2*(c.out+c.othersOut+1) >= r.plan.Parallel; {
+	case g.owner(c) == g.s.Me:
+	case !c.lender, n > 0 && c.held.Now(g.now) < c.out:
+		g.note(c, false)
+	case n < 0 && tight:
+		g.note(c, true)
 	}
 }
 
@@ -224,6 +239,7 @@
 	}
 	if r.taken && len(r.attempts) == 0 {
 		r.taken = false
+		r.cust.due--
 		g.charge(r.cust, -r.Units)
 	}
 	if r.out == 0 {
@@ -231,12 +247,29 @@
 	}
 }
 
-// outNow are the customer's attempts out, of all gateways where this one owns it.
-func (g *Gateway) outNow(c *customer) int {
-	if g.owner(c) != g.s.Me || c.led == nil {
-		return c.out
+// free is how many places of a capped customer are free here at its owner. A gateway that has just started knows
+// nothing of what is out.
+func (g *Gateway) free(c *customer) int {
+	if g.now < g.lendFrom && g.s.Peers && c.entries != 1 {
+		return 0
 	}
-	return c.out + c.led.Outs(g.now, outS, -1)
+	return c.plan.Parallel - c.out - c.due - c.book.Out(g.now, -1)
+}
+
+// capped tells that no other attempt of the customer may begin here now.
+func (g *Gateway) capped(c *customer) bool {
+	return c.plan.Parallel > 0 && (c.out >= c.plan.Parallel || g.owner(c) == g.s.Me && g.free(c)+c.due <= 0)
+}
+
+// span is for how long a place is lent to a request so cheap, by the class that it must be of; and how long that can wait.
+func (g *Gateway) span(cheap float64) (span, wait float64) {
+	near := math.Inf(1)
+	for _, c := range g.classList {
+		if d := math.Abs(1 - c.Worth/max(g.maxWorth, 1e-9) - cheap); d < near {
+			near, span, wait = d, places.Span(c.lat, c.dev), c.AimS-c.lat
+		}
+	}
+	return span, wait
 }
 
 // asked counts what the customer asks for here, passed or not.
@@ -507,6 +540,9 @@
 	g.out++
 	r.out++
 	g.sentAt, s.sentAt = g.now, g.now
+	if r.taken && len(r.attempts) == 0 {
+		r.cust.due--
+	}
 	g.outBy(r, 1)
 	r.attempts = append(r.attempts, attempt{srv: s, sentAt: g.now})
 }
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -1,6 +1,9 @@
 package policy
 
-import "eiderspread/internal/why"
+import (
+	"eiderspread/internal/places"
+	"eiderspread/internal/why"
+)
 
 // What the module tells of its decisions, where somebody asks. Nothing is decided here.
 
@@ -51,11 +54,11 @@
 }
 
 // traceWord tells what this gateway, as owner, told another one that asked.
-func (g *Gateway) traceWord(c *customer, from int, r, v record, grant float64, short why.Reason) {
+func (g *Gateway) traceWord(c *customer, w places.Waiter, v record, grant float64, short why.Reason) {
 	if g.tracer == nil {
 		return
 	}
-	d := why.Decision{At: g.now, Step: why.Grant, Why: why.Granted, Plan: c.plan.Name, Units: r.Want, From: from}
+	d := why.Decision{At: g.now, Step: why.Grant, Why: why.Granted, Plan: c.plan.Name, Units: w.Units, From: w.Member}
 	if grant == 0 {
 		d.Step, d.Why = why.Turn, short
 	} else if c.plan.CeilingRate > 0 && !v.Flag {
@@ -68,7 +71,7 @@
 // noRoom tells why no server was chosen.
 func (g *Gateway) noRoom(r *request) why.Reason {
 	switch {
-	case r.plan != nil && r.plan.Parallel > 0 && r.attempts == nil && g.outNow(r.cust) >= r.plan.Parallel:
+	case r.cust != nil && r.attempts == nil && g.capped(r.cust):
 		return why.Cap
 	case r.owes && !g.ceilingHolds(r.cust, r.Units) && !g.poolHolds(r.cust, r.Units):
 		return why.CeilPart
