Books of ceilings and the table of nodes get rooms of their own

Change: internal/ceiling keeps the parts of a ceiling, internal/nodes the table of servers by id and hash; news of servers, fading rates and the scope of keys went to peermsg, fade and terms. What is decided stays in policy and is unchanged. Mutants follow.

--- a/internal/fade/fade.go
+++ b/internal/fade/fade.go
@@ -1,6 +1,17 @@
 // Package fade keeps sums over a time that moves on.
 package fade
 
+import "math"
+
+// Rate is an amount a second, fading with a time constant in seconds. Its zero value is none.
+type Rate struct{ Value, At float64 }
+
+// Now is what is left of it.
+func (r *Rate) Now(now, tau float64) float64 { return r.Value * math.Exp((r.At-now)/tau) }
+
+// Add takes an amount in.
+func (r *Rate) Add(now, amount, tau float64) { r.Value, r.At = r.Now(now, tau)+amount/tau, now }
+
 // Log is what was done within a span of time, oldest first. Its zero value is empty; it holds no more than what was added within
 // the last span asked for.
 type Log []Work
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -11,6 +11,8 @@
 	simCrowd    = "sim -shrink=false -schedules 8 -for 30s -planners 0 -forwarders 12 -scenario "
 	module      = "policy/policy.go"
 	counts      = "internal/tally/tally.go"
+	ceilings    = "internal/ceiling/ceiling.go"
+	lender      = "internal/places/places.go"
 	state       = "policy/state.go"
 	core        = "internal/forward/core.go"
 	mover       = "internal/forward/move.go"
@@ -51,39 +53,39 @@
 	{Name: "and over a change of leaders too", Rule: "attempts limited", Unit: "./internal/forward",
 		Edits: edit(core, "len(o.done) >= c.cfg.MaxAttempts", "len(o.done) >= 99"), Runs: []string{simTwo + "errors"}},
 	{Name: "a key goes where it is remembered", Rule: "no effect twice", Unit: "./policy",
-		Edits: edit(module, "!sameGroup(r.cls.KeyScope, r.ran, s) {", "!sameGroup(ScopeAll, r.ran, s) {"), Runs: []string{simOne + "zones"}},
+		Edits: edit(module, "!r.cls.KeyScope.Same(r.ran.Server, s.Server) {", "!ScopeAll.Same(r.ran.Server, s.Server) {"), Runs: []string{simOne + "zones"}},
 	// ---- The module: quotas, caps and ceilings ----
 	{Name: "the owner's window", Rule: "quotas kept", Unit: "./policy",
 		Edits: edit(module, "case p.Rate > 0 && units > l.Room:", "case p.Rate > 0 && units > l.Room+1e9:"), Runs: []string{simTwo + "ceilings"}},
 	{Name: "what was let in is taken off the window", Rule: "quotas kept", Unit: "./policy",
 		Edits: edit(module, "\t\tg.ledger(c).Spend(units, debtShare*c.plan.Burst)\n", "\t\tg.ledger(c)\n"), Runs: []string{simTwo + "ceilings"}},
 	{Name: "cap on open attempts", Rule: "caps kept", Unit: "./policy", // when a request is let in, and when one that waited is sent
-		Edits: []Edit{{module, "case p.Parallel > 0 && c.out+l.Outs(g.now, outS, -1) >= p.Parallel:", "case false:"},
-			{module, " || p != nil && p.Parallel > 0 && r.attempts == nil && g.outNow(r.cust) >= p.Parallel", " || p == nil && false"}}, Runs: []string{simTwo + "capped"}},
+		Edits: []Edit{{module, "case p.Parallel > 0 && g.free(c) <= 0:", "case false:"},
+			{module, " || r.cust != nil && r.attempts == nil && g.capped(r.cust)", ""}}, Runs: []string{simTwo + "capped"}},
 	{Name: "ceilings", Rule: "ceilings kept", Unit: "./policy",
-		Edits: edit(module, "\treturn units <= c.ceil.Fill(g.now, p.CeilingRate*part, p.CeilingBurst*part)\n", "\tc.ceil.Fill(g.now, p.CeilingRate*part, p.CeilingBurst*part)\n\treturn true\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
+		Edits: edit(ceilings, "return t.Rate <= 0 || units <= c.Own.Fill(now, t.Rate*t.own(), t.Burst*t.own())", "return t.Rate <= 0 || c.Own.Fill(now, t.Rate*t.own(), t.Burst*t.own()) != units+0.123"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
 	{Name: "the shared part of a ceiling", Rule: "ceilings kept", Unit: "./policy",
-		Edits: edit(module, "\treturn units <= c.pool.Fill(g.now, c.plan.CeilingRate*pool, c.plan.CeilingBurst*pool)\n", "\tc.pool.Fill(g.now, c.plan.CeilingRate*pool, c.plan.CeilingBurst*pool)\n\treturn true\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
+		Edits: edit(ceilings, "units <= c.Pool.Fill(now, t.Rate*t.Shared(), t.Burst*t.Shared())", "c.Pool.Fill(now, t.Rate*t.Shared(), t.Burst*t.Shared()) != units+0.123"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
 	{Name: "what is sent is taken off the ceiling", Rule: "ceilings kept", Unit: "./policy",
-		Edits: edit(module, "\t\tr.cust.ceil.Level -= r.Units\n", "\t\tr.cust.ceil.Level -= 0\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
+		Edits: edit(ceilings, "\t\tc.Own.Level -= units\n", "\t\tc.Own.Level -= 0\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
 	{Name: "grants are taken off the shared part", Rule: "ceilings kept",
-		Edits: edit(module, "\t\t\t\tc.pool.Level -= grant\n", "\t\t\t\tc.pool.Level -= 0\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
+		Edits: edit(ceilings, "\tc.Pool.Level -= units\n\treturn units\n", "\treturn units\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
 	{Name: "a ceiling starts empty", Rule: "ceilings kept", Unit: "./policy",
-		Edits: edit(module, "ceil:     tally.Bucket{At: g.born}, pool: tally.Bucket{At: g.born}}", "ceil: tally.Bucket{Level: p.CeilingBurst, At: g.born}, pool: tally.Bucket{Level: p.CeilingBurst, At: g.born}}"),
+		Edits: edit(module, "ceil:     ceiling.New(g.born)}", "ceil: ceiling.Ceiling{Own: tally.Bucket{Level: p.CeilingBurst, At: g.born}, Pool: tally.Bucket{Level: p.CeilingBurst, At: g.born}}}"),
 		Runs:  []string{simTwo + "ceilings", simOne + "ceilings"}},
 	{Name: "ceilings are split among gateways", Rule: "ceilings kept", Unit: "./policy",
-		Edits: edit(module, "\tpart := (1 - g.poolPart(c)) / n\n", "\tpart := (1 - g.poolPart(c))\n\t_ = n\n"), Runs: []string{simOne + "ceilings"}},
+		Edits: edit(ceilings, "return (1 - t.Shared()) / float64(max(t.Gateways, 1)) }", "return 1 - t.Shared() }"), Runs: []string{simOne + "ceilings"}},
 	{Name: "one gateway pays out the shared part", Rule: "ceilings kept",
-		Edits: edit(module, "if c.prime != g.s.Me || c.plan.CeilingRate <= 0 {", "if c.plan.CeilingRate <= 0 {"), Runs: []string{simOne + "ceilings"}},
+		Edits: edit(ceilings, "return t.First && t.Rate > 0 && units", "return t.Rate > 0 && units"), Runs: []string{simOne + "ceilings"}},
 	{Name: "what owes the ceiling waits until it is paid", Rule: "ceilings kept",
-		Edits: edit(module, "\tif r.owes && !g.ceilingHolds(r.cust, r.Units) && !g.poolHolds(r.cust, r.Units) {\n", "\tif false {\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
+		Edits: edit(module, "\tif r.owes && !g.ceilingPays(r) {\n", "\tif false {\n"), Runs: []string{simTwo + "ceilings", simOne + "ceilings"}},
 	// ---- The module: the shared count of one level ----
 	{Name: "a grant is taken off the window", Rule: "quotas kept", Unit: "./policy",
-		Edits: edit(module, "\t\t\tl.Room -= grant\n", ""), Runs: []string{simOne + "calm"}},
+		Edits: edit(module, "\t\tl.Room -= grant\n", ""), Runs: []string{simOne + "calm"}},
 	{Name: "a grant is charged once", Rule: "quotas can be used",
-		Edits: edit(module, "\t\t\tl.Room -= grant\n", "\t\t\tl.Room -= 2 * grant\n"), Runs: []string{simOne + "calm", simOne + "friday"}},
+		Edits: edit(module, "\t\tl.Room -= grant\n", "\t\tl.Room -= 2 * grant\n"), Runs: []string{simOne + "calm", simOne + "friday"}},
 	{Name: "a report is counted once", Rule: "quotas can be used", Unit: "./internal/tally",
-		Edits: edit(counts, "Rate: rate, Out: out, At: now}\n", "Rate: rate, Out: out, At: now}\n\tdelta += max(delta, 0)\n"), Runs: []string{simOne + "calm", simOne + "friday"}},
+		Edits: edit(counts, "Rate: rate, At: now}\n", "Rate: rate, At: now}\n\tdelta += max(delta, 0)\n"), Runs: []string{simOne + "calm", simOne + "friday"}},
 	{Name: "lives of a member are told apart", Rule: "quotas can be used",
 		Why:   "a new life's total begins at 0, which a former life's larger one turns into units handed back; restarts are allowed a window more each",
 		Edits: edit(module, "if m == nil || m.Boot != g.peers[from].order.Boot {", "if m == nil {"), Runs: []string{simOne + "blinks", simOne + "programs"}},
--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -118,6 +118,29 @@
 	return append(b, byte(n.Class), byte(Clamp(n.Value*255, 0, 255)), byte(Clamp((now-n.At)/itemStep, 0, 255)))
 }
 
+// newsKept bounds News.
+const newsKept = 64
+
+// News is what is to be told to other gateways of servers, newest last.
+type News []Item
+
+// Add puts an item on it; the oldest leave.
+func (n *News) Add(x Item) {
+	if *n = append(*n, x); len(*n) > newsKept {
+		*n = (*n)[1:]
+	}
+}
+
+// Append fills the room left in a message with the newest items, so many at most and none older than so many seconds.
+func (n News) Append(b []byte, most int, now, within float64) []byte {
+	for i := len(n) - 1; i >= max(0, len(n)-most) && len(b)+ItemLen <= Limit; i-- {
+		if now-n[i].At < within {
+			b = AppendItem(b, n[i], now)
+		}
+	}
+	return b
+}
+
 // Parse returns false for anything that is not a whole message of this version.
 func Parse(b []byte, now float64) (boot uint8, seq uint16, recs []Record, items []Item, ok bool) {
 	if len(b) < HeaderLen || len(b) > Limit || b[0] != Version {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -121,6 +121,11 @@
 	SinceS   float64 // when its process started; 0: long ago
 }
 
+// Same tells whether two servers are of one group of the scope: they drop the repeats of the same key.
+func (s Scope) Same(a, b Server) bool {
+	return s == ScopeAll || a.Zone == b.Zone && (s == ScopeZone || a.Cell == b.Cell)
+}
+
 // Request is a client's request that this gateway now owes one final answer.
 type Request struct {
 	ID, Class, Plan, Customer string
--- a/policy/ceilings_test.go
+++ b/policy/ceilings_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"eiderspread/internal/ceiling"
 	"eiderspread/internal/kept"
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/why"
@@ -36,8 +37,8 @@
 	if sent, late := len(r.of("send", "")), len(r.of("refuse", ""))-refused; sent != 40-refused || late != 0 {
 		t.Errorf("%d of %d that waited were sent, %d refused after all", sent, 40-refused, late)
 	}
-	if c := g.custs[uint32(peermsg.Point("c-capped")>>32)]; c.owed != 0 {
-		t.Errorf("%v units owed when all are sent", c.owed)
+	if c := g.custs[uint32(peermsg.Point("c-capped")>>32)]; c.ceil.Owed != 0 {
+		t.Errorf("%v units owed when all are sent", c.ceil.Owed)
 	}
 }
 
@@ -48,18 +49,18 @@
 		ask(g, 100, fmt.Sprint("q", i), "read", "capped", 1)
 	}
 	c := g.custs[uint32(peermsg.Point("c-capped")>>32)]
-	if c.owed != 10 {
-		t.Fatalf("%v units owed, want 10", c.owed)
+	if c.ceil.Owed != 10 {
+		t.Fatalf("%v units owed, want 10", c.ceil.Owed)
 	}
 	g.Gone(100.01, "q3")
-	if c.owed != 9 {
-		t.Fatalf("%v units owed after one hung up", c.owed)
+	if c.ceil.Owed != 9 {
+		t.Fatalf("%v units owed after one hung up", c.ceil.Owed)
 	}
 	// A gateway that hands its counts on can pay for nothing more: what waits for that is told at once.
-	if parts := g.Keep(100.02); len(parts) == 0 || len(r.of("refuse", "")) != 9 || c.owed != 0 {
-		t.Errorf("%d refused at a hand-over, %v units owed", len(r.of("refuse", "")), c.owed)
+	if parts := g.Keep(100.02); len(parts) == 0 || len(r.of("refuse", "")) != 9 || c.ceil.Owed != 0 {
+		t.Errorf("%d refused at a hand-over, %v units owed", len(r.of("refuse", "")), c.ceil.Owed)
 	}
-	if c.ceil.Level != kept.None {
+	if c.ceil.Own.Level != kept.None {
 		t.Error("the ceiling was kept")
 	}
 }
@@ -169,7 +170,7 @@
 	for _, tc := range []struct {
 		gateways int
 		pool     float64
-	}{{2, poolShare}, {12, poolShare}, {80, 1}, {400, 1}} {
+	}{{2, ceiling.Share}, {12, ceiling.Share}, {80, 1}, {400, 1}} {
 		g, _ := gateway(t, func(s *Settings) {
 			s.Gateways, s.Peers, s.MaxUnits = tc.gateways, true, 3
 			s.Plans = []Plan{{Name: "wide", Rate: 40, Burst: 76, Price: 1, CeilingRate: 68, CeilingBurst: 100}}
@@ -177,10 +178,9 @@
 		c := g.customer(Request{Customer: "a", Plan: "wide", Entries: tc.gateways})
 		c.prime = g.s.Me
 		g.clock(g.now + 1000)
-		g.ceilingHolds(c, 0)
-		g.poolHolds(c, 0)
-		if got := g.poolPart(c); got != tc.pool || c.pool.Level != 100*tc.pool || c.ceil.Level*float64(tc.gateways) > 100*(1-tc.pool)+1e-9 {
-			t.Errorf("%d gateways: %v is paid from one place, %v there, %v here", tc.gateways, got, c.pool.Level, c.ceil.Level)
+		c.ceil.Soon(g.ceiling(c), g.now, 0, 0)
+		if got := g.ceiling(c).Shared(); got != tc.pool || c.ceil.Pool.Level != 100*tc.pool || c.ceil.Own.Level*float64(tc.gateways) > 100*(1-tc.pool)+1e-9 {
+			t.Errorf("%d gateways: %v is paid from one place, %v there, %v here", tc.gateways, got, c.ceil.Pool.Level, c.ceil.Own.Level)
 		}
 	}
 }
--- a/policy/keep.go
+++ b/policy/keep.go
@@ -14,8 +14,8 @@
 	return []*float64{&s.speed, &s.util, &s.utilAt, &s.busy, &s.sentAt}
 }
 func (c *customer) figures() []*float64 { // the ceiling's first
-	return []*float64{&c.ceil.Level, &c.ceil.At, &c.pool.Level, &c.pool.At, &c.usedAt, &c.turnedAt, &c.total, &c.acked, &c.demand,
-		&c.demandAt, &c.room, &c.roomAt, &c.others, &c.holdTill, &c.local.Level, &c.local.At}
+	return []*float64{&c.ceil.Own.Level, &c.ceil.Own.At, &c.ceil.Pool.Level, &c.ceil.Pool.At, &c.usedAt, &c.turnedAt, &c.total, &c.acked, &c.demand.Value,
+		&c.demand.At, &c.room, &c.roomAt, &c.others, &c.holdTill, &c.local.Level, &c.local.At}
 }
 
 // Keep returns all that is to be handed on. This gateway passes nothing more under a ceiling: what is left is the other's.
@@ -26,12 +26,12 @@
 			g.refuse(r, why.CeilBoth)
 		}
 	}
-	k := kept.Part{Boot: g.boot, Seq: g.seq, Born: g.born, Limit: g.limit / float64(max(1, len(g.order))), Figures: kept.Values(g.figures()),
+	k := kept.Part{Boot: g.boot, Seq: g.seq, Born: g.born, Limit: g.limit / float64(max(1, len(g.nodes.Order))), Figures: kept.Values(g.figures()),
 		Classes: map[string][2]float64{}, Servers: map[string][]float64{}}
 	for name, c := range g.classes {
 		k.Classes[name] = [2]float64{c.lat, float64(c.n)}
 	}
-	for id, s := range g.servers {
+	for id, s := range g.nodes.By {
 		k.Servers[id] = kept.Values(s.figures())
 	}
 	parts = []kept.Part{k}
@@ -42,7 +42,7 @@
 			x.Ledger, x.Members = c.led.Pack()
 		}
 		parts = kept.Add(parts, x)
-		c.ceil.Level, c.pool.Level = kept.None, kept.None
+		c.ceil.Own.Level, c.ceil.Pool.Level = kept.None, kept.None
 	}
 	return parts
 }
@@ -53,7 +53,7 @@
 	g.clock(now)
 	g.lendFrom = now + places.WordS
 	g.boot, g.seq, g.born = k.Boot, max(g.seq, k.Seq+kept.SeqAhead), k.Born
-	g.limit = k.Limit * float64(max(1, len(g.order)))
+	g.limit = k.Limit * float64(max(1, len(g.nodes.Order)))
 	kept.Restore(g.figures(), k.Figures)
 	for name, f := range k.Classes {
 		if c := g.classes[name]; c != nil {
@@ -61,7 +61,7 @@
 		}
 	}
 	for id, f := range k.Servers {
-		if s := g.servers[id]; s != nil {
+		if s := g.nodes.By[id]; s != nil {
 			kept.Restore(s.figures(), f)
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,6 +12,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"eiderspread/internal/ceiling"
+	"eiderspread/internal/nodes"
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/places"
 	"eiderspread/internal/tally"
@@ -32,7 +34,6 @@
 	lostWeight   = 0.02 // how far one report moves the share of them that is taken to be left unanswered
 	silentRetryS = 1.0  // for so long
 	gapS         = 0.1  // no event for so long: this gateway itself stood still
-	poolShare    = 0.5  // of a ceiling, that grants of the first gateway on the ring are paid from
 	anyIntake    = 1e6  // stands for no bound on it
 	lagS         = 0.05 // added to a verdict's age
 	demandTauS   = 1.5  // memory of what a customer asks for
@@ -70,7 +71,6 @@
 	errorSick     = 0.5   // how sick one error makes it
 	hedgeSick     = 0.3   // attempts at servers so sick are tried elsewhere early
 	hedgeX        = 4.0   // and others after so many mean latencies
-	newsKept      = 64    // what servers were last heard of doing, to be told to other gateways
 	newsSent      = 6     // with each message
 	newsS         = 2.0   // while it is no older
 	newsStepS     = 0.2   // and so much newer than what is known already; also the least silence that tells
@@ -98,8 +98,8 @@
 		return nil, cmp.Or(err, errors.New("no actions given"))
 	}
 	g := &Gateway{s: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, born: now,
-		classes: map[string]*class{}, byPlan: map[string]*plan{}, servers: map[string]*server{},
-		byHash: map[uint16]*server{}, reqs: map[string]*request{}, custs: map[uint32]*customer{},
+		classes: map[string]*class{}, byPlan: map[string]*plan{}, nodes: nodes.New(func(s *server) *nodes.Entry { return &s.Entry }),
+		reqs: map[string]*request{}, custs: map[uint32]*customer{},
 		peers: make([]peer, s.Gateways), workAt: now}
 	g.boot = uint8(g.rng.Uint32())
 	g.lendFrom = now + places.WordS
@@ -128,7 +128,7 @@
 func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
 	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now,
 		turnedAt: math.Inf(-1),
-		ceil:     tally.Bucket{At: g.born}, pool: tally.Bucket{At: g.born}}
+		ceil:     ceiling.New(g.born)}
 	g.custs[key] = c
 	return c
 }
@@ -151,7 +151,7 @@
 	price := 1.0
 	if r.plan != nil {
 		price, r.cust = r.plan.Price, g.customer(q)
-		g.asked(r.cust, q.Units)
+		r.cust.demand.Add(g.now, q.Units, demandTauS)
 		later = later && g.triesAgain(r.cust, cls)
 	}
 	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
@@ -202,7 +202,7 @@
 // the time that a client waits, or asks for more than its rate. Clients with little time ask for the first
 // time too, and what is inside the quota must not be refused for that.
 func (g *Gateway) triesAgain(c *customer, cls *class) bool {
-	return g.now-c.turnedAt < cls.DeadlineS || c.plan.Rate > 0 && g.demandNow(c)+c.others > c.plan.Rate
+	return g.now-c.turnedAt < cls.DeadlineS || c.plan.Rate > 0 && c.demand.Now(g.now, demandTauS)+c.others > c.plan.Rate
 }
 
 // place sends the request on, or queues it when no server has room.
@@ -222,17 +222,20 @@
 
 // server picks one for the request's next attempt; nil if none has room, or no part of the ceiling pays yet.
 func (g *Gateway) server(r *request) *server {
-	if r.owes && !g.ceilingHolds(r.cust, r.Units) && !g.poolHolds(r.cust, r.Units) {
+	if r.owes && !g.ceilingPays(r) {
 		return nil
 	}
 	return g.choose(r)
 }
 
 func (g *Gateway) send(r *request, s *server) {
-	g.pay(r)
+	if r.owes { // server has seen to it that a part of the ceiling pays
+		r.owes = false
+		r.cust.ceil.Pay(g.ceiling(r.cust), g.now, r.Units)
+	}
 	s.busy = s.busy*math.Exp((s.sentAt-g.now)/busyTauS) + min(s.speed*r.cls.lat/busyTauS, 1)
 	g.begin(r, s)
-	if g.coldShare(s) < 1 {
+	if s.Warm(g.now, g.s.ColdS, g.s.ColdFrom) < 1 {
 		s.sentLog.Add(g.now, r.cls.lat)
 	}
 	g.trace(why.Send, why.None, r, len(r.attempts)-1)
@@ -350,7 +353,7 @@
 	if now > g.sweepAt {
 		g.sweepAt = now + forgetS/4
 		g.forget(forgetS)
-		g.forgetServers()
+		g.nodes.Forget(func(s *server) bool { return s.inflight > 0 })
 	}
 }
 
@@ -393,7 +396,7 @@
 		}
 		return pass, why.OwnCount
 	}
-	room, age, mine := g.roomNow(c), g.now-c.roomAt, g.demandNow(c)
+	room, age, mine := g.roomNow(c), g.now-c.roomAt, c.demand.Now(g.now, demandTauS)
 	switch {
 	case p.Parallel > 0 && len(c.asks) >= 2*p.Parallel:
 		return deny, why.Cap
@@ -404,7 +407,7 @@
 	case p.Parallel > 0 && c.held.Now(g.now+places.RenewS) <= c.out+c.due && (age > freshS ||
 		float64(c.out+c.due+c.othersOut+1)+c.others*(age+lagS)/max(r.Units, 1) >= float64(p.Parallel)):
 		return wait, why.Cap
-	case !g.ceilingHolds(c, c.owed+r.Units) && (g.owner(c) == c.prime || !g.ceilingSoon(r)):
+	case !c.ceil.Holds(g.ceiling(c), g.now, c.ceil.Owed+r.Units) && (g.owner(c) == c.prime || !g.ceilingSoon(r)):
 		return wait, why.CeilPart // the first on the ring may pay
 	}
 	need := r.Units
@@ -433,7 +436,7 @@
 	switch {
 	case p.Rate > 0 && units > l.Room:
 		return why.OwnRoom
-	case p.Rate > 0 && g.demandNow(c)+l.DemandNow(g.now, demandTauS) > p.Rate &&
+	case p.Rate > 0 && c.demand.Now(g.now, demandTauS)+l.DemandNow(g.now, demandTauS) > p.Rate &&
 		units+cheap*cheapLeaves*p.Burst > l.Room:
 		return why.Kept
 	case p.Parallel > 0 && g.free(c) <= 0:
@@ -464,27 +467,13 @@
 		return
 	}
 	if r.owes = !paid && c.plan.CeilingRate > 0; r.owes {
-		c.owed += r.Units
+		c.ceil.Owed += r.Units
 	}
 	r.taken = true
 	c.due++
 	g.charge(c, r.Units)
 }
 
-// pay takes what a first send owes off a part of the ceiling that holds it: server has seen to that.
-func (g *Gateway) pay(r *request) {
-	switch {
-	case !r.owes:
-		return
-	case g.ceilingHolds(r.cust, r.Units):
-		r.cust.ceil.Level -= r.Units
-	default:
-		r.cust.pool.Level -= r.Units
-	}
-	r.owes = false
-	r.cust.owed -= r.Units
-}
-
 func (g *Gateway) charge(c *customer, units float64) {
 	if g.owner(c) == g.s.Me {
 		g.ledger(c).Spend(units, debtShare*c.plan.Burst)
@@ -556,7 +545,7 @@
 		c.dirty = false
 		c.usedAt = g.now
 		r := record{Key: c.key, Plan: c.plan.index, Known: c.known, Flag: i == c.prime, Total: c.total,
-			Room: g.roomNow(c), Rate: g.demandNow(c), Out: c.out + c.due, Unacked: max(c.total-c.acked, 0), Lends: true}
+			Room: g.roomNow(c), Rate: c.demand.Now(g.now, demandTauS), Out: c.out + c.due, Unacked: max(c.total-c.acked, 0), Lends: true}
 		c.asked = len(c.asks)
 		for k, q := range c.asks {
 			if r.Want += q.Units; k == 0 {
@@ -588,12 +577,7 @@
 		return
 	}
 	b[peermsg.CountAt] = byte((len(b) - peermsg.HeaderLen) / peermsg.RecordLen)
-	for i := len(g.news) - 1; i >= max(0, len(g.news)-newsSent) && len(b)+peermsg.ItemLen <= peermsg.Limit; i-- {
-		if n := g.news[i]; g.now-n.At < newsS {
-			b = peermsg.AppendItem(b, n, g.now)
-		}
-	}
-	g.act.Tell(to, b)
+	g.act.Tell(to, g.news.Append(b, newsSent, g.now, newsS))
 }
 
 // unanswered looks after reports without a reply: they are told again, after some to the next on the
@@ -766,13 +750,13 @@
 	l := g.ledger(c)
 	m := l.Members[to]
 	if c.plan.Parallel > 0 && v.Lends && v.Hold == 0 && c.book.Waiting() == 0 {
-		if n := places.Ahead(g.free(c), m.Rate, l.DemandNow(g.now, demandTauS)+g.demandNow(c)); n > 0 {
+		if n := places.Ahead(g.free(c), m.Rate, l.DemandNow(g.now, demandTauS)+c.demand.Now(g.now, demandTauS)); n > 0 {
 			v.Places, v.Lease = v.Places+n, cmp.Or(v.Lease, places.WordS)
 			c.book.Lend(g.now, to, n, v.Lease)
 		}
 	}
 	v.Total, v.Room, v.Out = m.Total, l.Room, c.out+c.due+c.book.Out(g.now, to)
-	v.Rate = max(l.DemandNow(g.now, demandTauS)-m.Rate, 0) + g.demandNow(c)
+	v.Rate = max(l.DemandNow(g.now, demandTauS)-m.Rate, 0) + c.demand.Now(g.now, demandTauS)
 }
 
 // grant sets units aside for a member that asks, and places under a cap; it tells why not, if nothing.
@@ -789,9 +773,8 @@
 	}
 	if v.Want = wantNone; grant > 0 {
 		// The shared part of the ceiling pays as far as it reaches; the rest asks again.
-		if w.Pool && g.poolHolds(c, w.First) {
-			v.Flag, grant = true, min(grant, math.Floor(c.pool.Level*4)/4)
-			c.pool.Level -= grant
+		if w.Pool && c.ceil.PoolHolds(g.ceiling(c), g.now, w.First) {
+			v.Flag, grant = true, c.ceil.Lend(g.ceiling(c), g.now, grant, w.First)
 		}
 		v.Want = grant
 		l.Room -= grant
@@ -873,45 +856,22 @@
 	}
 }
 
-// ceilingHolds brings this gateway's fixed split of half the ceiling up to now and tells whether
-// units fit. A split starts empty, as a restarted gateway may just have spent its own.
-func (g *Gateway) ceilingHolds(c *customer, units float64) bool {
-	p, n := c.plan, float64(max(c.entries, 1))
-	if p.CeilingRate <= 0 {
-		return true
-	}
-	part := (1 - g.poolPart(c)) / n
-	return units <= c.ceil.Fill(g.now, p.CeilingRate*part, p.CeilingBurst*part)
+// ceiling is what this gateway knows of the customer's hard ceiling.
+func (g *Gateway) ceiling(c *customer) ceiling.Terms {
+	return ceiling.Terms{Rate: c.plan.CeilingRate, Burst: c.plan.CeilingBurst, Gateways: c.entries, First: c.prime == g.s.Me,
+		Largest: float64(g.s.MaxUnits)}
 }
 
-// poolPart is the part of a ceiling that the first gateway on the ring pays grants from. Where a gateway's
-// part of the rest would not hold half of the largest request, as with very many gateways, it is all of it.
-func (g *Gateway) poolPart(c *customer) float64 {
-	if 2*c.plan.CeilingBurst*(1-poolShare) < float64(g.s.MaxUnits*max(c.entries, 1)) {
-		return 1
-	}
-	return poolShare
+// ceilingPays tells whether a part of the ceiling here holds what the request owes.
+func (g *Gateway) ceilingPays(r *request) bool {
+	t := g.ceiling(r.cust)
+	return r.cust.ceil.Holds(t, g.now, r.Units) || r.cust.ceil.PoolHolds(t, g.now, r.Units)
 }
 
-// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind
-// all that is owed already, while the request can still be sent. A ceiling fills faster than the quota: such
-// waits are short.
+// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind all that is
+// owed already, while the request can still be sent. A ceiling fills faster than the quota: such waits are short.
 func (g *Gateway) ceilingSoon(r *request) bool {
-	c, p := r.cust, r.plan
-	if p.CeilingRate <= 0 {
-		return true
-	}
-	pool := g.poolPart(c)
-	share := (1 - pool) / float64(max(c.entries, 1))
-	most, all := share, share
-	g.ceilingHolds(c, 0)
-	have := c.ceil.Level
-	if c.prime == g.s.Me {
-		g.poolHolds(c, 0)
-		have, most, all = have+c.pool.Level, pool, share+pool
-	}
-	left := max(min(r.aimAt-r.cls.lat, r.halfAt)-g.now, 0)
-	return r.Units <= p.CeilingBurst*most && c.owed+r.Units <= have+p.CeilingRate*all*left
+	return r.cust.ceil.Soon(g.ceiling(r.cust), g.now, r.Units, min(r.aimAt-r.cls.lat, r.halfAt)-g.now)
 }
 
 // capSoon tells whether an attempt of the customer will end in time for the request, behind what waits for
@@ -921,30 +881,20 @@
 	return g.now+c.book.Soon(c.due+c.book.Waiting(), c.plan.Parallel, r.cls.lat) <= min(r.aimAt-r.cls.lat, r.halfAt)
 }
 
-// poolHolds does so for the other part, which the first gateway on the customer's ring pays grants from.
-// It is the same one for all, whoever is silent, so the parts add up whatever is lost or restarted.
-func (g *Gateway) poolHolds(c *customer, units float64) bool {
-	if c.prime != g.s.Me || c.plan.CeilingRate <= 0 {
-		return false
-	}
-	pool := g.poolPart(c)
-	return units <= c.pool.Fill(g.now, c.plan.CeilingRate*pool, c.plan.CeilingBurst*pool)
-}
-
 // ---- Servers ----
 
 // Servers takes the list of servers, whole or only what changed.
 func (g *Gateway) Servers(now float64, list []Server, whole bool) {
 	g.clock(now)
-	before := float64(max(1, len(g.order)))
-	g.list(list, whole, func(s *server) {
+	before := float64(max(1, len(g.nodes.Order)))
+	g.nodes.List(list, whole, func() *server { return newServer(g) }, func(s *server) {
 		s.speed, s.downUntil, s.broken, s.fulls = 1, 0, 0, 0
 		clear(s.sick)
 		clear(s.erred)
 	})
-	g.part = float64(len(g.order)) / float64(g.s.Gateways)
+	g.part = float64(len(g.nodes.Order)) / float64(g.s.Gateways)
 	g.weigh()
-	g.limit *= float64(max(1, len(g.order))) / before
+	g.limit *= float64(max(1, len(g.nodes.Order))) / before
 	g.drain()
 }
 
@@ -952,7 +902,7 @@
 // could fall. What is asked for counts, not what was sent: in a release all servers may be cold. Where a
 // gateway's part of that is under one request, chance decides: all adds up the same.
 func (g *Gateway) coldRoom(s *server, work float64) bool {
-	share := g.coldShare(s)
+	share := s.Warm(g.now, g.s.ColdS, g.s.ColdFrom)
 	if share >= 1 {
 		s.sentLog = nil
 		return true
@@ -978,10 +928,10 @@
 		return nil
 	}
 	// With many gateways each looks at a few servers only: all would pick the same one by the same news.
-	n := len(g.order)
+	n := len(g.nodes.Order)
 	look, from := max(lookLeast, n*lookAll/g.s.Gateways), g.rng.IntN(max(1, n))
 	for k := 0; k < n && look > 0; k++ {
-		s := g.order[(from+k)%n]
+		s := g.nodes.Order[(from+k)%n]
 		if s.State != Up || g.now < s.downUntil {
 			continue
 		}
@@ -996,7 +946,7 @@
 		}
 		if !g.coldRoom(s, r.cls.lat) ||
 			float64(s.inflight) >= math.Ceil(partWeight*g.limit/float64(n)/s.speed) ||
-			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
+			r.ran != nil && r.cls.Effect == Keyed && !r.cls.KeyScope.Same(r.ran.Server, s.Server) {
 			continue
 		}
 		// What the others have there is unseen: the best guess is that each sends as this one does.
@@ -1033,14 +983,14 @@
 		if c == nil || k.index == c.index {
 			x := g.sickness(s, k)
 			s.sick[k.index] = sick{x + by*(1-x), g.now}
-			g.spread(peermsg.Item{Server: s.hash, Class: k.tag, Value: s.sick[k.index].level, At: g.now})
+			g.news.Add(peermsg.Item{Server: s.Hash, Class: k.tag, Value: s.sick[k.index].level, At: g.now})
 		}
 	}
 }
 
 // told takes in what another gateway tells of a server, and tells it on while it is new.
 func (g *Gateway) told(n peermsg.Item) {
-	s := g.byHash[n.Server]
+	s := g.nodes.Heard(n.Server)
 	if s == nil || s.SinceS > n.At {
 		return
 	}
@@ -1056,7 +1006,7 @@
 		}
 		*k = sick{n.Value, n.At}
 	}
-	g.spread(n)
+	g.news.Add(n)
 }
 
 // learn takes from an attempt's end what it tells of the server.
@@ -1172,7 +1122,7 @@
 		return
 	}
 	next, oldest := (*server)(nil), g.now-probeEveryS
-	for _, s := range g.order {
+	for _, s := range g.nodes.Order {
 		if at := max(s.askedAt, s.utilAt); s.State == Up && at <= oldest {
 			next, oldest = s, at
 		}
@@ -1187,7 +1137,7 @@
 // Probed takes the end of a probe.
 func (g *Gateway) Probed(now float64, p ProbeResult) {
 	g.clock(now)
-	s := g.servers[p.Server]
+	s := g.nodes.By[p.Server]
 	if s == nil {
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -283,14 +283,14 @@
 // Guards what is known of a class, and the memory of a process whose settings change again and again.
 func TestRetuneKeepsWhatIsKnownByName(t *testing.T) {
 	g, _ := gateway(t, alone)
-	g.fails(g.servers["s2"], g.classes["pay"], 1)
+	g.fails(g.nodes.By["s2"], g.classes["pay"], 1)
 	g.classes["pay"].lat = 0.7
 	all := slices.Clone(g.s.Classes)
 	if err := g.Retune(100, []Class{{Name: "x", AimS: 1, DeadlineS: 1}, all[4]}, 3); err != nil {
 		t.Fatal(err)
 	}
-	if g.sickness(g.servers["s2"], g.classes["pay"]) < 0.9 || g.classes["pay"].lat != 0.7 ||
-		g.sickness(g.servers["s2"], g.classes["x"]) != 0 {
+	if g.sickness(g.nodes.By["s2"], g.classes["pay"]) < 0.9 || g.classes["pay"].lat != 0.7 ||
+		g.sickness(g.nodes.By["s2"], g.classes["x"]) != 0 {
 		t.Error("what was known went with the place, not with the name")
 	}
 	for i := 0; ; i++ {
@@ -708,8 +708,8 @@
 		g.Timer(now, 1)
 	}
 	most := int((forgetS + forgetS/2) / 0.1)
-	if len(g.servers) > most || len(g.byHash) > most || len(g.custs) > most {
-		t.Errorf("%d servers, %d hashes and %d customers are kept, %d at most wanted", len(g.servers), len(g.byHash),
+	if n, hashes := g.nodes.Len(); n > most || hashes > most || len(g.custs) > most {
+		t.Errorf("%d servers, %d hashes and %d customers are kept, %d at most wanted", n, hashes,
 			len(g.custs), most)
 	}
 	g.Request(250, Request{ID: "held", Class: "pay", Plan: "capped", Customer: "held", DeadlineS: 254, Entries: 1, Units: 4})
@@ -1048,7 +1048,7 @@
 	for _, k := range g.classList {
 		k.lat, k.n = 0.05, 100
 	}
-	sick := g.servers["s1"]
+	sick := g.nodes.By["s1"]
 	ask(g, 100, "q", "read", "wide", 1)
 	r.acts = nil
 	g.reqs["q"].attempts[0].srv = sick
@@ -1083,22 +1083,22 @@
 func TestNewsOfServersIsToldOn(t *testing.T) {
 	a, ra, ask := asMember(t, fleet(100))
 	b, rb := gateway(t, func(s *Settings) { s.Gateways, s.Me = 100, 1 })
-	a.fails(a.servers["s2"], a.classes["pay"], 1)
-	a.report(a.servers["s1"], &Load{Util: 0.6})
+	a.fails(a.nodes.By["s2"], a.classes["pay"], 1)
+	a.report(a.nodes.By["s1"], &Load{Util: 0.6})
 	ask(100, "q", 2)
 	b.Peer(100.01, 0, ra.of("tell", "")[0].data)
-	if b.sickness(b.servers["s2"], b.classes["pay"]) < 0.9 || b.sickness(b.servers["s2"], b.classes["read"]) > 0 {
+	if b.sickness(b.nodes.By["s2"], b.classes["pay"]) < 0.9 || b.sickness(b.nodes.By["s2"], b.classes["read"]) > 0 {
 		t.Fatal("sickness was not told on")
 	}
-	if u := b.servers["s1"].util; u < 0.59 || u > 0.61 {
+	if u := b.nodes.By["s1"].util; u < 0.59 || u > 0.61 {
 		t.Fatalf("use told is %v", u)
 	}
 	_, _, _, items, _ := peermsg.Parse(rb.of("tell", "")[0].data, 100)
 	if len(items) != 2 {
 		t.Fatalf("%d news told on, want 2", len(items))
 	}
-	old := b.servers["s1"].utilAt
-	if b.told(peermsg.Item{Server: b.servers["s1"].hash, Class: peermsg.LoadItem, Value: 0.1, At: old - 1}); b.servers["s1"].util < 0.5 {
+	old := b.nodes.By["s1"].utilAt
+	if b.told(peermsg.Item{Server: b.nodes.By["s1"].Hash, Class: peermsg.LoadItem, Value: 0.1, At: old - 1}); b.nodes.By["s1"].util < 0.5 {
 		t.Fatal("older news overtook newer")
 	}
 }
@@ -1273,18 +1273,18 @@
 	g.limit = 4.5 // two at each server
 	erring := func(id string, class string) {
 		ask(g, 100, id, class, "wide", 1)
-		g.reqs[id].attempts[0].srv = g.servers["s1"]
-		g.servers["s1"].inflight++
+		g.reqs[id].attempts[0].srv = g.nodes.By["s1"]
+		g.nodes.By["s1"].inflight++
 		g.Outcome(100, Outcome{ID: id, Status: Error, SpentS: 0.001})
 		g.Outcome(100, Outcome{ID: id, Attempt: 1, Status: OK, Over: true, SpentS: 0.01})
 	}
 	for i := range 3 {
 		erring(fmt.Sprint("e", i), "read")
 	}
-	if s := g.servers["s1"]; g.sickness(s, g.classes["read"]) < 0.5 || s.erred[g.classes["read"].index] < errorFew {
+	if s := g.nodes.By["s1"]; g.sickness(s, g.classes["read"]) < 0.5 || s.erred[g.classes["read"].index] < errorFew {
 		t.Fatalf("no occasion: %+v", s)
 	}
-	g.servers["s1"].inflight = 0
+	g.nodes.By["s1"].inflight = 0
 	for i := range 6 {
 		ask(g, 100, fmt.Sprint("q", i), "read", "wide", 1)
 	}
@@ -1307,7 +1307,7 @@
 		t.Error("an unsafe request went to a server that errs on another class")
 	}
 	for _, id := range []string{"s2", "s3"} { // now most are sick: the one with room will do
-		g.fails(g.servers[id], nil, 0.95)
+		g.fails(g.nodes.By[id], nil, 0.95)
 	}
 	r.acts = nil
 	g.Timer(100.02, 1)
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,14 +1,14 @@
 package policy
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 
+	"eiderspread/internal/ceiling"
 	"eiderspread/internal/fade"
+	"eiderspread/internal/nodes"
 	"eiderspread/internal/patience"
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/places"
@@ -35,9 +35,7 @@
 }
 
 type server struct {
-	Server
-	hash         uint16
-	listed       bool
+	nodes.Entry
 	inflight     int
 	speed        float64 // latency against the class's mean
 	sentAt       float64
@@ -58,32 +56,6 @@
 
 type record = peermsg.Record
 
-// list takes in a list of servers; it calls restarted for each that has started anew.
-func (g *Gateway) list(list []Server, whole bool, restarted func(*server)) {
-	for _, s := range g.order {
-		s.listed = s.listed && !whole
-	}
-	for _, e := range list {
-		s := g.servers[e.ID]
-		if s == nil {
-			s = newServer(g)
-			s.hash = uint16(peermsg.Point(e.ID))
-			g.servers[e.ID] = s
-			g.index(s)
-		} else if e.SinceS > s.SinceS {
-			restarted(s)
-		}
-		s.Server, s.listed = e, e.State != Removed
-	}
-	g.order = g.order[:0]
-	for _, s := range g.servers {
-		if s.listed {
-			g.order = append(g.order, s)
-		}
-	}
-	slices.SortFunc(g.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-}
-
 type attempt struct {
 	srv    *server
 	sentAt float64
@@ -122,29 +94,27 @@
 	first, entries int // entries 0: known from others' reports alone
 	prime          int // first on the ring of its gateways
 	usedAt         float64
-	turnedAt       float64 // when a request was last refused for want of quota or room
-	total          float64 // own count of what was let in, ever
-	acked          float64 // as the owner last took it in
-	demand         float64 // units a second asked for here
-	demandAt       float64
-	out, due       int  // attempts out; requests let in under a cap that were not sent yet
-	lender, inLine bool // the owner lends places; requests here wait in its line
+	turnedAt       float64   // when a request was last refused for want of quota or room
+	total          float64   // own count of what was let in, ever
+	acked          float64   // as the owner last took it in
+	demand         fade.Rate // units a second asked for here
+	out, due       int       // attempts out; requests let in under a cap that were not sent yet
+	lender, inLine bool      // the owner lends places; requests here wait in its line
 	held           places.Held
 	book           places.Book // of places, where this gateway owns it
 	known          bool        // the owner has reported
 	room, roomAt   float64     // as last reported
 	others         float64     // what the others are asked for
 	othersOut      int
-	holdTill       float64      // the owner refuses until then
-	asks           []*request   // wait for the owner's word
-	asked, tries   int          // asked: of them, told to the owner
-	waitFrom       float64      // since when a report is unanswered, 0: none
-	waiting        bool         // in Gateway.waiting
-	dirty          bool         // to be reported
-	askOf          int          // to this gateway
-	ceil, pool     tally.Bucket // this gateway's part of the ceiling, and what it pays grants from
+	holdTill       float64    // the owner refuses until then
+	asks           []*request // wait for the owner's word
+	asked, tries   int        // asked: of them, told to the owner
+	waitFrom       float64    // since when a report is unanswered, 0: none
+	waiting        bool       // in Gateway.waiting
+	dirty          bool       // to be reported
+	askOf          int        // to this gateway
+	ceil           ceiling.Ceiling
 	local          tally.Bucket // where no owner answers
-	owed           float64      // units let in that no part of the ceiling has paid for
 	led            *tally.Ledger
 }
 
@@ -179,16 +149,14 @@
 	stretch, spent   float64     // means of latency over aim, of time until an answer or a time-out
 	sentAt           float64
 	probes           float64 // that may be sent
-	news             []peermsg.Item
-	byHash           map[uint16]*server
+	news             peermsg.News
 	classList        []*class
 	maxWorth         float64 // of any class, a unit
 	ring             ring.Ring
 	classes          map[string]*class
 	plans            []*plan
 	byPlan           map[string]*plan
-	servers          map[string]*server
-	order            []*server
+	nodes            nodes.Table[server]
 	reqs             map[string]*request
 	live, queue      []*request
 
@@ -200,17 +168,6 @@
 	tracer             func(why.Decision) // nil: nobody asks for reasons
 }
 
-// sameGroup tells whether two servers drop the repeats of the same key.
-func sameGroup(scope Scope, a, b *server) bool {
-	switch scope {
-	case ScopeZone:
-		return a.Zone == b.Zone
-	case ScopeCell:
-		return a.Zone == b.Zone && a.Cell == b.Cell
-	}
-	return true
-}
-
 // outBy counts the customer's attempts out. Under a cap its owner hears of one that it lent no place to, and at once of
 // one that ended where others may wait for its place; where no place is lent, of each.
 func (g *Gateway) outBy(r *request, n int) {
@@ -235,7 +192,7 @@
 	r.over = true
 	if r.owes {
 		r.owes = false
-		r.cust.owed -= r.Units
+		r.cust.ceil.Owed -= r.Units
 	}
 	if r.taken && len(r.attempts) == 0 {
 		r.taken = false
@@ -272,15 +229,6 @@
 	return span, wait
 }
 
-// asked counts what the customer asks for here, passed or not.
-func (g *Gateway) asked(c *customer, units float64) {
-	c.demand, c.demandAt = g.demandNow(c)+units/demandTauS, g.now
-}
-
-func (g *Gateway) demandNow(c *customer) float64 {
-	return c.demand * math.Exp((c.demandAt-g.now)/demandTauS)
-}
-
 // walk goes on the ring from the customer's point to the first gateway that serves it, and with skip to the first that is not silent.
 func (g *Gateway) walk(c *customer, skip bool) int {
 	if gw, ok := g.ring.Walk(c.hash, func(gw int) bool {
@@ -304,17 +252,10 @@
 	return peermsg.AppendHeader(make([]byte, 0, peermsg.Limit), g.boot, g.seq)
 }
 
-// spread keeps what is to be told to other gateways of servers, newest last.
-func (g *Gateway) spread(n peermsg.Item) {
-	if g.news = append(g.news, n); len(g.news) > newsKept {
-		g.news = g.news[1:]
-	}
-}
-
 // meanUtil is the use of the servers' cores, by what was reported of late.
 func (g *Gateway) meanUtil() (mean float64, fresh bool) {
 	n := 0.0
-	for _, s := range g.order {
+	for _, s := range g.nodes.Order {
 		if g.now-s.utilAt < utilS {
 			n++
 			mean += s.util
@@ -369,7 +310,7 @@
 		if i < 0 {
 			i = len(g.classList)
 			g.classList = append(g.classList, newClass(c, i))
-			for _, s := range g.servers {
+			for _, s := range g.nodes.By {
 				s.sick, s.okAt, s.erred = append(s.sick, sick{}), append(s.okAt, 0), append(s.erred, 0)
 			}
 		} else if g.classList[i].Class != c {
@@ -390,23 +331,14 @@
 	g.ring = ring.New(g.s.Gateways, ring.Points(g.s.Gateways))
 }
 
-// coldShare is the least part of its capacity that the server must have by now.
-func (g *Gateway) coldShare(s *server) float64 {
-	age := g.now - s.SinceS
-	if s.SinceS <= 0 || age >= g.s.ColdS || g.s.ColdS <= 0 {
-		return 1
-	}
-	return g.s.ColdFrom + (1-g.s.ColdFrom)*max(age, 0)/g.s.ColdS
-}
-
 // weigh brings the work that is asked for, and what the servers can do, up to now.
 func (g *Gateway) weigh() {
 	k := math.Exp((g.workAt - g.now) / demandTauS)
 	g.work, g.done = g.work*k, g.done*k
 	g.workAt, g.shares = g.now, 0
-	for _, s := range g.order {
+	for _, s := range g.nodes.Order {
 		if s.State == Up && g.now >= s.downUntil {
-			g.shares += g.coldShare(s)
+			g.shares += s.Warm(g.now, g.s.ColdS, g.s.ColdFrom)
 		}
 	}
 }
@@ -442,35 +374,7 @@
 	if p.Rate > 0 && (room < p.Burst-eps || local < max(p.Burst/n, float64(g.s.MaxUnits))) {
 		return false
 	}
-	if p.CeilingRate <= 0 {
-		return true
-	}
-	g.ceilingHolds(c, 0)
-	g.poolHolds(c, 0)
-	pool := g.poolPart(c)
-	return c.ceil.Level >= p.CeilingBurst*(1-pool)/n-eps && (c.prime != g.s.Me || c.pool.Level >= p.CeilingBurst*pool-eps)
-}
-
-// forgetServers drops servers that are not listed any more once nothing is out there.
-func (g *Gateway) forgetServers() {
-	before := len(g.servers)
-	maps.DeleteFunc(g.servers, func(_ string, s *server) bool { return !s.listed && s.inflight == 0 })
-	if len(g.servers) == before {
-		return
-	}
-	clear(g.byHash)
-	for _, s := range g.servers {
-		g.index(s)
-	}
-}
-
-// index finds a server by its hash. Of two with the same one, what is told of either is not used.
-func (g *Gateway) index(s *server) {
-	if _, twice := g.byHash[s.hash]; twice {
-		g.byHash[s.hash] = nil
-		return
-	}
-	g.byHash[s.hash] = s
+	return c.ceil.Full(g.ceiling(c), g.now)
 }
 
 // due puts the customer on the list of what a peer is to be told.
@@ -521,7 +425,7 @@
 func (g *Gateway) report(s *server, l *Load) {
 	if l != nil && l.Util >= 0 {
 		s.util, s.utilAt = l.Util, g.now
-		g.spread(peermsg.Item{Server: s.hash, Class: peermsg.LoadItem, Value: l.Util, At: g.now})
+		g.news.Add(peermsg.Item{Server: s.Hash, Class: peermsg.LoadItem, Value: l.Util, At: g.now})
 	}
 }
 
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -32,16 +32,15 @@
 // rooms puts in what this gateway sees of the account, and changes nothing.
 func (g *Gateway) rooms(d *why.Decision, c *customer) {
 	d.Account, d.Owner, d.Prime, d.Out = c.key, g.owner(c), c.prime, c.out
-	d.Mine, d.Others = float32(g.demandNow(c)), float32(c.others)
+	d.Mine, d.Others = float32(c.demand.Now(g.now, demandTauS)), float32(c.others)
 	if l := c.led; l != nil {
 		d.Room, d.Others = float32(l.Room), float32(l.DemandNow(g.now, demandTauS))
 	} else {
 		d.Room, d.Age = float32(g.roomNow(c)), float32(g.now-c.roomAt)
 	}
-	if c.plan.CeilingRate > 0 {
-		g.ceilingHolds(c, 0)
-		g.poolHolds(c, 0)
-		d.Ceil, d.Pool = float32(c.ceil.Level), float32(c.pool.Level)
+	if t := g.ceiling(c); t.Rate > 0 {
+		c.ceil.Soon(t, g.now, 0, 0) // brings it up to now
+		d.Ceil, d.Pool = float32(c.ceil.Own.Level), float32(c.ceil.Pool.Level)
 	}
 }
 
@@ -73,7 +72,7 @@
 	switch {
 	case r.cust != nil && r.attempts == nil && g.capped(r.cust):
 		return why.Cap
-	case r.owes && !g.ceilingHolds(r.cust, r.Units) && !g.poolHolds(r.cust, r.Units):
+	case r.owes && !g.ceilingPays(r):
 		return why.CeilPart
 	case g.full(r):
 		return why.Limit
