--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -50,7 +50,7 @@
 	seen, counts, nearest := map[string]int{}, map[string]int{}, map[string]float64{}
 	tries, attempts, messages, drowned := 0, 0, 0, 0
 	var ideal, withheld, beyond, service float64
-	reasons, byPlan := map[why.Reason]int{}, map[string]float64{}
+	reasons, byPlan, kinds := map[why.Reason]int{}, map[string]float64{}, map[string]int{}
 	for range *jobs {
 		all.Go(func() {
 			for n := next.Add(1) - 1; n < uint64(*schedules); n = next.Add(1) - 1 {
@@ -86,6 +86,9 @@
 					beyond += o.Units
 				}
 				messages, drowned = messages+r.Messages, drowned+r.Drowned
+				for k, n := range r.Kinds {
+					kinds[k] += n
+				}
 				for k, v := range r.ByPlan {
 					byPlan[k] += v
 				}
@@ -138,6 +141,11 @@
 		list := slices.SortedFunc(maps.Keys(reasons), func(a, b why.Reason) int { return reasons[b] - reasons[a] })
 		fmt.Printf("  messages between ingresses: %.1f a second at each, %.1f%% of them beyond its intake\n",
 			float64(messages)/played/length.Seconds()/float64(max(1, size)), 100*float64(drowned)/float64(max(1, messages)))
+		fmt.Print("  sent, a second at each:")
+		for _, k := range slices.Sorted(maps.Keys(kinds)) {
+			fmt.Printf(" %s %.2f", k, float64(kinds[k])/played/length.Seconds()/float64(max(1, size)))
+		}
+		fmt.Println()
 		fmt.Print("  refused:")
 		for _, k := range list {
 			fmt.Printf(" %v %d", k, reasons[k])
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -95,6 +95,7 @@
 	Counted           map[int]Margin // the worst of any account, by the length of time in seconds: let in beyond rate and burst
 	Short             map[int]Margin // and withheld
 	Withheld          float64        // and of these, that were not let in
+	Kinds             map[string]int // of messages between ingresses, where they are counted
 	Messages, Drowned int            // between ingresses, where they are counted; of these, lost since an ingress takes in no more
 	Reasons           map[int]int    // refusals by the module's why.Reason, where it was told
 	floors            map[string]int
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -49,6 +49,7 @@
 	Exact                bool    // quotas have QuotaSlack alone: for runs in which no node is slow
 	Quota                float64 // of the rule on quotas; 0: QuotaSlack in two levels, not judged in one
 	CapX                 float64 // of the rule on caps; 0: 2 in two levels, not judged in one
+	PeerLoss             float64 // of messages between ingresses in virtual time; 0 stands for 3%
 	Zones                int     // of nodes, in turn, each of which remembers keys for itself; 0: one, and all remember alike
 	Direct               bool    // no links between clients, ingresses and nodes: for measurements of cost
 	// Discovery, if set, gives the address at which a party asks, in place of the stand-in roster.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -99,16 +99,23 @@
 	return list
 }
 
-// Capped are accounts of a plan with a cap, each through a thirtieth to two thirds of many ingresses, beside small ones and a few large ones. Most
-// ask for a third to half of their quota, one in six for nearly all of it, one in twelve for three times as much.
+// Capped is a population as the operators' largest days have it: for each ingress four small accounts, one with a cap on open attempts, and for every
+// second a large one. Each comes through a thirtieth to two thirds of many ingresses, one with a ceiling through no more than keep two of the largest
+// requests in its burst each. Most ask for a third to half of their quota, large ones for more, one in six for nearly all of it, one in twelve for
+// three times as much.
 func Capped(forwarders int, seed uint64) []Account {
 	rng := rand.New(rand.NewPCG(seed, 15))
-	list := Accounts(forwarders, forwarders*3/2, max(forwarders/6, 1), forwarders, forwarders, seed)
+	list := Accounts(forwarders*4, forwarders, max(forwarders/2, 1), forwarders, forwarders, seed)
 	for i := range list {
 		a := &list[i]
 		p := LabPlans[slices.IndexFunc(LabPlans, func(p policy.Plan) bool { return p.Name == a.Plan })]
 		a.Rate, a.FloodX = p.Rate*(0.3+0.2*rng.Float64()), 0
 		a.Spread = min(max(int(float64(forwarders)/30*math.Pow(20, rng.Float64())), 3), forwarders)
+		if p.CeilingBurst > 0 {
+			a.Spread, a.Rate = min(a.Spread, int(p.CeilingBurst/6)), a.Rate*1.4
+		} else if p.Parallel == 0 {
+			a.Spread = min(a.Spread, max(forwarders/12, 3))
+		}
 		a.First = rng.IntN(forwarders - a.Spread + 1)
 		switch {
 		case i%6 == 1:
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -28,6 +28,7 @@
 	crowd   func(forwarders int, seed uint64) []Account // its accounts; nil: as asked
 	zones   int                                         // see FleetConfig
 	plans   func([]policy.Plan)
+	loss    float64              // of messages between ingresses in virtual time; 0 stands for 3%
 	exact   bool                 // see FleetConfig
 	quota   float64              // see FleetConfig; below 0: not judged
 	capX    float64              // see FleetConfig
@@ -133,9 +134,9 @@
 		kinds: []string{"flood"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
 	"crowd-split": {what: "the same, while ingresses are split in halves, lose messages and die", crowd: Crowd, nodes: 48, exact: true,
 		kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
-	"places": {what: "accounts at a cap of two open attempts, each through up to two thirds of many ingresses", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, exact: true,
+	"places": {what: "accounts at a cap of two open attempts, each through up to two thirds of many ingresses", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
 		every: 2 * time.Second, kinds: []string{"flood"}, floors: map[string]int{audit.Caps: 100}},
-	"places-storm": {what: "the same, while ingresses die, restart, are split and lose messages, and nodes are slow", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, exact: true,
+	"places-storm": {what: "the same, while ingresses die, restart, are split and lose messages, and nodes are slow", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
 		every: time.Second, kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder", "blink", "slow"}, floors: map[string]int{audit.Caps: 100}},
 	"snow": {what: "snowstorm evening: every node slow again and again, some pausing, under a full load", kinds: []string{"snow", "snow", "node pause", "far"},
 		every: 2 * time.Second, weather: 0.02, load: 1.2, floors: map[string]int{audit.Lost: 50, audit.Quotas: 100}},
@@ -179,7 +180,7 @@
 		s.classes(sc.Classes)
 	}
 	sc.Zones = max(sc.Zones, s.zones)
-	sc.Exact, sc.Quota, sc.CapX = s.exact, s.quota, s.capX
+	sc.Exact, sc.Quota, sc.CapX, sc.PeerLoss = s.exact, s.quota, s.capX, s.loss
 	if s.plans != nil {
 		sc.Plans = slices.Clone(sc.Plans)
 		s.plans(sc.Plans)
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -120,7 +120,7 @@
 		}
 	}
 	rep := audit.Audit(s.Hist, s.Rules())
-	rep.Messages, rep.Drowned = s.Messages, s.Drowned
+	rep.Messages, rep.Drowned, rep.Kinds = s.Messages, s.Drowned, s.Kinds
 	for rule, n := range s.breach {
 		rep.Counts[rule] += n
 	}
--- a/internal/lab/sim/scenario.go
+++ b/internal/lab/sim/scenario.go
@@ -33,7 +33,7 @@
 		return Config{}, err
 	}
 	return Config{Forwarders: sc.Forwarders, Planners: sc.Planners, Cells: 4, Nodes: sc.Nodes, Zones: sc.Zones, Classes: sc.Classes, Plans: sc.Plans, Node: sc.Node,
-		Weather: sc.Weather, Accounts: sc.Accounts, Shares: lab.LabShares, Units: lab.LabUnits, LengthS: lengthS, Faults: sc.Faults, Exact: sc.Exact, Quota: sc.Quota, CapX: sc.CapX, Seed: seed}, nil
+		Weather: sc.Weather, Accounts: sc.Accounts, Shares: lab.LabShares, Units: lab.LabUnits, LengthS: lengthS, Faults: sc.Faults, Exact: sc.Exact, Quota: sc.Quota, CapX: sc.CapX, PeerLoss: sc.PeerLoss, Seed: seed}, nil
 }
 
 // Shrink cuts the faults of a failing run down to those that matter: with any one of what is left taken out, fails no
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -4,6 +4,7 @@
 package sim
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -19,6 +20,7 @@
 	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/lab/node"
 	"eiderspread/internal/link"
+	"eiderspread/internal/peermsg"
 	"eiderspread/internal/planner"
 	"eiderspread/internal/why"
 	"eiderspread/policy"
@@ -38,6 +40,7 @@
 	LengthS                            float64
 	Faults                             []lab.Fault
 	Floors                             map[string]int // see audit.Rules
+	PeerLoss                           float64        // of messages between ingresses, at all times; 0 stands for 3%
 	Exact                              bool           // see lab.FleetConfig
 	Quota                              float64        // of the rule on quotas; 0: lab.QuotaSlack in two levels, not judged in one
 	CapX                               float64        // of the rule on caps; 0: 2 in two levels, not judged in one
@@ -96,7 +99,8 @@
 	byHand   map[string]bool // nodes on which operators are at work
 	Messages int             // between ingresses that came, and of these, beyond what one takes in
 	Drowned  int
-	Held     int // nodes that operators took out with a yes
+	Kinds    map[string]int // of messages sent between ingresses
+	Held     int            // nodes that operators took out with a yes
 }
 
 type clock struct{ offset, speed float64 }
@@ -116,7 +120,7 @@
 
 // New makes a fleet that has just been started.
 func New(cfg Config) *Sim {
-	s := &Sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), breach: map[string]int{}, keys: node.NewKeys(), floods: map[string]float64{}, asks: map[string]*asked{}, byHand: map[string]bool{}}
+	s := &Sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), breach: map[string]int{}, keys: node.NewKeys(), floods: map[string]float64{}, asks: map[string]*asked{}, byHand: map[string]bool{}, Kinds: map[string]int{}}
 	s.Hist = audit.NewAt(func() time.Duration { return time.Duration(s.t * float64(time.Second)) })
 	if cfg.Planners > 0 {
 		s.p = fleet.Params{Name: "sim", Forwarders: cfg.Forwarders, Planners: cfg.Planners, Cells: cfg.Cells}
@@ -630,11 +634,12 @@
 // Tell implements policy.Actions: a datagram, that may be lost, late and doubled.
 func (f *simForwarder) Tell(to int, data []byte) {
 	s := f.s
+	s.sort(data)
 	for g := range s.fwds {
 		if g == f.n || to != policy.Broadcast && g != to {
 			continue
 		}
-		if s.peerWay.Cut && g%2 != f.n%2 || s.rng.Float64() < s.fog.Loss+0.03 {
+		if s.peerWay.Cut && g%2 != f.n%2 || s.rng.Float64() < s.fog.Loss+cmp.Or(s.cfg.PeerLoss, 0.03) {
 			continue
 		}
 		for range 1 + boolInt(s.rng.Float64() < s.fog.Double) {
@@ -809,6 +814,33 @@
 	})
 }
 
+// sort counts what messages between ingresses are for, by the first record that says most.
+func (s *Sim) sort(data []byte) {
+	_, _, recs, _, ok := peermsg.Parse(data, 0)
+	kind := "items"
+	for _, r := range recs {
+		switch {
+		case r.Owner && r.Want > 0:
+			kind = "answer to a question"
+		case r.Owner:
+			kind = "answer to a report"
+		case r.Want > 0:
+			kind = "question"
+		case r.Lease > 0:
+			kind = "word of places"
+		default:
+			kind = "report"
+		}
+		if kind == "question" || kind == "answer to a question" {
+			break
+		}
+	}
+	if !ok {
+		kind = "other"
+	}
+	s.Kinds[kind]++
+}
+
 // hear tells whether an ingress takes in a message of another one.
 func (f *simForwarder) hear() bool {
 	f.s.Messages++
