Units are set aside ahead for members that ask often; what asks again no longer waits for ever

Excluded: quotas (there is room), nodes. One busy account traced message by message: 45 requests waited 1.6 s at one member while no question was under way: heard() had what asks again noted as not urgent, with nobody looking after it (waitFrom 0), and a member with much to say never has two tokens to spare (flush). Change: an owner with room sets two seconds of a member's demand aside with its grant, paid by the shared part of the ceiling; the member lets in from that without a question and reports what is left at its end. What asks again is looked after like any other question.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,7 @@
 	lagS         = 0.05 // added to a verdict's age
 	demandTauS   = 1.5  // memory of what a customer asks for
 	cheapLeaves  = 0.18 // of the burst, that the cheapest work leaves to dearer work of its customer
+	aheadS       = 2.0  // of a member's demand, that its owner sets aside ahead while there is room
 	memberS      = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
 	wantNone     = 0.25 // an owner's answer that grants nothing
 	outS         = 3.0  // attempts out of a member that knows no places lent for a time are believed for so long
@@ -184,7 +185,7 @@
 	case v == wait:
 		g.ask(r, because)
 	default:
-		g.take(r, false)
+		g.take(r, v == paid)
 		g.place(r)
 	}
 }
@@ -348,6 +349,14 @@
 		g.serve(c)
 		return c.book.Waiting() == 0
 	})
+	g.purses = slices.DeleteFunc(g.purses, func(c *customer) bool {
+		over := g.now >= c.setTill
+		if over && c.set > c.total { // the owner gets back what was not used
+			c.set = c.total
+			g.note(c, false)
+		}
+		return over
+	})
 	g.unanswered()
 	g.flush()
 	if now > g.sweepAt {
@@ -398,6 +407,8 @@
 	}
 	room, age, mine := g.roomNow(c), g.now-c.roomAt, c.demand.Now(g.now, demandTauS)
 	switch {
+	case p.Parallel == 0 && r.Units <= g.prepaid(c):
+		return paid, why.Ahead
 	case p.Parallel > 0 && len(c.asks) >= 2*p.Parallel:
 		return deny, why.Cap
 	case len(c.asks) > 0:
@@ -479,7 +490,7 @@
 		g.ledger(c).Spend(units, debtShare*c.plan.Burst)
 	}
 	c.total += units
-	if c.total > c.acked || units < 0 {
+	if c.acked = max(c.acked, min(c.total, c.set)); c.total > c.acked || units < 0 {
 		g.note(c, false)
 	}
 }
@@ -544,7 +555,7 @@
 		}
 		c.dirty = false
 		c.usedAt = g.now
-		r := record{Key: c.key, Plan: c.plan.index, Known: c.known, Flag: i == c.prime, Total: c.total,
+		r := record{Key: c.key, Plan: c.plan.index, Known: c.known, Flag: i == c.prime, Total: c.total + g.prepaid(c),
 			Room: g.roomNow(c), Rate: c.demand.Now(g.now, demandTauS), Out: c.out + c.due, Unacked: max(c.total-c.acked, 0), Lends: true}
 		c.asked = len(c.asks)
 		for k, q := range c.asks {
@@ -761,7 +772,7 @@
 
 // grant sets units aside for a member that asks, and places under a cap; it tells why not, if nothing.
 func (g *Gateway) grant(c *customer, w places.Waiter, v *record) (short why.Reason) {
-	l, grant := g.ledger(c), 0.0
+	l, grant, ahead := g.ledger(c), 0.0, 0.0
 	for _, units := range []float64{w.Units, w.First} {
 		if c.plan.Parallel > 0 {
 			units = min(units, w.First*float64(max(g.free(c), 1)))
@@ -772,13 +783,29 @@
 		}
 	}
 	if v.Want = wantNone; grant > 0 {
+		m := l.Members[w.Member]
+		if v.Lends && c.plan.Parallel == 0 {
+			all := l.DemandNow(g.now, demandTauS) + c.demand.Now(g.now, demandTauS)
+			ahead = math.Floor(min(m.Rate*aheadS, (l.Room-grant-cheapLeaves*c.plan.Burst)/2*m.Rate/max(all, 1e-9)))
+		}
 		// The shared part of the ceiling pays as far as it reaches; the rest asks again.
 		if w.Pool && c.ceil.PoolHolds(g.ceiling(c), g.now, w.First) {
 			v.Flag, grant = true, c.ceil.Lend(g.ceiling(c), g.now, grant, w.First)
 		}
+		if ahead >= 1 && c.plan.CeilingRate > 0 {
+			if !v.Flag {
+				ahead = 0
+			}
+			ahead = c.ceil.Lend(g.ceiling(c), g.now, ahead, 1)
+		}
+		if ahead >= 1 {
+			v.Lease = aheadS
+			l.Room -= ahead
+			m.Total += ahead
+		}
 		v.Want = grant
 		l.Room -= grant
-		l.Members[w.Member].Total += grant
+		m.Total += grant
 		if c.plan.Parallel > 0 {
 			v.Places, v.Lease = max(int(grant/max(w.First, 1)), 1), outS
 			if v.Lends {
@@ -817,7 +844,7 @@
 	c.others, c.othersOut, c.lender = r.Rate, r.Out, r.Lends
 	c.held.Sweep(g.now)
 	c.held.Lend(g.now, r.Places, r.Lease)
-	if r.Lease > 0 && r.Places == 0 && c.asked > 0 { // in line: the owner's next word comes unasked, by then
+	if c.plan.Parallel > 0 && r.Lease > 0 && r.Places == 0 && c.asked > 0 { // in line: the owner's next word comes unasked, by then
 		c.inLine, c.tries, c.waitFrom, c.asked = true, 0, g.now+r.Hold, min(c.asked, len(c.asks))
 		told := len(c.asks) - c.asked
 		c.asks = slices.DeleteFunc(c.asks, func(q *request) bool {
@@ -833,6 +860,9 @@
 	} else if r.Want > 0 && c.asked > 0 {
 		c.inLine = false
 		n := min(c.asked, len(c.asks))
+		if r.Lease > 0 && c.plan.Parallel == 0 { // what was set aside ahead is for those too that came meanwhile
+			n = len(c.asks)
+		}
 		c.asked, c.tries, c.holdTill = 0, 0, g.now+r.Hold
 		no := why.Denied
 		capped := c.plan.Parallel > 0 && c.out+r.Out >= c.plan.Parallel && r.Hold == 0
@@ -845,10 +875,14 @@
 		}
 	}
 	fresh := len(c.asks) > again // what asks again does so with the next batch
-	if c.acked = min(most, c.total); most > c.total || len(c.asks) > 0 && c.asked == 0 {
+	if c.set = most; r.Lease > 0 && c.plan.Parallel == 0 && most > c.total {
+		c.setTill = g.now + r.Lease
+		g.purses = append(g.purses, c)
+	}
+	if c.acked = min(most, c.total); most > c.total+g.prepaid(c) || len(c.asks) > 0 && c.asked == 0 {
 		g.note(c, fresh)
 	}
-	if !fresh && c.asked == 0 {
+	if len(c.asks) == 0 && c.asked == 0 { // what asks again must not wait for ever behind what is urgent
 		c.waitFrom, c.tries = 0, 0
 	} else if c.asked == 0 {
 		c.waitFrom = g.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -115,6 +115,7 @@
 	askOf          int        // to this gateway
 	ceil           ceiling.Ceiling
 	local          tally.Bucket // where no owner answers
+	set, setTill   float64      // total that the owner has set aside, and until when more than was let in may be used
 	led            *tally.Ledger
 }
 
@@ -142,6 +143,7 @@
 	tokens, tokensAt float64     // reports that may be sent
 	pending          []int       // peers with reports due
 	waiting          []*customer // with reports unanswered
+	purses           []*customer // with units set aside ahead
 	lined            []*customer // with members that wait for a place
 	limit            float64     // attempts out here, at all servers
 	part             float64     // servers a gateway
@@ -213,6 +215,14 @@
 	return c.plan.Parallel - c.out - c.due - c.book.Out(g.now, -1)
 }
 
+// prepaid is what the owner has set aside, and its ceiling paid, for requests still to come.
+func (g *Gateway) prepaid(c *customer) float64 {
+	if g.now >= c.setTill {
+		return 0
+	}
+	return max(c.set-c.total, 0)
+}
+
 // capped tells that no other attempt of the customer may begin here now.
 func (g *Gateway) capped(c *customer) bool {
 	return c.plan.Parallel > 0 && (c.out >= c.plan.Parallel || g.owner(c) == g.s.Me && g.free(c)+c.due <= 0)
@@ -435,6 +445,7 @@
 const (
 	deny verdict = iota
 	pass
+	paid // out of what was set aside ahead
 	wait // the owner is asked
 )
 
