What is set aside ahead keeps its place below the brims of window and ceiling

Cause: units lent ahead were counted as sent, so that window and pool filled up to their brims behind them and were sent again in the same moment; and what a grant that no ceiling paid left over was taken for paid. Change: the brim of the owner's window and of the shared part of a ceiling is lower by what was lent within the time that it may be used in; what comes back unused leaves that sum. Only what the pool paid can be let in without a question. Units ahead go by the account's rate, not by a flood's demand. A grant takes in as many of the waiting requests as half of the room holds, not all or the first alone. Where no owner answers and the own part is used up, requests ask again while they have time.

--- a/internal/ceiling/ceiling.go
+++ b/internal/ceiling/ceiling.go
@@ -3,7 +3,16 @@
 // life may just have spent it. The package does no I/O and takes time as a value (seconds); units are the plan's. Who may send is not decided here.
 package ceiling
 
-import "eiderspread/internal/tally"
+import (
+	"eiderspread/internal/fade"
+	"eiderspread/internal/tally"
+)
+
+// AheadS is for how long what is lent ahead may be used.
+const AheadS = 1.0
+
+// lateS is how much later what was lent may still be sent on: a word's way, and a wait for a server.
+const lateS = 0.5
 
 // Share of a ceiling that grants of the first gateway on the ring are paid from.
 const Share = 0.5
@@ -33,6 +42,8 @@
 	Own  tally.Bucket // its own part
 	Pool tally.Bucket // the shared part, at the first gateway
 	Owed float64      // units let in that no part has paid for yet
+
+	ahead fade.Log // lent from the shared part for use later
 }
 
 // New returns parts that are empty at a time.
@@ -43,9 +54,10 @@
 	return t.Rate <= 0 || units <= c.Own.Fill(now, t.Rate*t.own(), t.Burst*t.own())
 }
 
-// PoolHolds does so for the shared part, which stands at the first gateway alone.
+// PoolHolds does so for the shared part, which stands at the first gateway alone. What was lent ahead and may be sent on all at once keeps its
+// place below the brim.
 func (c *Ceiling) PoolHolds(t Terms, now, units float64) bool {
-	return t.First && t.Rate > 0 && units <= c.Pool.Fill(now, t.Rate*t.Shared(), t.Burst*t.Shared())
+	return t.First && t.Rate > 0 && units <= c.Pool.Fill(now, t.Rate*t.Shared(), t.Burst*t.Shared()-c.ahead.Within(now, AheadS+lateS))
 }
 
 // Soon tells whether the parts that this gateway pays from will hold the units within so many seconds, behind all that is owed already.
@@ -81,6 +93,13 @@
 	return units
 }
 
+// LendAhead is Lend of units that are used within AheadS.
+func (c *Ceiling) LendAhead(t Terms, now, units float64) float64 {
+	units = c.Lend(t, now, units, 1)
+	c.ahead.Add(now, units)
+	return units
+}
+
 // Full tells that all parts here are as full as those of an account never heard of become.
 func (c *Ceiling) Full(t Terms, now float64) bool {
 	const eps = 1e-9
--- a/internal/fade/fade.go
+++ b/internal/fade/fade.go
@@ -34,3 +34,13 @@
 	*l = keep
 	return sum
 }
+
+// Take takes work off again, the oldest first.
+func (l *Log) Take(work float64) {
+	for i := range *l {
+		w := &(*l)[i]
+		off := min(w.Work, work)
+		w.Work -= off
+		work -= off
+	}
+}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -4,6 +4,8 @@
 
 import (
 	"math"
+
+	"eiderspread/internal/fade"
 )
 
 // Ledger is an owner's count: the window opens evenly, and what is unused carries over up to one burst. Units are the plan's.
@@ -11,6 +13,7 @@
 	Room, At, Born   float64
 	Demand, DemandAt float64 // units a second that members are asked for, fading
 	Members          map[int]*Member
+	Ahead            fade.Log // units set aside for what is still to come: they keep their place below the window's brim
 }
 
 // Member is what another gateway has told of the account.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,6 @@
 	lagS         = 0.05 // added to a verdict's age
 	demandTauS   = 1.5  // memory of what a customer asks for
 	cheapLeaves  = 0.18 // of the burst, that the cheapest work leaves to dearer work of its customer
-	aheadS       = 2.0  // of a member's demand, that its owner sets aside ahead while there is room
 	memberS      = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
 	wantNone     = 0.25 // an owner's answer that grants nothing
 	outS         = 3.0  // attempts out of a member that knows no places lent for a time are believed for so long
@@ -185,6 +184,10 @@
 	case v == wait:
 		g.ask(r, because)
 	default:
+		if v == paid {
+			r.cust.ahead -= r.Units
+			r.cust.acked += r.Units
+		}
 		g.take(r, v == paid)
 		g.place(r)
 	}
@@ -350,9 +353,9 @@
 		return c.book.Waiting() == 0
 	})
 	g.purses = slices.DeleteFunc(g.purses, func(c *customer) bool {
-		over := g.now >= c.setTill
-		if over && c.set > c.total { // the owner gets back what was not used
-			c.set = c.total
+		over := g.now >= c.aheadTill
+		if over && c.ahead > 0 { // the owner gets back what was not used
+			c.ahead = 0
 			g.note(c, false)
 		}
 		return over
@@ -466,7 +469,7 @@
 	if c.prime != g.s.Me && len(l.Members) == 0 {
 		rate /= float64(c.entries)
 	}
-	l.Room, l.At = min(c.plan.Burst, l.Room+rate*(g.now-l.At)), g.now
+	l.Room, l.At = min(c.plan.Burst-l.Ahead.Within(g.now, ceiling.AheadS+lagS), l.Room+rate*(g.now-l.At)), g.now
 	return l
 }
 
@@ -490,7 +493,7 @@
 		g.ledger(c).Spend(units, debtShare*c.plan.Burst)
 	}
 	c.total += units
-	if c.acked = max(c.acked, min(c.total, c.set)); c.total > c.acked || units < 0 {
+	if c.total > c.acked || units < 0 {
 		g.note(c, false)
 	}
 }
@@ -610,7 +613,10 @@
 			c.waitFrom, c.asked, c.inLine = 0, 0, false
 			if c.tries > g.missLimit() {
 				c.tries = 0
-				g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false, why.LocalRoom)
+				if again := g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false, why.None); again > 0 {
+					g.note(c, true)
+					c.waitFrom = g.now
+				}
 			} else {
 				g.note(c, len(c.asks) > 0)
 				if len(c.asks) > 0 {
@@ -723,7 +729,9 @@
 		l.Members[from] = m
 		c.book.Drop(from)
 	}
-	l.Spend(l.Told(m, r.Total, r.Rate, g.now, demandTauS), debtShare*c.plan.Burst)
+	told := l.Told(m, r.Total, r.Rate, g.now, demandTauS)
+	l.Spend(told, debtShare*c.plan.Burst)
+	l.Ahead.Take(-told)
 	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true, Lends: r.Lends}
 	if c.plan.Parallel > 0 {
 		span := places.WordS
@@ -773,7 +781,8 @@
 // grant sets units aside for a member that asks, and places under a cap; it tells why not, if nothing.
 func (g *Gateway) grant(c *customer, w places.Waiter, v *record) (short why.Reason) {
 	l, grant, ahead := g.ledger(c), 0.0, 0.0
-	for _, units := range []float64{w.Units, w.First} {
+	part := math.Floor(min(w.Units, (l.Room-cheapLeaves*c.plan.Burst)/2))
+	for _, units := range []float64{w.Units, max(w.First, part), w.First} {
 		if c.plan.Parallel > 0 {
 			units = min(units, w.First*float64(max(g.free(c), 1)))
 		}
@@ -786,7 +795,7 @@
 		m := l.Members[w.Member]
 		if v.Lends && c.plan.Parallel == 0 {
 			all := l.DemandNow(g.now, demandTauS) + c.demand.Now(g.now, demandTauS)
-			ahead = math.Floor(min(m.Rate*aheadS, (l.Room-grant-cheapLeaves*c.plan.Burst)/2*m.Rate/max(all, 1e-9)))
+			ahead = math.Floor(m.Rate / max(all, 1e-9) * min(min(all, c.plan.Rate)*ceiling.AheadS, (l.Room-grant-cheapLeaves*c.plan.Burst)/2))
 		}
 		// The shared part of the ceiling pays as far as it reaches; the rest asks again.
 		if w.Pool && c.ceil.PoolHolds(g.ceiling(c), g.now, w.First) {
@@ -796,10 +805,11 @@
 			if !v.Flag {
 				ahead = 0
 			}
-			ahead = c.ceil.Lend(g.ceiling(c), g.now, ahead, 1)
+			ahead = c.ceil.LendAhead(g.ceiling(c), g.now, ahead)
 		}
 		if ahead >= 1 {
-			v.Lease = aheadS
+			v.Lease = ceiling.AheadS
+			l.Ahead.Add(g.now, ahead)
 			l.Room -= ahead
 			m.Total += ahead
 		}
@@ -875,8 +885,8 @@
 		}
 	}
 	fresh := len(c.asks) > again // what asks again does so with the next batch
-	if c.set = most; r.Lease > 0 && c.plan.Parallel == 0 && most > c.total {
-		c.setTill = g.now + r.Lease
+	if r.Lease > 0 && c.plan.Parallel == 0 && (r.Flag || c.plan.CeilingRate <= 0) && most > c.total {
+		c.ahead, c.aheadTill = most-c.total, g.now+r.Lease
 		g.purses = append(g.purses, c)
 	}
 	if c.acked = min(most, c.total); most > c.total+g.prepaid(c) || len(c.asks) > 0 && c.asked == 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -115,7 +115,8 @@
 	askOf          int        // to this gateway
 	ceil           ceiling.Ceiling
 	local          tally.Bucket // where no owner answers
-	set, setTill   float64      // total that the owner has set aside, and until when more than was let in may be used
+	ahead          float64      // units that the owner has set aside for what is still to come
+	aheadTill      float64
 	led            *tally.Ledger
 }
 
@@ -217,10 +218,10 @@
 
 // prepaid is what the owner has set aside, and its ceiling paid, for requests still to come.
 func (g *Gateway) prepaid(c *customer) float64 {
-	if g.now >= c.setTill {
+	if g.now >= c.aheadTill {
 		return 0
 	}
-	return max(c.set-c.total, 0)
+	return c.ahead
 }
 
 // capped tells that no other attempt of the customer may begin here now.
