Pacing of messages, silence of peers and health of servers get rooms of their own

Change: internal/outbox (what is told when, at which rate), internal/pulse (when unanswered reports are a silence), internal/health (what is known of a server by class).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,36 +14,32 @@
 
 	"eiderspread/internal/ceiling"
 	"eiderspread/internal/nodes"
+	"eiderspread/internal/outbox"
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/places"
+	"eiderspread/internal/pulse"
 	"eiderspread/internal/tally"
 	"eiderspread/internal/why"
 )
 
 // Constants, with their reasons. Times are in seconds.
 const (
-	batchS       = 0.1  // least time between reports to one owner: "a few times a second"
-	reportShare  = 0.45 // of peerIntake that a gateway's own reports may take
-	holdShare    = 0.5  // of peerIntake that members refused by their owner may ask for again
-	freshS       = 0.5  // a verdict no older is split; with an older one the owner is asked
-	askWaitS     = 0.08 // how long a request waits for the owner's word before it is asked again
-	reportWaitS  = 0.3  // the same for reports with no request waiting
-	missLeast    = 2    // a peer that leaves so many unanswered is silent: it leaves the ring,
-	missMost     = 4    // but where messages are lost all the time, not before chance would leave them so
-	missChance   = 0.01 // as rarely as this
-	lostWeight   = 0.02 // how far one report moves the share of them that is taken to be left unanswered
-	silentRetryS = 1.0  // for so long
-	gapS         = 0.1  // no event for so long: this gateway itself stood still
-	anyIntake    = 1e6  // stands for no bound on it
-	lagS         = 0.05 // added to a verdict's age
-	demandTauS   = 1.5  // memory of what a customer asks for
-	cheapLeaves  = 0.18 // of the burst, that the cheapest work leaves to dearer work of its customer
-	memberS      = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
-	wantNone     = 0.25 // an owner's answer that grants nothing
-	outS         = 3.0  // attempts out of a member that knows no places lent for a time are believed for so long
-	debtShare    = 0.5  // of the burst, that an account owes at most for what was let in beyond its window
-	youngS       = 2.0  // a ledger younger than this believes the room that members hand back
-	forgetS      = 10.0 // customers unused for longer are forgotten: after memberS at any owner, so that
+	reportShare = 0.45 // of peerIntake that a gateway's own reports may take
+	holdShare   = 0.5  // of peerIntake that members refused by their owner may ask for again
+	freshS      = 0.5  // a verdict no older is split; with an older one the owner is asked
+	askWaitS    = 0.08 // how long a request waits for the owner's word before it is asked again
+	reportWaitS = 0.3  // the same for reports with no request waiting
+	gapS        = 0.1  // no event for so long: this gateway itself stood still
+	anyIntake   = 1e6  // stands for no bound on it
+	lagS        = 0.05 // added to a verdict's age
+	demandTauS  = 1.5  // memory of what a customer asks for
+	cheapLeaves = 0.18 // of the burst, that the cheapest work leaves to dearer work of its customer
+	memberS     = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
+	wantNone    = 0.25 // an owner's answer that grants nothing
+	outS        = 3.0  // attempts out of a member that knows no places lent for a time are believed for so long
+	debtShare   = 0.5  // of the burst, that an account owes at most for what was let in beyond its window
+	youngS      = 2.0  // a ledger younger than this believes the room that members hand back
+	forgetS     = 10.0 // customers unused for longer are forgotten: after memberS at any owner, so that
 	// the count that starts at 0 then is not taken for units handed back
 	halfShare     = 0.45  // of its time, after which a request that was never written is not begun any more
 	tickS         = 0.02  // how often queue and attempts are looked at
@@ -66,7 +62,6 @@
 	partWeight    = 1.0   // of its part of the limit by its speed that a server may hold
 	crossWeight   = 25.0  // attempts out that the price of crossing zones stands for, a point of 1
 	againWeight   = 4.0   // the same for a server that the request was sent to before
-	sickTauS      = 4.0   // how long a sick server is shunned
 	sickWeight    = 30.0  // how far
 	errorSick     = 0.5   // how sick one error makes it
 	hedgeSick     = 0.3   // attempts at servers so sick are tried elsewhere early
@@ -82,8 +77,6 @@
 	downS         = 0.5   // a server that refuses connections is left alone so long, then probed
 	downFrom      = 2     // such failures in a row: one tells of a connection, not of its server
 	onceSick      = 0.1   // how sick that one makes it
-	errorWeight   = 0.25  // how far one answer moves the share of errors that a server is taken to have,
-	errorFew      = 0.2   // so much of which is forgiven by an answer
 	fullS         = 0.05  // a server that turns work away is left alone so long, twice as long each time
 	fullMostS     = 0.8   // and at most
 	timeoutWeight = 0.15  // how far one attempt that timed out moves a server's speed and limit
@@ -98,12 +91,12 @@
 		return nil, cmp.Or(err, errors.New("no actions given"))
 	}
 	g := &Gateway{s: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, born: now,
-		classes: map[string]*class{}, byPlan: map[string]*plan{}, nodes: nodes.New(func(s *server) *nodes.Entry { return &s.Entry }),
+		classes: map[string]*class{}, byPlan: map[string]*plan{}, nodes: nodes.New((*server).entry),
 		reqs: map[string]*request{}, custs: map[uint32]*customer{},
-		peers: make([]peer, s.Gateways), workAt: now}
+		orders: make([]peermsg.Order, s.Gateways), pulse: pulse.New(s.Gateways),
+		box: outbox.New[*customer](s.Gateways, now), workAt: now}
 	g.boot = uint8(g.rng.Uint32())
 	g.lendFrom = now + places.WordS
-	g.tokens, g.tokensAt = 2, now
 	g.limit = startLimit / float64(s.Gateways) // for one server
 	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
 	g.setUp()
@@ -113,14 +106,15 @@
 
 // newClass is a class as a gateway knows it at the start.
 func newClass(c Class, i int) *class {
-	return &class{Class: c, index: i, tag: peermsg.Tag(c.Name), lat: firstLat * c.AimS, dev: firstLat / 2 * c.AimS}
+	return &class{Class: c, index: i, tag: peermsg.Tag(c.Name), lat: firstLat * c.AimS,
+		dev: firstLat / 2 * c.AimS}
 }
 
 // newServer is a server as a gateway knows it when it is first listed.
 func newServer(g *Gateway) *server {
-	n := len(g.classList)
-	return &server{speed: 1, utilAt: math.Inf(-1), sick: make([]sick, n), okAt: make([]float64, n),
-		erred: make([]float64, n)}
+	s := &server{speed: 1, utilAt: math.Inf(-1)}
+	s.Grow(len(g.classList))
+	return s
 }
 
 // newCustomer is a customer as a gateway knows it when it is first heard of: with a full window, but
@@ -206,7 +200,7 @@
 // the time that a client waits, or asks for more than its rate. Clients with little time ask for the first
 // time too, and what is inside the quota must not be refused for that.
 func (g *Gateway) triesAgain(c *customer, cls *class) bool {
-	return g.now-c.turnedAt < cls.DeadlineS || c.plan.Rate > 0 && c.demand.Now(g.now, demandTauS)+c.others > c.plan.Rate
+	return g.now-c.turnedAt < cls.DeadlineS || c.plan.Rate > 0 && g.wants(c)+c.others > c.plan.Rate
 }
 
 // place sends the request on, or queues it when no server has room.
@@ -296,6 +290,9 @@
 	g.drain()
 }
 
+// lastAt is when a request that was not sent yet has to be.
+func (r *request) lastAt() float64 { return min(r.aimAt-r.cls.lat, r.halfAt) }
+
 // endAt is when an answer is no longer worth the servers' work: after the aim, for
 // the share of the time left in which it still earns something.
 func (r *request) endAt() float64 { return r.aimAt + r.cls.LateWorth*max(r.DeadlineS-r.aimAt, 0) }
@@ -353,7 +350,7 @@
 		return c.book.Waiting() == 0
 	})
 	g.purses = slices.DeleteFunc(g.purses, func(c *customer) bool {
-		over := g.now >= c.aheadTill
+		over := g.now >= c.aheadTo
 		if over && c.ahead > 0 { // the owner gets back what was not used
 			c.ahead = 0
 			g.note(c, false)
@@ -372,16 +369,7 @@
 // ---- Quotas and the exchange with owners ----
 
 // alive tells that a peer answers: reports in a row without one take it off the ring for a while.
-func (g *Gateway) alive(gw int) bool {
-	p := &g.peers[gw]
-	return gw == g.s.Me || p.missed < g.missLimit() || g.now-p.missAt > silentRetryS
-}
-
-// missLimit is how many reports a peer leaves unanswered before it is silent, by the share of all that are.
-func (g *Gateway) missLimit() int {
-	few := math.Ceil(math.Log(missChance) / math.Log(max(g.lost, 1e-9)))
-	return int(min(max(few, missLeast), missMost))
-}
+func (g *Gateway) alive(gw int) bool { return gw == g.s.Me || !g.pulse.Silent(gw, g.now) }
 
 // owner is the gateway that counts the customer.
 func (g *Gateway) owner(c *customer) int {
@@ -408,9 +396,9 @@
 		}
 		return pass, why.OwnCount
 	}
-	room, age, mine := g.roomNow(c), g.now-c.roomAt, c.demand.Now(g.now, demandTauS)
+	room, age, mine := g.roomNow(c), g.now-c.roomAt, g.wants(c)
 	switch {
-	case p.Parallel == 0 && r.Units <= g.prepaid(c):
+	case p.Parallel == 0 && r.Units <= c.ahead:
 		return paid, why.Ahead
 	case p.Parallel > 0 && len(c.asks) >= 2*p.Parallel:
 		return deny, why.Cap
@@ -435,7 +423,7 @@
 		return pass, why.OldWord // each of the customer's gateways may think the same at this moment
 	case !old && need <= max(room*mine/max(mine+c.others, 1e-9), room-2*c.others*(age+lagS)):
 		return pass, why.Split
-	case r.Units > room && age < batchS:
+	case r.Units > room && age < outbox.BatchS:
 		return deny, why.WordRoom
 	case old:
 		return wait, why.WordStale
@@ -450,7 +438,7 @@
 	switch {
 	case p.Rate > 0 && units > l.Room:
 		return why.OwnRoom
-	case p.Rate > 0 && c.demand.Now(g.now, demandTauS)+l.DemandNow(g.now, demandTauS) > p.Rate &&
+	case p.Rate > 0 && g.wants(c)+l.DemandNow(g.now, demandTauS) > p.Rate &&
 		units+cheap*cheapLeaves*p.Burst > l.Room:
 		return why.Kept
 	case p.Parallel > 0 && g.free(c) <= 0:
@@ -506,9 +494,12 @@
 		return
 	}
 	if !c.dirty || c.askOf != o {
-		g.due(c, o)
+		c.dirty, c.askOf = true, o
+		g.box.Put(o, c)
+	}
+	if urgent {
+		g.box.Hurry(o)
 	}
-	g.peers[o].urgent = g.peers[o].urgent || urgent
 }
 
 // ask holds the request until its customer's owner has spoken.
@@ -530,26 +521,12 @@
 
 // flush sends what is due to peers. All hear about as much as all send, so each gateway keeps its own
 // reports to a share of what one takes in; answers come on top.
-func (g *Gateway) flush() {
-	share := g.s.PeerIntake * reportShare
-	g.tokens = min(max(2, share*batchS*2), g.tokens+share*(g.now-g.tokensAt))
-	g.tokensAt = g.now
-	g.pending = slices.DeleteFunc(g.pending, func(i int) bool {
-		p := &g.peers[i]
-		if p.urgent && g.tokens >= 1 || g.tokens >= 2 && g.now-p.toldAt >= batchS {
-			g.tokens--
-			g.tell(i)
-		}
-		p.pending = len(p.reports) > 0
-		return !p.pending
-	})
-}
+func (g *Gateway) flush() { g.box.Flush(g.now, g.s.PeerIntake*reportShare, g.tell) }
 
-// tell reports to a peer as owner.
-func (g *Gateway) tell(i int) {
-	p, n := &g.peers[i], 0
+// tell reports to a peer as owner, as much as a message holds, and returns how many customers that were.
+func (g *Gateway) tell(i int, reports []*customer) (n int) {
 	b := g.header()
-	for _, c := range p.reports {
+	for _, c := range reports {
 		if len(b)+peermsg.RecordLen > peermsg.Limit {
 			break
 		}
@@ -558,8 +535,9 @@
 		}
 		c.dirty = false
 		c.usedAt = g.now
-		r := record{Key: c.key, Plan: c.plan.index, Known: c.known, Flag: i == c.prime, Total: c.total + g.prepaid(c),
-			Room: g.roomNow(c), Rate: c.demand.Now(g.now, demandTauS), Out: c.out + c.due, Unacked: max(c.total-c.acked, 0), Lends: true}
+		r := record{Key: c.key, Plan: c.plan.index, Known: c.known, Flag: i == c.prime, Total: c.total + c.ahead,
+			Room: g.roomNow(c), Rate: g.wants(c), Out: c.out + c.due, Lends: true,
+			Unacked: max(c.total-c.acked, 0)}
 		c.asked = len(c.asks)
 		for k, q := range c.asks {
 			if r.Want += q.Units; k == 0 {
@@ -580,9 +558,8 @@
 		}
 		g.expect(c)
 	}
-	p.reports = slices.Delete(p.reports, 0, n)
-	p.toldAt, p.urgent = g.now, p.urgent && len(p.reports) > 0
 	g.post(i, b)
+	return n
 }
 
 // post sends a message with records, and with what is new of servers in the room left.
@@ -605,15 +582,14 @@
 		}
 		if c.waitFrom > 0 && g.now-max(c.waitFrom, g.gapAt) > most {
 			if !c.dirty && !c.inLine { // it was told
-				p := &g.peers[c.askOf]
-				p.missed, p.missAt = p.missed+1, g.now
-				g.lost += lostWeight * (1 - g.lost)
+				g.pulse.Missed(c.askOf, g.now)
 			}
 			c.tries++
 			c.waitFrom, c.asked, c.inLine = 0, 0, false
-			if c.tries > g.missLimit() {
+			if c.tries > g.pulse.Limit() {
 				c.tries = 0
-				if again := g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false, why.None); again > 0 {
+				local := func(r *request) bool { return g.localHolds(c, r.Units) }
+				if g.resolve(c, len(c.asks), local, false, why.None) > 0 {
 					g.note(c, true)
 					c.waitFrom = g.now
 				}
@@ -677,14 +653,13 @@
 func (g *Gateway) Peer(now float64, from int, data []byte) {
 	g.clock(now)
 	boot, seq, recs, items, ok := peermsg.Parse(data, now)
-	if !ok || from < 0 || from >= len(g.peers) || from == g.s.Me {
+	if !ok || from < 0 || from >= len(g.orders) || from == g.s.Me {
 		return
 	}
-	p := &g.peers[from]
-	if p.order.Late(boot, seq) {
+	if g.orders[from].Late(boot, seq) {
 		return
 	}
-	p.missed = 0
+	g.pulse.Heard(from)
 	g.inRate, g.inAt = g.inRate*math.Exp(g.inAt-now)+1, now
 	for _, n := range items {
 		g.told(n)
@@ -695,7 +670,7 @@
 		switch {
 		case r.Plan >= len(g.plans):
 		case r.Owner && c != nil && c.askOf == from:
-			g.lost -= lostWeight * g.lost
+			g.pulse.Answered()
 			g.heard(c, r)
 		case !r.Owner:
 			if c == nil {
@@ -720,12 +695,12 @@
 	if m != nil && g.now-m.At > memberS {
 		m = nil // as if forgotten: it may have forgotten the customer itself
 	}
-	if m == nil || m.Boot != g.peers[from].order.Boot {
+	if m == nil || m.Boot != g.orders[from].Boot {
 		if r.Known && g.now-l.Born < youngS {
 			// A young count, after a restart or a move: the member hands back what it heard.
 			l.Room = min(l.Room, max(r.Room+r.Unacked, 0))
 		}
-		m = &tally.Member{Boot: g.peers[from].order.Boot, Total: r.Total - r.Unacked}
+		m = &tally.Member{Boot: g.orders[from].Boot, Total: r.Total - r.Unacked}
 		l.Members[from] = m
 		c.book.Drop(from)
 	}
@@ -769,13 +744,13 @@
 	l := g.ledger(c)
 	m := l.Members[to]
 	if c.plan.Parallel > 0 && v.Lends && v.Hold == 0 && c.book.Waiting() == 0 {
-		if n := places.Ahead(g.free(c), m.Rate, l.DemandNow(g.now, demandTauS)+c.demand.Now(g.now, demandTauS)); n > 0 {
+		if n := places.Ahead(g.free(c), m.Rate, l.DemandNow(g.now, demandTauS)+g.wants(c)); n > 0 {
 			v.Places, v.Lease = v.Places+n, cmp.Or(v.Lease, places.WordS)
 			c.book.Lend(g.now, to, n, v.Lease)
 		}
 	}
 	v.Total, v.Room, v.Out = m.Total, l.Room, c.out+c.due+c.book.Out(g.now, to)
-	v.Rate = max(l.DemandNow(g.now, demandTauS)-m.Rate, 0) + c.demand.Now(g.now, demandTauS)
+	v.Rate = max(l.DemandNow(g.now, demandTauS)-m.Rate, 0) + g.wants(c)
 }
 
 // grant sets units aside for a member that asks, and places under a cap; it tells why not, if nothing.
@@ -794,8 +769,9 @@
 	if v.Want = wantNone; grant > 0 {
 		m := l.Members[w.Member]
 		if v.Lends && c.plan.Parallel == 0 {
-			all := l.DemandNow(g.now, demandTauS) + c.demand.Now(g.now, demandTauS)
-			ahead = math.Floor(m.Rate / max(all, 1e-9) * min(min(all, c.plan.Rate)*ceiling.AheadS, (l.Room-grant-cheapLeaves*c.plan.Burst)/2))
+			all := l.DemandNow(g.now, demandTauS) + g.wants(c)
+			most := min(min(all, c.plan.Rate)*ceiling.AheadS, (l.Room-grant-cheapLeaves*c.plan.Burst)/2)
+			ahead = math.Floor(m.Rate / max(all, 1e-9) * most)
 		}
 		// The shared part of the ceiling pays as far as it reaches; the rest asks again.
 		if w.Pool && c.ceil.PoolHolds(g.ceiling(c), g.now, w.First) {
@@ -851,14 +827,14 @@
 	most := c.total + tally.Quarters(r.Total-c.total)
 	again := 0
 	c.known, c.room, c.roomAt, c.acked = true, r.Room, g.now, most
-	c.others, c.othersOut, c.lender = r.Rate, r.Out, r.Lends
+	c.others, c.othersOut, c.lender = r.Rate, r.Out, r.Lends && c.plan.Parallel > 0
 	c.held.Sweep(g.now)
 	c.held.Lend(g.now, r.Places, r.Lease)
-	if c.plan.Parallel > 0 && r.Lease > 0 && r.Places == 0 && c.asked > 0 { // in line: the owner's next word comes unasked, by then
+	if c.plan.Parallel > 0 && r.Lease > 0 && r.Places == 0 && c.asked > 0 { // in line: a word comes unasked
 		c.inLine, c.tries, c.waitFrom, c.asked = true, 0, g.now+r.Hold, min(c.asked, len(c.asks))
 		told := len(c.asks) - c.asked
 		c.asks = slices.DeleteFunc(c.asks, func(q *request) bool {
-			if q.asking = !q.over && g.now+r.Hold <= min(q.aimAt-q.cls.lat, q.halfAt); !q.asking {
+			if q.asking = !q.over && g.now+r.Hold <= q.lastAt(); !q.asking {
 				g.refuse(q, why.Cap)
 			}
 			return !q.asking
@@ -886,10 +862,10 @@
 	}
 	fresh := len(c.asks) > again // what asks again does so with the next batch
 	if r.Lease > 0 && c.plan.Parallel == 0 && (r.Flag || c.plan.CeilingRate <= 0) && most > c.total {
-		c.ahead, c.aheadTill = most-c.total, g.now+r.Lease
+		c.ahead, c.aheadTo = most-c.total, g.now+r.Lease
 		g.purses = append(g.purses, c)
 	}
-	if c.acked = min(most, c.total); most > c.total+g.prepaid(c) || len(c.asks) > 0 && c.asked == 0 {
+	if c.acked = min(most, c.total); most > c.total+c.ahead || len(c.asks) > 0 && c.asked == 0 {
 		g.note(c, fresh)
 	}
 	if len(c.asks) == 0 && c.asked == 0 { // what asks again must not wait for ever behind what is urgent
@@ -902,8 +878,8 @@
 
 // ceiling is what this gateway knows of the customer's hard ceiling.
 func (g *Gateway) ceiling(c *customer) ceiling.Terms {
-	return ceiling.Terms{Rate: c.plan.CeilingRate, Burst: c.plan.CeilingBurst, Gateways: c.entries, First: c.prime == g.s.Me,
-		Largest: float64(g.s.MaxUnits)}
+	return ceiling.Terms{Rate: c.plan.CeilingRate, Burst: c.plan.CeilingBurst, Gateways: c.entries,
+		First: c.prime == g.s.Me, Largest: float64(g.s.MaxUnits)}
 }
 
 // ceilingPays tells whether a part of the ceiling here holds what the request owes.
@@ -912,17 +888,17 @@
 	return r.cust.ceil.Holds(t, g.now, r.Units) || r.cust.ceil.PoolHolds(t, g.now, r.Units)
 }
 
-// ceilingSoon tells whether the parts of the ceiling that this gateway pays from will hold the units, behind all that is
-// owed already, while the request can still be sent. A ceiling fills faster than the quota: such waits are short.
+// ceilingSoon tells whether the parts of the ceiling here will hold the units, behind all that is owed, while
+// the request can still be sent. A ceiling fills faster than the quota: such waits are short.
 func (g *Gateway) ceilingSoon(r *request) bool {
-	return r.cust.ceil.Soon(g.ceiling(r.cust), g.now, r.Units, min(r.aimAt-r.cls.lat, r.halfAt)-g.now)
+	return r.cust.ceil.Soon(g.ceiling(r.cust), g.now, r.Units, r.lastAt()-g.now)
 }
 
 // capSoon tells whether an attempt of the customer will end in time for the request, behind what waits for
 // that already.
 func (g *Gateway) capSoon(r *request) bool {
 	c := r.cust
-	return g.now+c.book.Soon(c.due+c.book.Waiting(), c.plan.Parallel, r.cls.lat) <= min(r.aimAt-r.cls.lat, r.halfAt)
+	return g.now+c.book.Soon(c.due+c.book.Waiting(), c.plan.Parallel, r.cls.lat) <= r.lastAt()
 }
 
 // ---- Servers ----
@@ -933,8 +909,7 @@
 	before := float64(max(1, len(g.nodes.Order)))
 	g.nodes.List(list, whole, func() *server { return newServer(g) }, func(s *server) {
 		s.speed, s.downUntil, s.broken, s.fulls = 1, 0, 0, 0
-		clear(s.sick)
-		clear(s.erred)
+		s.Reset()
 	})
 	g.part = float64(len(g.nodes.Order)) / float64(g.s.Gateways)
 	g.weigh()
@@ -979,10 +954,10 @@
 		if s.State != Up || g.now < s.downUntil {
 			continue
 		}
-		ill := g.sickness(s, r.cls)
+		ill := s.Sick(r.cls.index, g.now)
 		for _, k := range g.classList {
 			if r.cls.Effect == Unsafe { // others' errors cost an attempt, its own cost the request
-				ill = max(ill, min(g.sickness(s, k), s.erred[k.index]))
+				ill = max(ill, min(s.Sick(k.index, g.now), s.Erred(k.index)))
 			}
 		}
 		if seen++; ill < hedgeSick {
@@ -1025,9 +1000,7 @@
 func (g *Gateway) fails(s *server, c *class, by float64) {
 	for _, k := range g.classList {
 		if c == nil || k.index == c.index {
-			x := g.sickness(s, k)
-			s.sick[k.index] = sick{x + by*(1-x), g.now}
-			g.news.Add(peermsg.Item{Server: s.Hash, Class: k.tag, Value: s.sick[k.index].level, At: g.now})
+			g.news.Add(peermsg.Item{Server: s.Hash, Class: k.tag, Value: s.Fail(k.index, by, g.now), At: g.now})
 		}
 	}
 }
@@ -1044,11 +1017,9 @@
 		}
 		s.util, s.utilAt = n.Value, n.At
 	} else if i := slices.IndexFunc(g.classList, func(c *class) bool { return c.tag == n.Class }); i >= 0 {
-		k := &s.sick[i]
-		if n.At < k.at+newsStepS || n.At < s.okAt[i] {
+		if !s.Heard(i, n.Value, n.At, newsStepS) {
 			return
 		}
-		*k = sick{n.Value, n.At}
 	}
 	g.news.Add(n)
 }
@@ -1056,12 +1027,11 @@
 // learn takes from an attempt's end what it tells of the server.
 func (g *Gateway) learn(r *request, a *attempt, o Outcome) {
 	s, c := a.srv, r.cls
-	tells := o.Status == OK || o.Status == Timeout && g.sickness(s, c) < hedgeSick // of the others too
+	tells := o.Status == OK || o.Status == Timeout && s.Sick(c.index, g.now) < hedgeSick // of the others too
 	slow := min(o.SpentS/c.lat, 4)
 	switch o.Status {
 	case OK:
-		s.erred[c.index] *= 1 - errorWeight // one good answer is no health: it may err on two of three
-		s.okAt[c.index], s.sick[c.index] = g.now, sick{max(s.erred[c.index]-errorFew, 0), g.now}
+		s.Good(c.index, g.now)
 		s.broken, s.fulls = 0, 0
 		g.done += c.lat / demandTauS
 		c.n++
@@ -1072,8 +1042,8 @@
 		g.fails(s, c, errorSick)
 		s.speed += timeoutWeight * max(4-s.speed, 0) // slow, if not silent
 	case Error:
-		s.erred[c.index] += errorWeight * (1 - s.erred[c.index])
-		g.fails(s, c, max(errorSick, s.erred[c.index]))
+		s.Err(c.index)
+		g.fails(s, c, max(errorSick, s.Erred(c.index)))
 	case ConnectFailed, Reset:
 		s.broken++
 		if s.broken < downFrom {
@@ -1118,13 +1088,13 @@
 			g.refuse(r, because)
 			continue
 		}
-		if c := r.cust; c != nil && c.lender && r.out > 0 && c.plan.Parallel > 0 && c.held.Now(g.now+places.RenewS) < c.out {
+		if c := r.cust; c != nil && c.lender && r.out > 0 && c.held.Now(g.now+places.RenewS) < c.out {
 			g.note(c, true) // its place would end before it does
 		}
 		for i := range r.attempts {
 			a := &r.attempts[i]
 			if !a.done && !a.seen && !r.stream && g.now-max(a.sentAt, g.gapAt) > max(silentX*r.cls.lat, newsStepS) &&
-				a.srv.okAt[r.cls.index] < a.sentAt {
+				a.srv.GoodAt(r.cls.index) < a.sentAt {
 				a.seen = true
 				g.fails(a.srv, r.cls, 1)
 			}
@@ -1133,7 +1103,7 @@
 			continue
 		}
 		a := &r.attempts[len(r.attempts)-1]
-		age, ill := g.now-a.sentAt, g.sickness(a.srv, r.cls) > hedgeSick
+		age, ill := g.now-a.sentAt, a.srv.Sick(r.cls.index, g.now) > hedgeSick
 		early := !ill && (!g.s.Parallel || age < hedgeX*r.cls.lat || len(g.queue) > 0)
 		if early || a.done || a.called || age < hedgeShare*r.cls.AimS {
 			continue
--- a/policy/state.go
+++ b/policy/state.go
@@ -8,10 +8,13 @@
 
 	"eiderspread/internal/ceiling"
 	"eiderspread/internal/fade"
+	"eiderspread/internal/health"
 	"eiderspread/internal/nodes"
+	"eiderspread/internal/outbox"
 	"eiderspread/internal/patience"
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/places"
+	"eiderspread/internal/pulse"
 	"eiderspread/internal/ring"
 	"eiderspread/internal/tally"
 	"eiderspread/internal/why"
@@ -36,23 +39,20 @@
 
 type server struct {
 	nodes.Entry
+	health.Health
 	inflight     int
 	speed        float64 // latency against the class's mean
 	sentAt       float64
 	busy         float64 // mean attempts out here of late
 	util, utilAt float64
 	askedAt      float64 // last probe
-	sick         []sick  // by class
-	okAt         []float64
-	erred        []float64 // by class: the share of errors of late
-	broken       int       // attempts that found no connection, or lost it, since it last answered
-	fulls        int       // attempts it turned away since then
+	broken       int     // attempts that found no connection, or lost it, since it last answered
+	fulls        int     // attempts it turned away since then
 	downUntil    float64
 	sentLog      fade.Log // while cold
 }
 
-// sick tells how sure it was that a server leaves a class unanswered.
-type sick struct{ level, at float64 }
+func (s *server) entry() *nodes.Entry { return &s.Entry }
 
 type record = peermsg.Record
 
@@ -115,58 +115,47 @@
 	askOf          int        // to this gateway
 	ceil           ceiling.Ceiling
 	local          tally.Bucket // where no owner answers
-	ahead          float64      // units that the owner has set aside for what is still to come
-	aheadTill      float64
+	ahead, aheadTo float64      // units that the owner has set aside for what is still to come, and until when
 	led            *tally.Ledger
 }
 
-type peer struct {
-	missed          int     // reports without an answer since it was last heard
-	missAt          float64 // the last of them
-	toldAt          float64
-	order           peermsg.Order
-	reports         []*customer
-	pending, urgent bool // in Gateway.pending; a request waits
-}
-
 // Gateway decides for one gateway.
 type Gateway struct {
-	s                Settings
-	act              Actions
-	rng              *rand.Rand
-	now              float64
-	born, lendFrom   float64 // until then it lends no places: what is out is not known
-	boot             uint8
-	seq              uint16
-	gapAt            float64     // when this gateway last came back from a gap of its own
-	lost             float64     // share of reports unanswered
-	inRate, inAt     float64     // messages a second that come in
-	tokens, tokensAt float64     // reports that may be sent
-	pending          []int       // peers with reports due
-	waiting          []*customer // with reports unanswered
-	purses           []*customer // with units set aside ahead
-	lined            []*customer // with members that wait for a place
-	limit            float64     // attempts out here, at all servers
-	part             float64     // servers a gateway
-	out              int         // attempts out
-	stretch, spent   float64     // means of latency over aim, of time until an answer or a time-out
-	sentAt           float64
-	probes           float64 // that may be sent
-	news             peermsg.News
-	classList        []*class
-	maxWorth         float64 // of any class, a unit
-	ring             ring.Ring
-	classes          map[string]*class
-	plans            []*plan
-	byPlan           map[string]*plan
-	nodes            nodes.Table[server]
-	reqs             map[string]*request
-	live, queue      []*request
+	s              Settings
+	act            Actions
+	rng            *rand.Rand
+	now            float64
+	born, lendFrom float64 // until then it lends no places: what is out is not known
+	boot           uint8
+	seq            uint16
+	gapAt          float64               // when this gateway last came back from a gap of its own
+	inRate, inAt   float64               // messages a second that come in
+	box            outbox.Box[*customer] // reports that are due
+	waiting        []*customer           // with reports unanswered
+	purses         []*customer           // with units set aside ahead
+	lined          []*customer           // with members that wait for a place
+	limit          float64               // attempts out here, at all servers
+	part           float64               // servers a gateway
+	out            int                   // attempts out
+	stretch, spent float64               // means of latency over aim, of time until an answer or a time-out
+	sentAt         float64
+	probes         float64 // that may be sent
+	news           peermsg.News
+	classList      []*class
+	maxWorth       float64 // of any class, a unit
+	ring           ring.Ring
+	classes        map[string]*class
+	plans          []*plan
+	byPlan         map[string]*plan
+	nodes          nodes.Table[server]
+	reqs           map[string]*request
+	live, queue    []*request
 
 	custs              map[uint32]*customer
-	peers              []peer
-	work, workAt, done float64 // a second that quotas let in, and that was answered well
-	shares             float64 // of their capacity that the servers have by now, in sum
+	orders             []peermsg.Order // of peers' messages
+	pulse              pulse.Pulse     // of peers, and who is silent
+	work, workAt, done float64         // a second that quotas let in, and that was answered well
+	shares             float64         // of their capacity that the servers have by now, in sum
 	sweepAt            float64
 	tracer             func(why.Decision) // nil: nobody asks for reasons
 }
@@ -216,14 +205,6 @@
 	return c.plan.Parallel - c.out - c.due - c.book.Out(g.now, -1)
 }
 
-// prepaid is what the owner has set aside, and its ceiling paid, for requests still to come.
-func (g *Gateway) prepaid(c *customer) float64 {
-	if g.now >= c.aheadTill {
-		return 0
-	}
-	return c.ahead
-}
-
 // capped tells that no other attempt of the customer may begin here now.
 func (g *Gateway) capped(c *customer) bool {
 	return c.plan.Parallel > 0 && (c.out >= c.plan.Parallel || g.owner(c) == g.s.Me && g.free(c)+c.due <= 0)
@@ -240,6 +221,9 @@
 	return span, wait
 }
 
+// wants is what the customer asks for here, passed or not, in units a second.
+func (g *Gateway) wants(c *customer) float64 { return c.demand.Now(g.now, demandTauS) }
+
 // walk goes on the ring from the customer's point to the first gateway that serves it, and with skip to the first that is not silent.
 func (g *Gateway) walk(c *customer, skip bool) int {
 	if gw, ok := g.ring.Walk(c.hash, func(gw int) bool {
@@ -322,7 +306,7 @@
 			i = len(g.classList)
 			g.classList = append(g.classList, newClass(c, i))
 			for _, s := range g.nodes.By {
-				s.sick, s.okAt, s.erred = append(s.sick, sick{}), append(s.okAt, 0), append(s.erred, 0)
+				s.Grow(len(g.classList))
 			}
 		} else if g.classList[i].Class != c {
 			k := *g.classList[i]
@@ -354,12 +338,6 @@
 	}
 }
 
-// sickness tells how sure it is, from 0 to 1, that the server does not answer the class.
-func (g *Gateway) sickness(s *server, c *class) float64 {
-	k := s.sick[c.index]
-	return k.level * math.Exp((k.at-g.now)/sickTauS)
-}
-
 // forget drops customers unused for so long of which nothing is left to tell.
 func (g *Gateway) forget(age float64) {
 	for k, c := range g.custs {
@@ -388,17 +366,6 @@
 	return c.ceil.Full(g.ceiling(c), g.now)
 }
 
-// due puts the customer on the list of what a peer is to be told.
-func (g *Gateway) due(c *customer, peer int) {
-	p := &g.peers[peer]
-	c.dirty, c.askOf = true, peer
-	p.reports = append(p.reports, c)
-	if !p.pending {
-		p.pending = true
-		g.pending = append(g.pending, peer)
-	}
-}
-
 // Retune takes other classes, and another number of attempts, while requests are under way.
 func (g *Gateway) Retune(now float64, classes []Class, attempts int) error {
 	s := g.s
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -32,7 +32,7 @@
 // rooms puts in what this gateway sees of the account, and changes nothing.
 func (g *Gateway) rooms(d *why.Decision, c *customer) {
 	d.Account, d.Owner, d.Prime, d.Out = c.key, g.owner(c), c.prime, c.out
-	d.Mine, d.Others = float32(c.demand.Now(g.now, demandTauS)), float32(c.others)
+	d.Mine, d.Others = float32(g.wants(c)), float32(c.others)
 	if l := c.led; l != nil {
 		d.Room, d.Others = float32(l.Room), float32(l.DemandNow(g.now, demandTauS))
 	} else {
