The budget of places: what a cap promises in which failure, judged in one level

internal/budget states how many attempts beyond its cap an account may have out, and how long a place may stand idle, by failure; the auditor holds each account of one level against it.

--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -49,7 +49,7 @@
 	size := 0
 	seen, counts, nearest := map[string]int{}, map[string]int{}, map[string]float64{}
 	tries, attempts, messages, drowned := 0, 0, 0, 0
-	var ideal, withheld, beyond, service float64
+	var ideal, withheld, beyond, service, placeS, beyondS float64
 	reasons, byPlan, kinds := map[why.Reason]int{}, map[string]float64{}, map[string]int{}
 	for range *jobs {
 		all.Go(func() {
@@ -86,6 +86,7 @@
 					beyond += o.Units
 				}
 				messages, drowned = messages+r.Messages, drowned+r.Drowned
+				placeS, beyondS = placeS+r.PlaceS, beyondS+r.BeyondS
 				for k, n := range r.Kinds {
 					kinds[k] += n
 				}
@@ -141,6 +142,9 @@
 		list := slices.SortedFunc(maps.Keys(reasons), func(a, b why.Reason) int { return reasons[b] - reasons[a] })
 		fmt.Printf("  messages between ingresses: %.1f a second at each, %.1f%% of them beyond its intake\n",
 			float64(messages)/played/length.Seconds()/float64(max(1, size)), 100*float64(drowned)/float64(max(1, messages)))
+		if placeS > 0 {
+			fmt.Printf("  places: %.0f s of attempts within caps, %.1f%% of that beyond\n", placeS, 100*beyondS/placeS)
+		}
 		fmt.Print("  sent, a second at each:")
 		for _, k := range slices.Sorted(maps.Keys(kinds)) {
 			fmt.Printf(" %s %.2f", k, float64(kinds[k])/played/length.Seconds()/float64(max(1, size)))
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -18,6 +18,8 @@
 	NoticeS = 0.6  // until an owner's silence is noticed while nobody waits: two unanswered reports
 	RetryS  = 1.0  // after which a silent gateway is tried again
 	MemberS = 8.0  // until a member's count is forgotten
+	LentS   = 0.5  // for which a place is lent to an attempt that is told of
+	GraceS  = 0.08 // for which the lender believes in it longer
 	CheapS  = 0.18 // of the burst, that the cheapest class leaves to dearer ones while more than the rate is asked
 )
 
@@ -27,6 +29,8 @@
 	Rate, Burst float64 // of its plan
 	Largest     float64 // units of the largest request
 	Demand      float64 // units a second asked for, at the most
+	Parallel    int     // attempts out at once that its plan allows; 0: no cap
+	Asks        float64 // requests a second, at the most
 }
 
 // Kind is a kind of failure.
@@ -142,3 +146,51 @@
 	}
 	return under
 }
+
+// Places is how many attempts beyond its cap an account may have out in one failure, for as long as places are lent. Attempts that are out on no
+// place are told of, and no other begins before they end.
+func Places(a Account, t Trouble) float64 {
+	if a.Parallel == 0 || a.Gateways < 2 {
+		return 0
+	}
+	switch t.Kind {
+	case Calm: // members that heard within FreshS that places are free begin one without a question
+		return min(1+a.Asks*FreshS/2, float64(a.Gateways))
+	case OwnerLost, OwnerBack: // who takes over knows nothing of what was lent before
+		return float64(a.Parallel)
+	case Split: // each side has an owner of its own
+		return float64((max(t.Sides, 2) - 1) * a.Parallel)
+	case Fog: // renewals are lost, and some go to a stand-in: both as often as a report stays unanswered twice
+		return float64(a.Parallel) * min(1, 0.5+2*twice(t.Loss))
+	}
+	return 0
+}
+
+// Idle is for how many seconds one place may stand idle after one attempt, or one failure, while others wait for it.
+func Idle(a Account, t Trouble) float64 {
+	switch t.Kind {
+	case Calm: // the word of an attempt's end comes at once
+		return 2 * DelayS
+	case MemberLost: // with places that nobody gives back
+		return LentS + GraceS
+	case OwnerLost: // until it is noticed, and the next on the ring lends what it has
+		return NoticeS + DelayS
+	case OwnerBack: // it lends nothing until all that its former life lent is over
+		return LentS
+	case Fog:
+		return (LentS + GraceS) * t.Loss
+	}
+	return RetryS
+}
+
+// PlacesWithin sums what troubles allow of an account's places at a time, calm included. No failure lets more out than every gateway by itself.
+func PlacesWithin(a Account, list []Trouble, at float64) (beyond float64, met []Trouble) {
+	beyond = Places(a, Trouble{Kind: Calm})
+	for _, t := range list {
+		if t.touches(at, at) {
+			beyond += Places(a, t)
+			met = append(met, t)
+		}
+	}
+	return min(beyond, float64(a.Gateways*max(a.Parallel, 1))), met
+}
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"eiderspread/internal/budget"
+	"eiderspread/internal/ring"
 	"eiderspread/policy"
 )
 
@@ -95,6 +97,7 @@
 	Counted           map[int]Margin // the worst of any account, by the length of time in seconds: let in beyond rate and burst
 	Short             map[int]Margin // and withheld
 	Withheld          float64        // and of these, that were not let in
+	PlaceS, BeyondS   float64        // seconds of attempts out of accounts with a cap: within it, and beyond
 	Kinds             map[string]int // of messages between ingresses, where they are counted
 	Messages, Drowned int            // between ingresses, where they are counted; of these, lost since an ingress takes in no more
 	Reasons           map[int]int    // refusals by the module's why.Reason, where it was told
@@ -367,17 +370,41 @@
 			edges[a.Account] = append(edges[a.Account], edge{a.At, 1}, edge{end, -1})
 		}
 	}
+	one := len(rules.Homes) > 0 // of one level: by the error budget
+	asks, around := map[string][]pass{}, ring.Ring{}
+	if one {
+		around = ring.New(rules.Gateways, ring.Points(rules.Gateways))
+		for _, t := range h.Tries {
+			asks[t.Account] = append(asks[t.Account], pass{t.Sent.Seconds(), 1})
+		}
+	}
 	for account, list := range edges {
 		sort.Slice(list, func(i, j int) bool {
 			return list[i].at < list[j].at || list[i].at == list[j].at && list[i].by < list[j].by
 		})
-		out, most, at := 0, 0, time.Duration(0)
+		out, most, at, broken := 0, 0, time.Duration(0), false
+		cap, before := plan[account].Parallel, time.Duration(0)
+		a, troubles := budget.Account{}, []budget.Trouble(nil)
+		if one {
+			a = budget.Account{Gateways: rules.Homes[account].Entries, Parallel: cap, Asks: most1(asks[account])}
+			troubles = troublesOf(h, rules, around, account)
+		}
 		for _, e := range list {
+			rep.PlaceS += float64(min(out, cap)) * (e.at - before).Seconds()
+			rep.BeyondS += float64(max(out-cap, 0)) * (e.at - before).Seconds()
+			before = e.at
 			if out += e.by; out > most {
 				most, at = out, e.at
 			}
+			if one && out > cap && e.by > 0 {
+				allowed, met := budget.PlacesWithin(a, troubles, e.at.Seconds())
+				rep.near("budget of places", float64(out-cap)/max(allowed, 1))
+				if float64(out-cap) > max(allowed, 1) && !broken {
+					broken = true
+					rep.breach(Caps, e.at, "%s had %d attempts out, its cap is %d and %.1f beyond are allowed (%v)", account, out, cap, allowed, met)
+				}
+			}
 		}
-		cap := plan[account].Parallel
 		rep.near("cap on open attempts", float64(most)/float64(cap))
 		if most >= cap {
 			rep.saw(Caps, "accounts at their cap")
--- a/internal/lab/audit/counts.go
+++ b/internal/lab/audit/counts.go
@@ -75,8 +75,8 @@
 				continue
 			}
 			home := rules.Homes[name]
-			a := budget.Account{Gateways: home.Entries, Rate: p.Rate * drift, Burst: p.Burst, Largest: largest[name], Demand: most(asked[name], 1)}
-			list := troubles(h, rules, around, name)
+			a := budget.Account{Gateways: home.Entries, Rate: p.Rate * drift, Burst: p.Burst, Largest: largest[name], Demand: most1(asked[name])}
+			list := troublesOf(h, rules, around, name)
 			rep.over(rules, name, a, passed[name], list)
 			if p.CeilingRate <= 0 || p.CeilingRate >= 1.5*p.Rate && p.CeilingBurst >= 1.5*p.Burst { // else a ceiling may hold back what the quota lets in
 				rep.under(rules, name, a, counted[name], passed[name], list)
@@ -85,8 +85,9 @@
 	}
 }
 
-// most is the most units within any time of such a length, a second.
-func most(list []pass, length float64) (rate float64) {
+// most1 is the most units within any second.
+func most1(list []pass) (rate float64) {
+	const length = 1.0
 	sum, from := 0.0, 0
 	for _, x := range list {
 		for sum += x.units; list[from].at < x.at-length; from++ {
@@ -97,8 +98,8 @@
 	return rate
 }
 
-// troubles are the failures that an account's count had: lives of its gateways, by their place on its ring, and messages between them.
-func troubles(h *History, rules Rules, around ring.Ring, name string) (list []budget.Trouble) {
+// troublesOf are the failures that an account's count had: lives of its gateways, by their place on its ring, and messages between them.
+func troublesOf(h *History, rules Rules, around ring.Ring, name string) (list []budget.Trouble) {
 	home := rules.Homes[name]
 	order := around.Order(peermsg.Point(name), func(gw int) bool { return (gw-home.First+rules.Gateways)%rules.Gateways < home.Entries })
 	down := func(gw int, at time.Duration) bool {
