Each ingress prefers a part of the nodes, so that connections are used again

Cause: choose() begins anywhere in the list, so a node is met again after 20 s, when its connection has ended (lines of choose, pool idle time 7.5 s). Change: internal/subset ranks nodes for each gateway by a hash of both (rendezvous); choose looks at the preferred ones first and goes on to all where these have no room, are sick, cold or drain. About 24 gateways prefer a node, 8 nodes at least; a fleet of 24 ingresses or fewer prefers all nodes as before.

--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -8,14 +8,16 @@
 	"slices"
 
 	"eiderspread/internal/peermsg"
+	"eiderspread/internal/subset"
 	"eiderspread/internal/terms"
 )
 
 // Entry is what the table needs of a server; the caller's own type embeds it.
 type Entry struct {
 	terms.Server
-	Hash   uint16
-	Listed bool // in the list of the moment, drained or not
+	Point  uint64 // a hash of its id
+	Hash   uint16 // the part of it by which gateways speak of the server
+	Listed bool   // in the list of the moment, drained or not
 }
 
 // Warm is the least part of its capacity that the server must have by now: from at its start, all after coldS seconds.
@@ -33,6 +35,8 @@
 	Order  []*T // those listed, by id
 	byHash map[uint16]*T
 	entry  func(*T) *Entry
+	near   []*T
+	stale  bool // near is of a former list
 }
 
 // New returns an empty table; entry finds the Entry in a server.
@@ -51,7 +55,8 @@
 		if s == nil {
 			s = fresh()
 			t.By[told.ID] = s
-			t.entry(s).Hash = uint16(peermsg.Point(told.ID))
+			t.entry(s).Point = peermsg.Point(told.ID)
+			t.entry(s).Hash = uint16(t.entry(s).Point)
 			t.index(s)
 		} else if told.SinceS > t.entry(s).SinceS {
 			restarted(s)
@@ -66,6 +71,30 @@
 		}
 	}
 	slices.SortFunc(t.Order, func(a, b *T) int { return cmp.Compare(t.entry(a).ID, t.entry(b).ID) })
+	t.stale = true
+}
+
+// Near is the part of the listed servers that gateway me prefers, size of them, those of its own zone first where that is asked; servers that drain
+// keep their places as long as they are listed, and are passed over by the caller.
+func (t *Table[T]) Near(me, size int, zone string, own bool) []*T {
+	if !t.stale && len(t.near) == min(size, len(t.Order)) {
+		return t.near
+	}
+	ids, from := make([]uint64, 0, len(t.Order)), make([]*T, 0, len(t.Order))
+	t.near = t.near[:0]
+	for _, here := range []bool{true, false} {
+		ids, from = ids[:0], from[:0]
+		for _, s := range t.Order {
+			if e := t.entry(s); (!own || e.Zone == zone) == here {
+				ids, from = append(ids, e.Point), append(from, s)
+			}
+		}
+		for _, i := range subset.Rendezvous(ids, me, 0, size-len(t.near)) {
+			t.near = append(t.near, from[i])
+		}
+	}
+	t.stale = false
+	return t.near
 }
 
 // index finds a server by its hash. Of two with the same one, what is told of either is not used.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,6 +18,7 @@
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/places"
 	"eiderspread/internal/pulse"
+	"eiderspread/internal/subset"
 	"eiderspread/internal/tally"
 	"eiderspread/internal/why"
 )
@@ -55,6 +56,8 @@
 	minLimit      = 3.0   // and at least
 	lookLeast     = 2     // healthy servers looked at for a request, at least
 	lookAll       = 12    // gateways, up to which each looks at all servers
+	sharers       = 24    // gateways that prefer the same server, about
+	nearLeast     = 8     // servers that a gateway prefers, at least
 	coldAhead     = 2.0   // times what is answered, is at most taken for asked: under overload that is far more
 	coldChance    = 0.5   // of a gateway's part of a cold server, where that is under one request
 	utilS         = 3.0   // a load report counts for so long
@@ -946,12 +949,18 @@
 	if g.full(r) {
 		return nil
 	}
-	// With many gateways each looks at a few servers only: all would pick the same one by the same news.
+	// With many gateways each looks at a few servers only: all would pick the same one by the same news. It begins
+	// with those that it prefers, so that connections are used again, and goes on to all where these have no room.
 	n := len(g.nodes.Order)
+	near := g.nodes.Near(g.s.Me, subset.Size(g.s.Gateways, n, sharers, nearLeast), g.s.Zone, g.s.CrossZonePrice > 0)
 	look, from := max(lookLeast, n*lookAll/g.s.Gateways), g.rng.IntN(max(1, n))
-	for k := 0; k < n && look > 0; k++ {
+	others := float64(g.s.Gateways*len(near))/float64(max(1, n)) - 1 // that prefer one server too
+	for k := 0; k < len(near)+n && look > 0; k++ {
 		s := g.nodes.Order[(from+k)%n]
-		if s.State != Up || g.now < s.downUntil {
+		if k < len(near) {
+			s = near[(from+k)%len(near)]
+		}
+		if s.State != Up || g.now < s.downUntil || k >= len(near) && len(near) == n {
 			continue
 		}
 		ill := s.Sick(r.cls.index, g.now)
@@ -969,7 +978,7 @@
 			continue
 		}
 		// What the others have there is unseen: the best guess is that each sends as this one does.
-		load := float64(s.inflight) + 1 + float64(g.s.Gateways-1)*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
+		load := float64(s.inflight) + 1 + others*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
 		if s.Zone != g.s.Zone {
 			load += crossWeight * g.s.CrossZonePrice
 		}
