--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -48,7 +48,7 @@
 	var failed []sim.Config
 	size := 0
 	seen, counts, nearest := map[string]int{}, map[string]int{}, map[string]float64{}
-	tries, attempts, messages, drowned := 0, 0, 0, 0
+	tries, attempts, messages, drowned, handshakes := 0, 0, 0, 0, 0
 	var ideal, withheld, beyond, service, placeS, beyondS float64
 	reasons, byPlan, kinds := map[why.Reason]int{}, map[string]float64{}, map[string]int{}
 	for range *jobs {
@@ -86,6 +86,7 @@
 					beyond += o.Units
 				}
 				messages, drowned = messages+r.Messages, drowned+r.Drowned
+				handshakes += r.Handshakes
 				placeS, beyondS = placeS+r.PlaceS, beyondS+r.BeyondS
 				for k, n := range r.Kinds {
 					kinds[k] += n
@@ -135,7 +136,7 @@
 	for _, k := range slices.Sorted(maps.Keys(byPlan)) {
 		fmt.Printf(" %s %.3f", k, byPlan[k]/played)
 	}
-	fmt.Println()
+	fmt.Printf("\n  connections opened to nodes: %.2f an attempt\n", float64(handshakes)/float64(max(attempts, 1)))
 	if ideal > 0 {
 		fmt.Printf("  counts: %.0f units would be let in without fault, %.1f%% of them were withheld; the worst moments of accounts add up to %.1f%% beyond\n",
 			ideal, 100*withheld/ideal, 100*beyond/ideal)
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -97,6 +97,7 @@
 	Counted           map[int]Margin // the worst of any account, by the length of time in seconds: let in beyond rate and burst
 	Short             map[int]Margin // and withheld
 	Withheld          float64        // and of these, that were not let in
+	Handshakes        int            // connections to nodes that were opened, where they are counted
 	PlaceS, BeyondS   float64        // seconds of attempts out of accounts with a cap: within it, and beyond
 	Kinds             map[string]int // of messages between ingresses, where they are counted
 	Messages, Drowned int            // between ingresses, where they are counted; of these, lost since an ingress takes in no more
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -121,6 +121,7 @@
 	}
 	rep := audit.Audit(s.Hist, s.Rules())
 	rep.Messages, rep.Drowned, rep.Kinds = s.Messages, s.Drowned, s.Kinds
+	rep.Handshakes = s.Handshakes
 	for rule, n := range s.breach {
 		rep.Counts[rule] += n
 	}
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -73,34 +73,35 @@
 
 // Sim is the world. True time is t; each party has its own clock.
 type Sim struct {
-	cfg      Config
-	Hist     *audit.History
-	rng      *rand.Rand
-	t        float64
-	seq      int
-	queue    queue
-	p        fleet.Params
-	planners []*simPlanner
-	fwds     []*simForwarder
-	links    [][]*simLink // by planner and forwarder
-	nodes    []*simNode   // in the order of their first start
-	keys     *node.Keys
-	nextNode int
-	nextID   int
-	peerWay  lab.Weather // of datagrams between ingresses of different halves
-	fog      lab.Weather // of all
-	lateS    float64     // how late the roster tells
-	floods   map[string]float64
-	asks     map[string]*asked // by first try; as many as the run has
-	breach   map[string]int
-	first    string
-	Leads    int // moments at which a cell was found led: that fencing was looked at
-	leadsAt  []*simPlanner
-	byHand   map[string]bool // nodes on which operators are at work
-	Messages int             // between ingresses that came, and of these, beyond what one takes in
-	Drowned  int
-	Kinds    map[string]int // of messages sent between ingresses
-	Held     int            // nodes that operators took out with a yes
+	cfg        Config
+	Hist       *audit.History
+	rng        *rand.Rand
+	t          float64
+	seq        int
+	queue      queue
+	p          fleet.Params
+	planners   []*simPlanner
+	fwds       []*simForwarder
+	links      [][]*simLink // by planner and forwarder
+	nodes      []*simNode   // in the order of their first start
+	keys       *node.Keys
+	nextNode   int
+	nextID     int
+	peerWay    lab.Weather // of datagrams between ingresses of different halves
+	fog        lab.Weather // of all
+	lateS      float64     // how late the roster tells
+	floods     map[string]float64
+	asks       map[string]*asked // by first try; as many as the run has
+	breach     map[string]int
+	first      string
+	Leads      int // moments at which a cell was found led: that fencing was looked at
+	leadsAt    []*simPlanner
+	byHand     map[string]bool // nodes on which operators are at work
+	Messages   int             // between ingresses that came, and of these, beyond what one takes in
+	Drowned    int
+	Handshakes int            // connections to nodes that were opened
+	Kinds      map[string]int // of messages sent between ingresses
+	Held       int            // nodes that operators took out with a yes
 }
 
 type clock struct{ offset, speed float64 }
@@ -430,6 +431,7 @@
 	busy    bool
 	downAt  float64
 	intake  intake
+	conns   map[string][]float64 // to nodes, idle since then, by node and life
 }
 
 // peerIntake is how many messages of others an ingress takes in a second, as on the platform; what comes beyond is lost.
@@ -466,6 +468,7 @@
 	rec    *audit.Attempt
 	done   bool
 	load   *policy.Load
+	way    string // of its connection
 }
 
 func (f *simForwarder) now() float64 { return f.clock.at(f.s.t) }
@@ -478,7 +481,7 @@
 	f.lives, f.succession = map[int]map[string]bool{}, succession{}
 	f.life = f.begin()
 	f.known = uint64(f.life)
-	f.open, f.up, f.pending = map[string]*simRequest{}, map[string]policy.State{}, nil
+	f.open, f.up, f.pending, f.conns = map[string]*simRequest{}, map[string]policy.State{}, nil, map[string][]float64{}
 	for _, n := range s.nodes {
 		if n.listed {
 			f.up[n.id] = policy.Up
@@ -698,7 +701,36 @@
 		return
 	}
 	s.after(max(min(timeoutS, r.DeadlineS-f.now()), 0), func() { f.finish(a, policy.Timeout) }) // as the ingress bounds it
-	s.after(s.hop(), func() { a.arrive() })
+	s.after(s.hop()+f.connect(a), func() { a.arrive() })
+}
+
+// Connections to nodes, as the ingress keeps them: one attempt at a time on each, those that ended well are used again for so long.
+const (
+	connIdleS  = 7.5
+	handshakeS = 0.004
+)
+
+// connect finds a connection for an attempt and returns how long it takes to have it.
+func (f *simForwarder) connect(a *simAttempt) float64 {
+	s := f.s
+	a.way = fmt.Sprint(a.n.id, "/", a.n.life)
+	list := f.conns[a.way]
+	for len(list) > 0 && s.t-list[0] > connIdleS {
+		list = list[1:]
+	}
+	if n := len(list); n > 0 {
+		f.conns[a.way] = list[:n-1]
+		return 0
+	}
+	s.Handshakes++
+	return handshakeS * (1 + s.rng.Float64())
+}
+
+// release keeps the connection of an attempt that ended with an answer.
+func (f *simForwarder) release(a *simAttempt, status policy.Status) {
+	if a.way != "" && (status == policy.OK || status == policy.Error || status == policy.Full) {
+		f.conns[a.way] = append(f.conns[a.way], f.s.t)
+	}
 }
 
 // arrive brings an attempt to its node.
@@ -752,6 +784,7 @@
 		return
 	}
 	a.done = true
+	f.release(a, status)
 	a.leave()
 	r := a.r
 	if f.lives[r.life] == nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,6 +18,7 @@
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/places"
 	"eiderspread/internal/pulse"
+	"eiderspread/internal/ring"
 	"eiderspread/internal/subset"
 	"eiderspread/internal/tally"
 	"eiderspread/internal/why"
@@ -102,17 +103,16 @@
 	g.lendFrom = now + places.WordS
 	g.limit = startLimit / float64(s.Gateways) // for one server
 	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
-	g.setUp()
+	g.setClasses()
+	for i, p := range s.Plans {
+		g.plans = append(g.plans, &plan{Plan: p, index: i})
+		g.byPlan[p.Name] = g.plans[i]
+	}
+	g.ring = ring.New(s.Gateways, ring.Points(s.Gateways))
 	g.act.SetTimer(1, tickS)
 	return g, nil
 }
 
-// newClass is a class as a gateway knows it at the start.
-func newClass(c Class, i int) *class {
-	return &class{Class: c, index: i, tag: peermsg.Tag(c.Name), lat: firstLat * c.AimS,
-		dev: firstLat / 2 * c.AimS}
-}
-
 // newServer is a server as a gateway knows it when it is first listed.
 func newServer(g *Gateway) *server {
 	s := &server{speed: 1, utilAt: math.Inf(-1)}
@@ -950,17 +950,18 @@
 		return nil
 	}
 	// With many gateways each looks at a few servers only: all would pick the same one by the same news. It begins
-	// with those that it prefers, so that connections are used again, and goes on to all where these have no room.
+	// with those that it prefers, so that connections are used again, and goes on where these have no room.
 	n := len(g.nodes.Order)
-	near := g.nodes.Near(g.s.Me, subset.Size(g.s.Gateways, n, sharers, nearLeast), g.s.Zone, g.s.CrossZonePrice > 0)
+	size := subset.Size(g.s.Gateways, n, sharers, nearLeast)
+	near := g.nodes.Near(g.s.Me, size, g.s.Zone, g.s.CrossZonePrice > 0)
 	look, from := max(lookLeast, n*lookAll/g.s.Gateways), g.rng.IntN(max(1, n))
 	others := float64(g.s.Gateways*len(near))/float64(max(1, n)) - 1 // that prefer one server too
-	for k := 0; k < len(near)+n && look > 0; k++ {
+	for k := 0; k < len(near)+n*min(n-len(near), 1) && look > 0; k++ {
 		s := g.nodes.Order[(from+k)%n]
 		if k < len(near) {
 			s = near[(from+k)%len(near)]
 		}
-		if s.State != Up || g.now < s.downUntil || k >= len(near) && len(near) == n {
+		if s.State != Up || g.now < s.downUntil {
 			continue
 		}
 		ill := s.Sick(r.cls.index, g.now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -304,7 +304,8 @@
 		i := slices.IndexFunc(g.classList, func(k *class) bool { return k.Name == c.Name })
 		if i < 0 {
 			i = len(g.classList)
-			g.classList = append(g.classList, newClass(c, i))
+			g.classList = append(g.classList, &class{Class: c, index: i, tag: peermsg.Tag(c.Name), lat: firstLat * c.AimS,
+				dev: firstLat / 2 * c.AimS})
 			for _, s := range g.nodes.By {
 				s.Grow(len(g.classList))
 			}
@@ -316,16 +317,6 @@
 	}
 }
 
-// setUp makes the classes, the plans and the ring.
-func (g *Gateway) setUp() {
-	g.setClasses()
-	for i, p := range g.s.Plans {
-		g.plans = append(g.plans, &plan{Plan: p, index: i})
-		g.byPlan[p.Name] = g.plans[i]
-	}
-	g.ring = ring.New(g.s.Gateways, ring.Points(g.s.Gateways))
-}
-
 // weigh brings the work that is asked for, and what the servers can do, up to now.
 func (g *Gateway) weigh() {
 	k := math.Exp((g.workAt - g.now) / demandTauS)
