--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -34,6 +35,8 @@
 	capX    float64              // see FleetConfig
 	classes func([]policy.Class) // changes them; nil: as they are
 	keyedS  float64              // for which nodes drop repeats; 0: as asked
+	x       float64              // strength of its faults; 0: as drawn
+	lasts   time.Duration        // of each; 0: as drawn
 	floors  map[string]int       // occasions a minute
 }
 
@@ -138,6 +141,8 @@
 		every: 2 * time.Second, kinds: []string{"flood"}, floors: map[string]int{audit.Caps: 100}},
 	"places-storm": {what: "the same, while ingresses die, restart, are split and lose messages, and nodes are slow", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
 		every: time.Second, kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder", "blink", "slow"}, floors: map[string]int{audit.Caps: 100}},
+	"places-hush": {what: "the same, while no message between ingresses arrives for some seconds", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
+		every: 7 * time.Second, kinds: []string{"fog"}, x: 4, lasts: 4 * time.Second, floors: map[string]int{audit.Caps: 100}},
 	"snow": {what: "snowstorm evening: every node slow again and again, some pausing, under a full load", kinds: []string{"snow", "snow", "node pause", "far"},
 		every: 2 * time.Second, weather: 0.02, load: 1.2, floors: map[string]int{audit.Lost: 50, audit.Quotas: 100}},
 	"playoff": {what: "playoff night: planned restarts of ingresses and planners one after the other, accounts shift, nodes are replaced",
@@ -207,6 +212,10 @@
 	}
 	if s.every > 0 {
 		sc.Faults = Schedule(sc.Seed, sc.Length, s.every, sc.Planners > 0, s.kinds)
+		for i := range sc.Faults {
+			f := &sc.Faults[i]
+			f.X, f.For = cmp.Or(s.x, f.X), cmp.Or(s.lasts, f.For)
+		}
 	}
 	sc.Floors = map[string]int{}
 	for rule, n := range s.floors {
