The line under a cap is told by attempts thought to end; places are lent for less

At fault: Book.Soon went by how often places came free, which at an account that asks seldom is how often it asks; and places were lent for 1.25 means and two deviations (0.7 s for attempts of 0.15), which one lost word of an end in eight kept idle. Change: the wait is reckoned from the ends that the attempts out are expected to have; a place is lent for the mean, half a deviation and 0.1 s, and renewed if it takes longer.

--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -21,14 +21,16 @@
 )
 
 // Span is for how long a place is lent to an attempt that takes so long in the mean, with such a mean deviation. Most attempts end within
-// it, and a word of their end brings the place back earlier.
-func Span(mean, dev float64) float64 { return min(1.25*mean+2*dev+RenewS, MostS) }
+// it, and a word of their end brings the place back earlier; one that lasts longer is renewed. A longer span saves renewals and costs
+// idle places where the word of an end is lost, which one in eight is on the largest days.
+func Span(mean, dev float64) float64 { return min(mean+dev/2+RenewS, MostS) }
 
 // lease is so many places of one member, from one time to another.
 type lease struct {
 	member    int
 	n         int
 	from, end float64
+	soon      float64 // when the attempts on them are thought to end
 }
 
 // Waiter is a member's request for a place that has to wait.
@@ -44,8 +46,6 @@
 type Book struct {
 	leases []lease
 	line   []Waiter
-	turns  float64 // seconds from one place that came free to the next, of late; 0: not known
-	turnAt float64
 }
 
 // Out is how many places are lent now, but for those of one member (-1: of all).
@@ -62,38 +62,23 @@
 	return n
 }
 
-// Lend notes that a member has so many places more, for so long from now on.
-func (b *Book) Lend(now float64, member, n int, span float64) {
+// Lend notes that a member has so many places more, for so long from now on. The attempts on them take about mean.
+func (b *Book) Lend(now float64, member, n int, span, mean float64) {
 	if n > 0 {
-		b.leases = append(b.leases, lease{member, n, now, now + min(span, MostS) + GraceS})
+		b.leases = append(b.leases, lease{member, n, now, now + min(span, MostS) + GraceS, now + min(mean, span)})
 	}
 }
 
 // Told takes a member's word that it has so many attempts out: it stands in place of what was lent to it, but for places lent so short a time
-// ago that the word may have crossed them. The places are its own for so long from now on.
-func (b *Book) Told(now float64, member, out int, span float64) {
-	before := b.Out(now, -1)
+// ago that the word may have crossed them. The places are its own for so long from now on, its attempts thought to last another mean.
+func (b *Book) Told(now float64, member, out int, span, mean float64) {
 	b.leases = slices.DeleteFunc(b.leases, func(l lease) bool { return l.member == member && now-l.from >= GraceS })
 	for _, l := range b.leases {
 		if l.member == member { // lent just now: out may have them already
 			out -= l.n
 		}
 	}
-	b.Lend(now, member, out, span)
-	if after := b.Out(now, -1); after < before {
-		b.turn(now)
-	}
-}
-
-// turn learns how often places come free.
-func (b *Book) turn(now float64) {
-	if gap := now - b.turnAt; b.turnAt > 0 && gap < MostS {
-		if b.turns == 0 {
-			b.turns = gap
-		}
-		b.turns += 0.2 * (gap - b.turns)
-	}
-	b.turnAt = now
+	b.Lend(now, member, out, span, mean)
 }
 
 // Drop ends all that a member has: it died, or has started anew.
@@ -142,14 +127,28 @@
 	return b.line[0], true
 }
 
-// Soon is how long it takes until somebody with so many before it gets a place, of so many places each of which is held for about so long: by
-// how often places came free of late where that is known, or as an even flow.
-func (b *Book) Soon(before, places int, span float64) float64 {
-	even := span / float64(max(places, 1))
-	if b != nil && b.turns > 0 {
-		even = min(max(b.turns, even/4), 2*even)
+// lateS is how soon an attempt that ought to have ended is thought to end.
+const lateS = 0.03
+
+// Soon is how long it takes until somebody with so many before it gets a place: by when the attempts on the places that are lent, and so many of the
+// lender's own, are thought to end, each place then going to the next for the mean.
+func (b *Book) Soon(now float64, before, own int, mean float64) float64 {
+	var ends []float64
+	for _, l := range b.leases {
+		for range l.n {
+			if l.end > now {
+				ends = append(ends, max(l.soon-now, lateS))
+			}
+		}
+	}
+	for range own {
+		ends = append(ends, mean/2)
+	}
+	if len(ends) == 0 {
+		return 0
 	}
-	return float64(before+1) * even
+	slices.Sort(ends)
+	return ends[before%len(ends)] + mean*float64(before/len(ends))
 }
 
 // Held is what a member was lent of one account.
@@ -158,7 +157,7 @@
 // Lend takes a grant of so many places, for so long from now on. The caller's count from the arrival of a word is at most GraceS behind the lender's.
 func (h *Held) Lend(now float64, n int, span float64) {
 	if n > 0 && span > 0 {
-		h.leases = append(h.leases, lease{0, n, now, now + span})
+		h.leases = append(h.leases, lease{n: n, end: now + span})
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -716,7 +716,7 @@
 		if !r.Lends {
 			span = outS
 		}
-		c.book.Told(g.now, from, r.Out, span)
+		c.book.Told(g.now, from, r.Out, span, g.like(r.Cheap).lat/2)
 		if r.Want == 0 {
 			c.book.Leave(from)
 		}
@@ -727,9 +727,9 @@
 		case short == why.None:
 			c.book.Leave(from)
 		case short == why.Cap && r.Lends: // it gets the next place that is free, unasked
-			span, wait := g.span(r.Cheap)
-			w.Until = g.now + wait
-			v.Hold, v.Lease = c.book.Soon(c.due+c.book.Wait(w), c.plan.Parallel, span), places.WordS
+			k := g.like(r.Cheap)
+			w.Until = g.now + k.AimS - k.lat
+			v.Hold, v.Lease = c.book.Soon(g.now, c.due+c.book.Wait(w), c.out, k.lat), places.WordS
 			if !slices.Contains(g.lined, c) {
 				g.lined = append(g.lined, c)
 			}
@@ -749,7 +749,7 @@
 	if c.plan.Parallel > 0 && v.Lends && v.Hold == 0 && c.book.Waiting() == 0 {
 		if n := places.Ahead(g.free(c), m.Rate, l.DemandNow(g.now, demandTauS)+g.wants(c)); n > 0 {
 			v.Places, v.Lease = v.Places+n, cmp.Or(v.Lease, places.WordS)
-			c.book.Lend(g.now, to, n, v.Lease)
+			c.book.Lend(g.now, to, n, v.Lease, v.Lease)
 		}
 	}
 	v.Total, v.Room, v.Out = m.Total, l.Room, c.out+c.due+c.book.Out(g.now, to)
@@ -797,10 +797,11 @@
 		m.Total += grant
 		if c.plan.Parallel > 0 {
 			v.Places, v.Lease = max(int(grant/max(w.First, 1)), 1), outS
+			k := g.like(w.Cheap)
 			if v.Lends {
-				v.Lease, _ = g.span(w.Cheap)
+				v.Lease = places.Span(k.lat, k.dev)
 			}
-			c.book.Lend(g.now, w.Member, v.Places, v.Lease)
+			c.book.Lend(g.now, w.Member, v.Places, v.Lease, k.lat)
 		}
 	}
 	g.traceWord(c, w, *v, grant, short)
@@ -901,7 +902,7 @@
 // that already.
 func (g *Gateway) capSoon(r *request) bool {
 	c := r.cust
-	return g.now+c.book.Soon(c.due+c.book.Waiting(), c.plan.Parallel, r.cls.lat) <= r.lastAt()
+	return g.now+c.book.Soon(g.now, c.due+c.book.Waiting(), c.out, r.cls.lat) <= r.lastAt()
 }
 
 // ---- Servers ----
--- a/policy/state.go
+++ b/policy/state.go
@@ -210,15 +210,15 @@
 	return c.plan.Parallel > 0 && (c.out >= c.plan.Parallel || g.owner(c) == g.s.Me && g.free(c)+c.due <= 0)
 }
 
-// span is for how long a place is lent to a request so cheap, by the class that it must be of; and how long that can wait.
-func (g *Gateway) span(cheap float64) (span, wait float64) {
+// like is the class that a request so cheap must be of.
+func (g *Gateway) like(cheap float64) (best *class) {
 	near := math.Inf(1)
 	for _, c := range g.classList {
 		if d := math.Abs(1 - c.Worth/max(g.maxWorth, 1e-9) - cheap); d < near {
-			near, span, wait = d, places.Span(c.lat, c.dev), c.AimS-c.lat
+			near, best = d, c
 		}
 	}
-	return span, wait
+	return best
 }
 
 // wants is what the customer asks for here, passed or not, in units a second.
