--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -9,6 +9,7 @@
 	labEtcd     = "eiderwatch lab -quiet -forwarders 6 -planners 0 -for 60s -every 300ms -seed 4"
 	labEtcdLong = "eiderwatch lab -quiet -forwarders 6 -planners 0 -for 100s -every 300ms -seed 5"
 	simCrowd    = "sim -shrink=false -schedules 8 -for 30s -planners 0 -forwarders 12 -scenario "
+	simPlaces   = "sim -shrink=false -schedules 8 -for 12s -planners 0 -forwarders 80 -scenario "
 	module      = "policy/policy.go"
 	counts      = "internal/tally/tally.go"
 	ceilings    = "internal/ceiling/ceiling.go"
@@ -109,6 +110,21 @@
 	{Name: "lost reports are no silence", Rule: "quotas can be used", Unit: "./internal/pulse",
 		Why:   "owners passed over for a second each cost 1% of service at 80 ingresses, which no rule is made of",
 		Edits: edit("internal/pulse/pulse.go", "\tmost   = 4 ", "\tmost   = 2 "), Runs: []string{simOne + "friday"}},
+	// ---- The module: places lent by time, units ahead ----
+	{Name: "a place comes back by itself", Rule: "caps kept", Unit: "./internal/places",
+		Why:   "without it places stand idle, which no rule is made of: resto falls to 0.85 of its share at 300 ingresses",
+		Edits: edit(lender, "now, now + min(span, MostS) + GraceS,", "now, now + 10*min(span, MostS) + GraceS,"), Runs: []string{simPlaces + "places"}},
+	{Name: "a place is lent once", Rule: "caps kept", Unit: "./internal/places",
+		Edits: edit(lender, "if l.member != but {\n\t\t\tn += l.n\n", "if l.member != but {\n\t\t\tn += 0 * l.n\n"), Runs: []string{simPlaces + "places", simPlaces + "places-storm"}},
+	{Name: "a place in use is renewed", Rule: "caps kept", Unit: "./policy",
+		Why:   "an attempt that outlives its place is one beyond the cap for as long as it lasts, which the budget of a cap of two has room for",
+		Edits: edit(module, "c.lender && r.out > 0 && c.held.Now(g.now+places.RenewS) < c.out {", "c.lender && r.out > 99 {"), Runs: []string{simPlaces + "places", simPlaces + "places-storm"}},
+	{Name: "a new life lends nothing at first", Rule: "caps kept", Unit: "./policy",
+		Why:   "what its former life lent is over within half a second: twice the cap is stated for that long",
+		Edits: edit(module, "\tg.lendFrom = now + places.WordS\n", ""), Runs: []string{simPlaces + "places-storm"}},
+	{Name: "units ahead keep their place below the ceiling's brim", Rule: "ceilings kept", Unit: "./internal/ceiling",
+		Why:   "no schedule has all of a full ceiling asked for within the second in which units ahead are spent; the unit test does",
+		Edits: edit(ceilings, "-c.ahead.Within(now, AheadS+lateS))", ")"), Runs: []string{simOne + "storm", simOne + "ceilings"}},
 	// ---- Nodes held by hand in two levels ----
 	{Name: "a majority of forwarders has the word", Rule: "nodes that operators hold left alone", Unit: "./internal/withhold",
 		Edits: edit("internal/withhold/withhold.go", "if k.n < c.majority {", "if k.n < 1 {"), Runs: []string{simTwo + "hands"}},
