--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -139,6 +139,8 @@
 		kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
 	"places": {what: "accounts at a cap of two open attempts, each through up to two thirds of many ingresses", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
 		every: 2 * time.Second, kinds: []string{"flood"}, floors: map[string]int{audit.Caps: 100}},
+	"places-slow": {what: "the same at requests that take long, so that caps bind before quotas do", crowd: Capped, plans: capOfTwo, nodes: 180, work: 6, loss: 0.07, exact: true,
+		floors: map[string]int{audit.Caps: 100}},
 	"places-storm": {what: "the same, while ingresses die, restart, are split and lose messages, and nodes are slow", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
 		every: time.Second, kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder", "blink", "slow"}, floors: map[string]int{audit.Caps: 100}},
 	"places-hush": {what: "the same, while no message between ingresses arrives for some seconds", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
