--- a/policy/policy.go
+++ b/policy/policy.go
@@ -950,7 +950,7 @@
 	if g.full(r) {
 		return nil
 	}
-	// With many gateways each looks at a few servers only: all would pick the same one by the same news. It begins
+	// With many gateways each looks at few servers only: all would pick the same one by the same news. It begins
 	// with those that it prefers, so that connections are used again, and goes on where these have no room.
 	n := len(g.nodes.Order)
 	size := subset.Size(g.s.Gateways, n, sharers, nearLeast)
--- a/policy/state.go
+++ b/policy/state.go
@@ -196,8 +196,7 @@
 	}
 }
 
-// free is how many places of a capped customer are free here at its owner. A gateway that has just started knows
-// nothing of what is out.
+// free is how many places of a capped customer are free here at its owner. A gateway that has just started knows nothing of what is out.
 func (g *Gateway) free(c *customer) int {
 	if g.now < g.lendFrom && g.s.Peers && c.entries != 1 {
 		return 0
