--- a/policy/state.go
+++ b/policy/state.go
@@ -341,7 +341,6 @@
 
 // fresh tells that window and ceiling are as full as those of a customer never heard of.
 func (g *Gateway) fresh(c *customer) bool {
-	const eps = 1e-9
 	p, n := c.plan, float64(max(c.entries, 1))
 	room := 0.0
 	if c.led != nil {
@@ -350,10 +349,8 @@
 		room = g.roomNow(c)
 	}
 	local := c.local.Level + p.Rate/n*(g.now-c.local.At)
-	if p.Rate > 0 && (room < p.Burst-eps || local < max(p.Burst/n, float64(g.s.MaxUnits))) {
-		return false
-	}
-	return c.ceil.Full(g.ceiling(c), g.now)
+	full := p.Rate <= 0 || room >= p.Burst-1e-9 && local >= max(p.Burst/n, float64(g.s.MaxUnits))
+	return full && c.ceil.Full(g.ceiling(c), g.now)
 }
 
 // Retune takes other classes, and another number of attempts, while requests are under way.
