A customer with units ahead stands once in the list that ends them

Observed on reading the change again: heard() put the customer into Gateway.purses with each grant of units ahead, and an entry leaves only when the last grant's time is over; a member that is granted some again before that stood in it once for each (35 times after 40 grants in the new test, without end in service). Change: it stands there once. A process that hands on gives its units ahead up, as its parts of ceilings: the owner has them back with the successor's first report.

--- a/policy/keep.go
+++ b/policy/keep.go
@@ -42,7 +42,7 @@
 			x.Ledger, x.Members = c.led.Pack()
 		}
 		parts = kept.Add(parts, x)
-		c.ceil.Own.Level, c.ceil.Pool.Level = kept.None, kept.None
+		c.ceil.Own.Level, c.ceil.Pool.Level, c.ahead = kept.None, kept.None, 0
 	}
 	return parts
 }
--- a/policy/places_test.go
+++ b/policy/places_test.go
@@ -304,3 +304,21 @@
 	}
 	t.Error("no question within 0.25 s")
 }
+
+// Guards a list without a bound: a member that was granted units ahead again and again before they ran out stood in it once for each grant.
+func TestUnitsAheadAreLookedAfterOnce(t *testing.T) {
+	g, r, ask := asMember(t, fleet(100))
+	g.limit = 9
+	for i := range 40 {
+		now := 100 + float64(i)*0.3
+		ask(now, fmt.Sprint("q", i), 1)
+		if len(r.of("tell", "")) > 0 {
+			from, b := verdictOf(t, r, uint16(i+1), func(v *record) { v.Lends, v.Want, v.Lease = true, 1, ceiling.AheadS; v.Total += 2 })
+			g.Peer(now+0.02, from, b)
+		}
+		g.Timer(now+0.04, 1)
+	}
+	if n := len(g.purses); n != 1 {
+		t.Errorf("one customer stands %d times in the list of those with units ahead", n)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -866,8 +866,9 @@
 	}
 	fresh := len(c.asks) > again // what asks again does so with the next batch
 	if r.Lease > 0 && c.plan.Parallel == 0 && (r.Flag || c.plan.CeilingRate <= 0) && most > c.total {
-		c.ahead, c.aheadTo = most-c.total, g.now+r.Lease
-		g.purses = append(g.purses, c)
+		if c.ahead, c.aheadTo = most-c.total, g.now+r.Lease; !slices.Contains(g.purses, c) {
+			g.purses = append(g.purses, c)
+		}
 	}
 	if c.acked = min(most, c.total); most > c.total+c.ahead || len(c.asks) > 0 && c.asked == 0 {
 		g.note(c, fresh)
