--- a/cmd/eiderfleet/overload.go
+++ b/cmd/eiderfleet/overload.go
@@ -30,6 +30,7 @@
 	set := flag.NewFlagSet("overload", flag.ContinueOnError)
 	scenarios := set.String("scenarios", "overload-low,overload,overload-high", "by commas")
 	sizes := set.String("ingresses", "8", "how many, by commas")
+	planners := set.Int("planners", 0, "planners; 0 for a fleet of one level")
 	nodes := set.Int("nodes", 0, "zone nodes, in place of the scenario's 2")
 	seeds := set.Int("seeds", 2, "runs of each, from seed 1 on; the table has their means")
 	length := set.Duration("for", 25*time.Second, "of each run")
@@ -47,7 +48,7 @@
 				return fmt.Errorf("-ingresses: %q is no number of ingresses", size)
 			}
 			for _, how := range strings.Split(*only, ",") {
-				p := overloadRun{name: name, ingresses: n, nodes: *nodes, length: *length, cfg: overload.Config{On: how == "as one"}}
+				p := overloadRun{name: name, ingresses: n, planners: *planners, nodes: *nodes, length: *length, cfg: overload.Config{On: how == "as one"}}
 				reps := make([]*audit.Report, *seeds)
 				errs := make([]error, *seeds)
 				var all sync.WaitGroup
@@ -87,16 +88,20 @@
 type overloadRun struct {
 	name             string
 	ingresses, nodes int
+	planners         int
 	length           time.Duration
 	cfg              overload.Config
 }
 
 func (p overloadRun) virtual(seed uint64) (*audit.Report, error) {
-	cfg, err := sim.Sized(p.name, false, p.ingresses, p.nodes, seed, p.length.Seconds())
+	cfg, err := sim.Sized(p.name, p.planners > 0, p.ingresses, p.nodes, seed, p.length.Seconds())
 	if err != nil {
 		return nil, err
 	}
 	cfg.Overload = p.cfg
+	if p.planners > 0 {
+		cfg.Planners = p.planners
+	}
 	return sim.New(cfg).Run(), nil
 }
 
@@ -110,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sc := lab.Scenario{Length: p.length, NodesAsked: p.nodes, FleetConfig: lab.FleetConfig{Forwarders: p.ingresses, Nodes: p.nodes, Classes: lab.LabClasses, Plans: lab.LabPlans,
+	sc := lab.Scenario{Length: p.length, NodesAsked: p.nodes, FleetConfig: lab.FleetConfig{Forwarders: p.ingresses, Planners: p.planners, Nodes: p.nodes, Classes: lab.LabClasses, Plans: lab.LabPlans,
 		Node: lab.LabNode, Seed: seed, Dir: dir, Spawn: spawner(self)}}
 	if p.cfg.On {
 		sc.Operator = "[overload]\non = true\n"
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -312,6 +312,12 @@
 		if m.Cell == link.KnowsHoldsCell {
 			c.peers[p].holds = true
 			c.words.Each(func(id string, x withhold.Word) { c.out.Link(p, holdIs(0, id, x)) })
+		} else if m.Cell == link.OverloadCell {
+			for q := range c.peers {
+				if q != p && c.peers[q].up {
+					c.out.Link(q, link.Msg{Kind: link.Gone, Handle: m.Epoch})
+				}
+			}
 		} else if int(m.Cell) < len(c.cells) {
 			if k := &c.cells[m.Cell]; k.holder == p && k.epoch == m.Epoch {
 				k.until = now
--- /dev/null
+++ b/internal/lab/audit/overload_test.go
@@ -0,0 +1,111 @@
+package audit
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"eiderspread/policy"
+
+	"pgregory.net/rapid"
+)
+
+var loadClasses = []policy.Class{{Name: "cheap", AimS: 0.5, DeadlineS: 2, Worth: 1}, {Name: "dear", AimS: 1.5, DeadlineS: 4, Worth: 5}}
+var loadPlans = []policy.Plan{{Name: "large", Rate: 1000, Burst: 1000, Price: 2}, {Name: "small", Rate: 1000, Burst: 1000, Price: 1}}
+
+// asked puts tries on a history; those that are served are answered so much after they were sent.
+type askedFor struct {
+	at, served float64 // served 0: refused
+	class      int
+	plan       int
+	account    string
+}
+
+func loadHistory(end float64, list []askedFor) *History {
+	h := NewAt(func() time.Duration { return seconds(end) })
+	h.Lives = []Life{{Node: "z1", Started: -time.Hour, Capacity: 1}}
+	for i, x := range list {
+		t := &Try{ID: fmt.Sprint(i), Account: x.account, Class: loadClasses[x.class].Name, Plan: loadPlans[x.plan].Name, Units: 1, Sent: seconds(x.at),
+			Deadline: seconds(x.at + 4), Result: Refused, Answers: 1, Answered: seconds(x.at)}
+		t.First = t.ID
+		if x.served > 0 {
+			t.Result, t.Answered = Served, seconds(x.at+x.served)
+			h.Attempts = append(h.Attempts, &Attempt{ID: t.ID, Account: t.Account, Class: t.Class, Plan: t.Plan, Units: 1, At: t.Sent, End: t.Answered, Answered: t.Answered,
+				Began: true, How: "served", Work: 0.1})
+		}
+		h.Tries = append(h.Tries, t)
+	}
+	return h
+}
+
+func loadOf(h *History, peak Peak) *Load {
+	return Audit(h, Rules{Classes: loadClasses, Plans: loadPlans, Overload: true, Peak: peak}).Load
+}
+
+// No schedule on one core that starts requests in the order of their coming, or the dearest first, passes the bound.
+func TestNoScheduleIsBeyondTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(5, 120).Draw(t, "n")
+		byWorth := rapid.Bool().Draw(t, "dearest first")
+		var list []askedFor
+		at := 0.0
+		for i := range n {
+			at += rapid.Float64Range(0, 0.1).Draw(t, "gap")
+			list = append(list, askedFor{at: at, class: rapid.IntRange(0, 1).Draw(t, "class"), plan: rapid.IntRange(0, 1).Draw(t, "plan"), account: fmt.Sprint(i % 7)})
+		}
+		done := make([]bool, n)
+		for free := 0.0; ; { // one core, 0.1 s each
+			next := -1
+			for i := range list {
+				if done[i] || list[i].at > free || free+0.1 > list[i].at+loadClasses[list[i].class].AimS {
+					continue
+				}
+				if next < 0 || byWorth && list[i].class > list[next].class {
+					next = i
+				}
+			}
+			if next >= 0 {
+				free += 0.1
+				done[next], list[next].served = true, free-list[next].at
+				continue
+			}
+			later := slices.IndexFunc(list, func(x askedFor) bool { return x.at > free })
+			if later < 0 {
+				break
+			}
+			free = list[later].at
+		}
+		if l := loadOf(loadHistory(at+5, list), Peak{}); l.Goal > l.Bound+1e-9 {
+			t.Fatalf("goal %.4f, bound %.4f", l.Goal, l.Bound)
+		}
+	})
+}
+
+// Where twice as much is asked for as can be done, of one class and plan, the bound is about a half; and it tells apart who is served.
+func TestLoadFigures(t *testing.T) {
+	var list []askedFor
+	for i := range 400 { // 20 s, 20 a second at 0.1 s of work each on one core
+		x := askedFor{at: 0.05 * float64(i), class: 1, account: "even"}
+		if i%2 == 1 {
+			x.account = "odd"
+		} else {
+			x.served = 0.2
+		}
+		list = append(list, x)
+	}
+	l := loadOf(loadHistory(30, list), Peak{From: 0, To: 15 * time.Second})
+	if math.Abs(l.Bound-0.5) > 0.06 || math.Abs(l.Goal-0.5) > 1e-6 || math.Abs(l.Asked-2) > 0.1 || l.Starved != 1 || l.Floor != 0 || l.Back != -1 || l.Late != 0 {
+		t.Errorf("%+v", l)
+	}
+	for i := range list {
+		if list[i].at >= 15 {
+			list[i].served = 1 // over half of the aim, and in time
+		}
+	}
+	l = loadOf(loadHistory(30, list), Peak{From: 0, To: 15 * time.Second})
+	if l.Back != 0 || l.Starved != 0 || l.Late < 0.3 {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -50,7 +50,7 @@
 	Quota                float64 // of the rule on quotas; 0: QuotaSlack in two levels, not judged in one
 	CapX                 float64 // of the rule on caps; 0: 2 in two levels, not judged in one
 	PeerLoss             float64 // of messages between ingresses in virtual time; 0 stands for 3%
-	Operator             string  // text of the operator's file of ingresses of one level; "": none
+	Operator             string  // more of the operator's file of ingresses of one level, or of planners
 	Rush                 bool    // more is asked for than nodes can do: the auditor works out what that came to
 	Peak                 audit.Peak
 	Zones                int  // of nodes, in turn, each of which remembers keys for itself; 0: one, and all remember alike
@@ -311,7 +311,7 @@
 		if f.cfg.Params.LeaseS <= doorLease {
 			text += fmt.Sprintf("console = %q\n", console)
 		}
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(file, []byte(text+f.cfg.Operator), 0o600); err != nil {
 			return err
 		}
 		p := f.proc("planner", name, file, listen, status)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -146,6 +146,8 @@
 	Faults     []Fault
 	Floors     map[string]int // see audit.Rules
 	NodesAsked int            // in place of a scenario's own number of nodes; 0: as it says
+	seen       time.Duration
+	look       func(f *Fleet) // called when clients have asked for so long; nil: nothing is
 	Upgrades   int            // of the whole fleet, one after the other, in two levels
 }
 
@@ -154,6 +156,12 @@
 	return RunWith(sc, log, func() {})
 }
 
+// RunSeen is Run that calls look while the fleet runs, so long after clients began.
+func RunSeen(sc Scenario, log io.Writer, at time.Duration, look func(f *Fleet)) (*Fleet, *audit.Report, error) {
+	sc.seen, sc.look = at, look
+	return Run(sc, log)
+}
+
 // RunWith is Run that calls ended while the fleet still runs, when clients and faults have come to their end.
 func RunWith(sc Scenario, log io.Writer, ended func()) (*Fleet, *audit.Report, error) {
 	f, err := StartFleet(sc.FleetConfig)
@@ -193,7 +201,19 @@
 			fmt.Fprintf(log, "upgraded whole %d times, in %v; %v\n", len(took), took, err)
 		}
 	}()
+	looked := make(chan struct{})
+	go func() {
+		defer close(looked)
+		if sc.look != nil {
+			select {
+			case <-time.After(sc.seen):
+				sc.look(f)
+			case <-ctx.Done():
+			}
+		}
+	}()
 	f.clients.Run(ctx)
+	<-looked
 	<-faults
 	<-upgraded
 	<-measured
--- a/internal/lab/rush.go
+++ b/internal/lab/rush.go
@@ -10,24 +10,29 @@
 
 // When more is asked for than nodes can do, in a run under overload.
 const (
-	peakFrom  = 5 * time.Second
-	peakEnd   = 7 * time.Second
-	baseShare = 0.55 // of what nodes can do, that is asked for at all other times
+	peakFrom  = 5 * time.Second // in a run of 20 s or more
+	peakEnd   = 7 * time.Second // before the end
+	baseShare = 0.55            // of what nodes can do, that is asked for at all other times
 )
 
 // rushShare is how much of the use inside quotas each plan has, as the operators state it.
 var rushShare = map[string]float64{"comptoir": 0.27, "resto": 0.24, "chaine": 0.49}
 
-// Rush are accounts that ask for baseShare of what nodes can do all the time and for x times that much in the peak. All stay inside their
+// peakOf is the time of the peak in a run of some length.
+func peakOf(length time.Duration) audit.Peak {
+	return audit.Peak{From: min(peakFrom, length/4), To: length - min(peakEnd, length/3)}
+}
+
+// Rush are accounts that ask for baseShare of what nodes of so many cores can do all the time and for x times that much in the peak. All stay inside their
 // quotas in the mean, a third to a half of them used. Each comes through two to four of the ingresses.
-func Rush(forwarders, nodes int, x float64, peak audit.Peak, seed uint64) (list []Account) {
+func Rush(forwarders int, cores, x float64, peak audit.Peak, seed uint64) (list []Account) {
 	rng := rand.New(rand.NewPCG(seed, 16))
 	work, units := 0.0, 0.0
 	for class, share := range LabShares {
 		work += share * labWork[class]
 		units += share * float64(LabUnits[class])
 	}
-	can := float64(nodes*LabNode.Cores) * LabNode.Speed * units / work // units a second
+	can := cores * units / work // units a second
 	for i, p := range LabPlans {
 		for asked, n := 0.0, 0; asked < x*can*rushShare[p.Name]; n++ {
 			a := Account{Name: fmt.Sprintf("%016x", uint64(i+1)<<28|uint64(n)), Plan: p.Name, Rate: p.Rate * (0.33 + 0.2*rng.Float64()),
--- a/internal/lab/scenarios.go
+++ b/internal/lab/scenarios.go
@@ -140,6 +140,10 @@
 		kinds: []string{"flood"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
 	"crowd-split": {what: "the same, while ingresses are split in halves, lose messages and die", crowd: Crowd, nodes: 48, exact: true,
 		kinds: []string{"flood", "peers", "fog", "forwarder", "forwarder"}, every: 2 * time.Second, floors: map[string]int{audit.Quotas: 200}},
+	"crowd-deaf": {what: "crowd, one ingress hears no other all the time, and the auditor is not told: its verdict must be lost", crowd: Crowd, nodes: 48, exact: true,
+		at: []Fault{{At: 300 * time.Millisecond, For: time.Hour, Kind: "deaf"}}},
+	"crowd-babel": {what: "crowd, half of the ingresses can't read the others' words all the time, and the auditor is not told: its verdict must be lost", crowd: Crowd,
+		nodes: 48, exact: true, at: []Fault{{At: 300 * time.Millisecond, For: time.Hour, Kind: "babel"}}},
 	"places": {what: "accounts at a cap of two open attempts, each through up to two thirds of many ingresses", crowd: Capped, plans: capOfTwo, nodes: 180, work: 1.7, loss: 0.07, exact: true,
 		every: 2 * time.Second, kinds: []string{"flood"}, floors: map[string]int{audit.Caps: 100}},
 	"places-slow": {what: "the same at requests that take long, so that caps bind before quotas do", crowd: Capped, plans: capOfTwo, nodes: 180, work: 6, loss: 0.07, exact: true,
@@ -223,8 +227,8 @@
 		sc.Accounts = s.crowd(sc.Forwarders, sc.Seed)
 	}
 	if s.peak > 0 {
-		sc.Rush, sc.Peak = true, audit.Peak{From: peakFrom, To: sc.Length - peakEnd}
-		sc.Accounts = Rush(sc.Forwarders, sc.Nodes, s.peak, sc.Peak, sc.Seed)
+		sc.Rush, sc.Peak = true, peakOf(sc.Length)
+		sc.Accounts = Rush(sc.Forwarders, float64(sc.Nodes*sc.Node.Cores)*sc.Node.Speed, s.peak, sc.Peak, sc.Seed)
 		if s.shape != nil {
 			s.shape(sc.Accounts)
 		}
--- a/internal/link/msg.go
+++ b/internal/link/msg.go
@@ -58,6 +58,24 @@
 	KnowsHoldsCell   = 1<<16 - 1
 )
 
+// Planners tell each other of overload by way of forwarders, in records that those of the versions before ignore: a Release of this cell, which a
+// forwarder passes on to the other planners as a Gone of its Epoch.
+const OverloadCell = 1<<16 - 2
+
+// overloadMark stands in the upper bits of the handle of such a Gone; no request has it.
+const overloadMark = 3 << 62
+
+// OverloadOf is what the module of a cell says of overload: a level from 0 to 1 and a phase.
+func OverloadOf(cell int, level float64, phase uint8) Msg {
+	word := uint64(uint16(cell))<<16 | uint64(math.Round(min(max(level, 0), 1)*math.MaxUint8))<<8 | uint64(phase)
+	return Msg{Kind: Release, Cell: OverloadCell, Epoch: overloadMark | word}
+}
+
+// Overload reads such a word from a Gone; it tells whether it was one.
+func (m *Msg) Overload() (cell int, level float64, phase uint8, ok bool) {
+	return int(uint16(m.Handle >> 16)), float64(uint8(m.Handle>>8)) / math.MaxUint8, uint8(m.Handle), m.Kind == Gone && m.Handle>>62 == overloadMark>>62
+}
+
 // Msg is one record. Times are in seconds (microseconds on the link, 4,294 s at most, 0 at least), units in
 // hundredths on the link. Load holds the fields of policy.Load in their order.
 type Msg struct {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -32,14 +32,14 @@
 	waitTauS   = 0.3   // memory of what waited
 	rateTauS   = 1.0   // and of what was asked for, let in and served
 	prior      = 2.0   // waits of nothing that are believed in beforehand: one request alone tells little
-	right      = 0.06  // of what they may, that requests wait for a server where as much is let in as can be served
+	right      = 0.12  // of what they may, that requests wait for a server where as much is let in as can be served
 	aimS       = 0.1   // in which the level comes to where as much is let in as is served, while more than that waits
 	ease       = 0.8   // of what is served, that is let in less while all waits as long as it may, so that what waits becomes less
 	downS      = 0.2   // levels a second that it falls where nothing waits
 	easyS      = 1.0   // and where nodes' cores are free too
 	meetS      = 0.25  // in which it comes to what the others say
 	freshS     = 1.5   // for which what another one said counts
-	callS      = 0.5  // between words to one other gateway after the other, while anything is refused: not all have messages for each other
+	callS      = 0.5   // between words to one other gateway after the other, while anything is refused: not all have messages for each other
 	stepS      = 0.5   // a step of the phase
 	steps      = 4     // of them make a slice, in which the same accounts are served
 	rounds     = 32    // until the lots come again: the phase is a byte
@@ -269,16 +269,26 @@
 // Hear takes in what another gateway says, and tells whether the item was of that kind.
 func (s *State) Hear(now float64, from int, n peermsg.Item) bool {
 	level, phase, ok := n.State(now)
-	if s == nil || !ok || from < 0 || from >= len(s.words) {
-		return ok
+	if s != nil && ok {
+		s.HearLevel(now, from, level, phase)
+	}
+	return ok
+}
+
+// HearLevel takes in another gateway's level and phase.
+func (s *State) HearLevel(now float64, from int, level float64, phase uint8) {
+	if from < 0 || from >= len(s.words) || from == s.me || !(level >= 0 && level <= 1) {
+		return
 	}
 	s.words[from] = word{level, now}
 	if int8(phase-s.phase) > 0 {
 		s.phase, s.phaseAt = phase, now
 	}
-	return true
 }
 
+// Word is what this gateway tells the others, for those who carry it by other ways than Say.
+func (s *State) Word() (level float64, phase uint8) { return s.level, s.phase }
+
 // Say appends to a message what this gateway tells the others.
 func (s *State) Say(b []byte) []byte {
 	if s == nil {
--- a/internal/planner/file.go
+++ b/internal/planner/file.go
@@ -8,6 +8,7 @@
 	"eiderspread/internal/ingress"
 	"eiderspread/internal/link"
 	"eiderspread/internal/operator"
+	"eiderspread/internal/overload"
 	"eiderspread/internal/trace"
 )
 
@@ -29,11 +30,12 @@
 func ReadFile(path string) (File, error) {
 	var f struct {
 		fleet.File
-		Listen  string
-		Console string
-		Trace   string
-		TraceMB int `toml:"trace_mb"`
-		Allowed []string
+		Listen   string
+		Console  string
+		Trace    string
+		TraceMB  int `toml:"trace_mb"`
+		Allowed  []string
+		Overload overload.Config
 	}
 	if err := operator.Decode(path, &f); err != nil {
 		return File{}, err
@@ -45,6 +47,9 @@
 	if out.Trace, out.TraceMB = f.Trace, f.TraceMB; err == nil {
 		err = trace.CheckFolder(f.Trace, f.TraceMB)
 	}
+	if out.Base.Settings.Overload = f.Overload; err == nil {
+		err = f.Overload.Check()
+	}
 	if err != nil {
 		return out, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -9,6 +9,7 @@
 
 	"eiderspread/internal/fleet"
 	"eiderspread/internal/link"
+	"eiderspread/internal/overload"
 	"eiderspread/internal/peermsg"
 	"eiderspread/internal/why"
 	"eiderspread/internal/withhold"
@@ -45,6 +46,7 @@
 	reqs     []map[uint64]*request    // by forwarder and handle; bounded by what forwarders hold open
 	servers  map[string]policy.Server // as last told, for modules to come
 	holds    holds
+	words    words
 	lives    uint64
 	fwdLives []uint64 // by forwarder
 	Stats    Stats
@@ -260,6 +262,10 @@
 			h.holds.caller.LinkUp(f)
 			return
 		}
+		if cell, level, phase, ok := m.Overload(); ok {
+			h.hearWord(cell, level, phase)
+			return
+		}
 		r := h.reqs[f][m.Handle]
 		if r == nil || h.leader(uint16(r.cell), h.cells[r.cell].epoch) == nil {
 			return
@@ -397,6 +403,7 @@
 	h.at(now)
 	h.holds.caller.Tick(now)
 	h.leases.tick(now)
+	h.tellWords(now)
 	for i := range h.cells {
 		c := &h.cells[i]
 		if c.gate == nil || !h.leases.leads(now, i, c.epoch) {
@@ -548,12 +555,13 @@
 
 // CellStatus is one cell for people.
 type CellStatus struct {
-	Cell   int     `json:"cell"`
-	Epoch  uint64  `json:"epoch"`
-	Leads  bool    `json:"leads"`
-	LeftS  float64 `json:"lead_left_s"`
-	Rank   int     `json:"rank"`
-	Untold int     `json:"untold_forwarders"` // of a recovery that goes on
+	Cell     int              `json:"cell"`
+	Epoch    uint64           `json:"epoch"`
+	Leads    bool             `json:"leads"`
+	LeftS    float64          `json:"lead_left_s"`
+	Rank     int              `json:"rank"`
+	Untold   int              `json:"untold_forwarders"`  // of a recovery that goes on
+	Overload *overload.Status `json:"overload,omitempty"` // nil: off, or not led
 }
 
 // Cells lists how the cells stand, how many forwarders are linked and how many requests are open.
@@ -562,7 +570,7 @@
 		k := &h.leases.cells[i]
 		s := CellStatus{Cell: i, Epoch: k.epoch, Leads: k.leads, Rank: h.cfg.Rank(i, h.cfg.Number)}
 		if k.leads {
-			s.LeftS = max(k.endsAt-h.now, 0)
+			s.LeftS, s.Overload = max(k.endsAt-h.now, 0), h.pressure(i).Status(h.now)
 		}
 		if c := &h.cells[i]; c.win != nil && !c.win.over(h.now) {
 			s.Untold = c.win.missing
