--- a/cmd/eiderfleet/lab.go
+++ b/cmd/eiderfleet/lab.go
@@ -55,6 +55,7 @@
 	sizes := set.String("sizes", "5/0,5/3", "with -cost: forwarders/planners, by commas; 0 planners for one level")
 	failsafes := set.Int("failsafes", 0, "stop all planners so many times, and measure the time into the fail-safe and back")
 	deaths := set.Int("deaths", 0, "kill a planner so many times, and measure the time until all cells are led again")
+	shed := set.Bool("overload", false, "ingresses or planners decide on overload as one")
 	plan := set.Float64("rate", 1, "of what each account asks")
 	if err := set.Parse(args); err != nil {
 		return nil, err
@@ -135,6 +136,9 @@
 			return nil, err
 		}
 	}
+	if *shed {
+		sc.Operator = "[overload]\non = true\n"
+	}
 	if err := lab.Make(*scenario, &sc, chosen, *every); err != nil {
 		return nil, err
 	}
--- a/cmd/eiderfleet/overload.go
+++ b/cmd/eiderfleet/overload.go
@@ -22,8 +22,8 @@
 )
 
 // overloadHeader is the head of the table of runs under overload.
-const overloadHeader = "| scenario | ingresses | decided | asked | goal | of the bound | whole | worst 10 s | worst plan of best | worst tenth | starved | late | in vain | tries | used | classes | back s | breaches |\n" +
-	"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
+const overloadHeader = "| scenario | ingresses | decided | asked | goal | of the bound | whole | worst 10 s | worst plan of best | worst tenth | starved | late | in vain | tries | used | classes | known s | spread | swing | back s | breaches |\n" +
+	"|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
 
 // runOverload plays scenarios of overload with the fleet deciding on it as one, and without, by turns, and prints a table.
 func runOverload(args []string) error {
@@ -129,7 +129,7 @@
 
 // overloadRow prints the means of some runs.
 func overloadRow(w io.Writer, name string, n int, how string, reps []*audit.Report) {
-	m := audit.Load{Classes: map[string]float64{}}
+	m, spreads := audit.Load{Classes: map[string]float64{}, Spread: &audit.Spread{}}, 0.0
 	breaches, even, share := 0, 0.0, 0.0
 	k := 1 / float64(len(reps))
 	back := 0.0
@@ -144,6 +144,10 @@
 		m.Asked, m.Goal, m.Whole, m.WorstSpan = m.Asked+k*l.Asked, m.Goal+k*l.Goal, m.Whole+k*l.Whole, m.WorstSpan+k*l.WorstSpan
 		m.Floor, m.Late, m.Gone, m.Again, m.Starved = m.Floor+k*l.Floor, m.Late+k*l.Late, m.Gone+k*l.Gone, m.Again+k*l.Again, m.Starved+l.Starved
 		m.Used += k * l.Used
+		if s := l.Spread; s != nil {
+			spreads++
+			m.Spread.Known, m.Spread.Spread, m.Spread.Swing = m.Spread.Known+s.Known, m.Spread.Spread+s.Spread, m.Spread.Swing+s.Swing
+		}
 		for name, x := range l.Classes {
 			m.Classes[name] += k * x
 		}
@@ -152,12 +156,16 @@
 			back = 99
 		}
 	}
+	held := " | | "
+	if spreads > 0 {
+		held = fmt.Sprintf("%.1f | %.2f | %.2f", m.Spread.Known/spreads, m.Spread.Spread/spreads, m.Spread.Swing/spreads)
+	}
 	var classes []string
 	for _, name := range slices.Sorted(maps.Keys(m.Classes)) {
 		classes = append(classes, fmt.Sprintf("%.2f", m.Classes[name]))
 	}
-	fmt.Fprintf(w, "| %s | %d | %s | %.2f | %.3f | %.3f | %.3f | %.3f | %.2f | %.3f | %d | %.3f | %.3f | %.2f | %.2f | %s | %.0f | %d |\n", name, n, how, m.Asked, m.Goal, share, m.Whole,
-		m.WorstSpan, even, m.Floor, m.Starved, m.Late, m.Gone, m.Again, m.Used, strings.Join(classes, " / "), back, breaches)
+	fmt.Fprintf(w, "| %s | %d | %s | %.2f | %.3f | %.3f | %.3f | %.3f | %.2f | %.3f | %d | %.3f | %.3f | %.2f | %.2f | %s | %s | %.0f | %d |\n", name, n, how, m.Asked, m.Goal, share, m.Whole,
+		m.WorstSpan, even, m.Floor, m.Starved, m.Late, m.Gone, m.Again, m.Used, strings.Join(classes, " / "), held, back, breaches)
 }
 
 // keepOverload writes the figures of one run.
--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -33,6 +33,7 @@
 	jobs := set.Int("jobs", runtime.NumCPU(), "schedules at a time")
 	shrink := set.Bool("shrink", true, "cut a schedule that fails down to the faults that matter")
 	folder := set.String("trace", "", "a folder: decisions of the first schedule's ingresses, or planners, are written there, for eidertrace")
+	shed := set.Bool("overload", false, "ingresses and planners decide on overload as one")
 	rule := set.String("rule", "", "with this, only a breach of this rule fails a schedule")
 	if err := set.Parse(args); err != nil {
 		return err
@@ -65,6 +66,7 @@
 				mu.Lock()
 				size = cfg.Forwarders
 				mu.Unlock()
+				cfg.Overload.On = *shed
 				var told [][]why.Decision
 				if n == 0 && *folder != "" {
 					told = make([][]why.Decision, cmp.Or(cfg.Planners, cfg.Forwarders))
--- a/cmd/eidertrace/main.go
+++ b/cmd/eidertrace/main.go
@@ -183,6 +183,7 @@
 		Plot     plotCmd     `cmd:"" help:"Pictures: reasons over time, rooms by each ingress's view beside the true one."`
 		Spans    spansCmd    `cmd:"" help:"A span a request, with one an attempt, as JSON in OpenTelemetry's file form."`
 		Reasons  reasonsCmd  `cmd:"" help:"The list of reasons."`
+		Overload overloadCmd `cmd:"" help:"Pictures of runs under overload: worth by second, and the levels that ingresses held."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("eidertrace"), kong.Description("Reads traces of decisions of all ingresses of a run, and tells why."), kong.UsageOnError())
 	ctx.FatalIfErrorf(ctx.Run())
--- /dev/null
+++ b/cmd/eidertrace/overload.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"eiderspread/internal/lab/audit"
+	"eiderspread/internal/trace/plots"
+)
+
+type overloadCmd struct {
+	Folder string `arg:"" type:"existingdir" help:"Folder of eiderfleet overload -keep; a drawing is put beside each file."`
+}
+
+func (c *overloadCmd) Run() error {
+	paths, err := filepath.Glob(filepath.Join(c.Folder, "*.json"))
+	if err != nil {
+		return err
+	}
+	if len(paths) == 0 {
+		return fmt.Errorf("%s: no figures of eiderfleet overload -keep", c.Folder)
+	}
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		var l audit.Load
+		if err := json.Unmarshal(text, &l); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		name := strings.TrimSuffix(path, ".json")
+		if err := plots.Overload(&l, filepath.Base(name), name+".svg"); err != nil {
+			return err
+		}
+		fmt.Println(name + ".svg")
+	}
+	return nil
+}
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -30,10 +30,11 @@
 	Ceilings = "ceilings kept"
 	Stale    = "none on a stale word"
 	Views    = "views equal the truth"
+	Shed     = "overload shed as one" // by what is stated of a fleet that does
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Used, Caps, Ceilings, Stale, Views, Held, Replaced}
+var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Used, Caps, Ceilings, Stale, Views, Held, Replaced, Shed}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
@@ -57,6 +58,7 @@
 	ColdSlack           float64         // share of the budget that chance and the network's delays may add
 	Floors              map[string]int  // by rule: occasions under which a run shows nothing
 	Overload            bool            // whether a Load is worked out
+	Shed                *Stated         // what a fleet that sheds as one keeps to; nil: not judged
 	Peak                Peak            // when more was asked for than nodes can do; none: not known
 	LateMost            time.Duration   // lateness of the laboratory from which on a run is void; 0: no bound
 }
--- a/internal/lab/audit/history.go
+++ b/internal/lab/audit/history.go
@@ -113,6 +113,7 @@
 	Lives     []Life
 	ConnEnds  map[string][]time.Duration // when whoever sent on a connection ended it, which the node may not see; by its address, in order
 	Ended     time.Duration              // when recording ended, 0: it goes on
+	Levels    []Levels                   // of overload
 	Slows     []Slowed                   // of all nodes
 	Late      time.Duration              // the worst lateness of the laboratory itself
 }
--- a/internal/lab/audit/overload.go
+++ b/internal/lab/audit/overload.go
@@ -41,6 +41,42 @@
 // Peak is a time in which more was asked for than nodes can do.
 type Peak struct{ From, To time.Duration }
 
+// Stated is what a fleet that decides on overload as one keeps to in a run under overload. docs/overload.md has the reasons.
+type Stated struct {
+	Share   float64 // of the bound that the goal comes to, at least
+	Even    float64 // the worst plan's share over the best one's, at least
+	Back    float64 // seconds from the end of the peak until service is full again, at most
+	Spread  float64 // of levels over the fleet, at most
+	Swing   float64 // of the median level, at most
+	Starved float64 // share of the accounts that asked often and were served nothing, at most
+	Gone    float64 // share of nodes' work that is in vain, at most
+}
+
+// AsOne is what is stated, with room for chance in single runs of 25 s.
+var AsOne = Stated{Share: 0.78, Even: 0.75, Back: 5, Spread: 0.35, Swing: 0.6, Starved: 0.2, Gone: 0.14}
+
+// shed holds a run against what is stated.
+func (rep *Report) shed(l *Load, s *Stated, peak Peak) {
+	for range int((peak.To - peak.From).Seconds()) {
+		rep.saw(Shed, "seconds of overload")
+	}
+	hold := func(ok bool, format string, args ...any) {
+		if !ok {
+			rep.breach(Shed, peak.To, format, args...)
+		}
+	}
+	share := l.Goal / max(l.Bound, 1e-9)
+	hold(share >= s.Share, "the goal came to %.3f of its bound, %.2f is stated", share, s.Share)
+	hold(l.Even() >= s.Even, "the worst plan had %.2f of the best one's share, %.2f is stated", l.Even(), s.Even)
+	hold(l.Back >= 0 && l.Back <= s.Back, "service was full again %.0f s after the peak, %.0f is stated", l.Back, s.Back)
+	hold(float64(l.Starved) <= s.Starved*float64(l.Often), "%d of %d accounts that asked often were served nothing, a share of %.2f is stated", l.Starved, l.Often, s.Starved)
+	hold(l.Gone <= s.Gone, "%.3f of nodes' work was in vain, %.2f is stated", l.Gone, s.Gone)
+	if x := l.Spread; x != nil {
+		hold(x.Spread <= s.Spread, "levels lay %.2f apart, %.2f is stated", x.Spread, s.Spread)
+		hold(x.Swing <= s.Swing, "the level swung by %.2f, %.2f is stated", x.Swing, s.Swing)
+	}
+}
+
 // Load is what a run under overload came to. Its shares are of worth asked for inside quotas, by first tries; what a client got within the aim
 // of its first try counts.
 type Load struct {
@@ -50,13 +86,16 @@
 	Plans, Classes                    map[string]float64 // share by plan, by class
 	Used                              float64            // of what nodes can do, that was sent to them in the peak
 	Floor                             float64            // the share of the worst-served tenth of the accounts, of those that asked for something worth counting
-	Starved                           int                // accounts that asked at least so often as starvedFrom, and were served nothing
+	Often                             int                // accounts that asked at least so often as starvedFrom
+	Starved                           int                // and of these, that were served nothing
 	Late                              float64            // share of the served tries that took more than half of their aim
 	Gone                              float64            // share of what was sent to nodes whose answer earned nothing
 	Again                             float64            // tries a request
 	Back                              float64            // seconds from the end of the peak until service is full, and stays so for a second; below 0: never
 	ServedPerS                        float64            // worth served in time a second, in the peak
 	Second                            []Second
+	Spread                            *Spread  // nil: levels of overload were not recorded
+	Levels                            []Levels // as recorded
 }
 
 // Second is one second of a run, by when things were first asked for. In worth.
@@ -200,6 +239,7 @@
 	for _, name := range slices.Sorted(maps.Keys(accounts)) {
 		if a := accounts[name]; a[2] >= starvedFrom {
 			shares = append(shares, a[1]/a[0])
+			l.Often++
 			if a[1] == 0 {
 				l.Starved++
 			}
@@ -245,7 +285,11 @@
 			}
 		}
 	}
+	l.Levels, l.Spread = h.Levels, spread(h.Levels, rules.Peak)
 	l.Bound = bound(jobs, cap, planAsked, spanAsked)
+	if rules.Shed != nil {
+		rep.shed(l, rules.Shed, Peak{seconds(from), seconds(to)})
+	}
 }
 
 // capacity is the work that all nodes together can do in each slot until the last aim, in seconds of a core.
@@ -392,6 +436,9 @@
 		l.Asked, l.Goal, l.Whole, l.WorstSpan, l.WorstPlan, l.best(), l.Bound, l.Goal/max(l.Bound, 1e-9), sorted(l.Plans, "%s %.3f")+"; "+sorted(l.Classes, "%s %.3f"))
 	fmt.Fprintf(w, "  work sent to nodes %.2f of what they can do; worst tenth of accounts %.3f, %d starved; served past half of the aim %.3f; work in vain %.3f; tries a request %.2f; worth a second %.0f; full service after %.0f s\n",
 		l.Used, l.Floor, l.Starved, l.Late, l.Gone, l.Again, l.ServedPerS, l.Back)
+	if s := l.Spread; s != nil {
+		fmt.Fprintf(w, "  level of overload %.2f, known after %.1f s, spread over the fleet %.2f, swing %.2f, %.1f turns a minute\n", s.Level, s.Known, s.Spread, s.Swing, s.Turns)
+	}
 }
 
 func (l *Load) best() (x float64) {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -53,8 +53,9 @@
 	Operator             string  // more of the operator's file of ingresses of one level, or of planners
 	Rush                 bool    // more is asked for than nodes can do: the auditor works out what that came to
 	Peak                 audit.Peak
-	Zones                int  // of nodes, in turn, each of which remembers keys for itself; 0: one, and all remember alike
-	Direct               bool // no links between clients, ingresses and nodes: for measurements of cost
+	Stated               audit.Stated // of a fleet that sheds as one, in such a run
+	Zones                int          // of nodes, in turn, each of which remembers keys for itself; 0: one, and all remember alike
+	Direct               bool         // no links between clients, ingresses and nodes: for measurements of cost
 	// Discovery, if set, gives the address at which a party asks, in place of the stand-in roster.
 	Discovery func(f *Fleet, party string) (string, error)
 	// Source, if set, is told of each change of a node before the stand-in roster is, and says whether the roster is to be told too.
@@ -540,7 +541,11 @@
 	if len(f.Planners) == 0 && f.cfg.Quota >= 0 {
 		homes = Homes(f.accounts)
 	}
-	return audit.Rules{Homes: homes, Gateways: f.cfg.Forwarders, Overload: f.cfg.Rush, Peak: f.cfg.Peak, Quota: quota, QuotaS: QuotaSeconds(f.cfg.Exact, f.cfg.Classes), Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25 + f.cfg.SlowS, AnswerS: 0.25 + f.cfg.SlowS,
+	var stated *audit.Stated
+	if f.cfg.Rush && f.cfg.Operator != "" {
+		stated = &f.cfg.Stated
+	}
+	return audit.Rules{Shed: stated, Homes: homes, Gateways: f.cfg.Forwarders, Overload: f.cfg.Rush, Peak: f.cfg.Peak, Quota: quota, QuotaS: QuotaSeconds(f.cfg.Exact, f.cfg.Classes), Classes: f.cfg.Classes, Plans: f.cfg.Plans, DrainS: 0.25 + f.cfg.SlowS, AnswerS: 0.25 + f.cfg.SlowS,
 		HeldS: 0.03 + f.cfg.SlowS, OverlapS: 0.1 + f.cfg.SlowS, CeilingS: 0.15, SlackUnit: 6, CapX: caps, Attempts: MaxAttempts, FallMultiple: f.cfg.Node.FallMultiple, FallS: f.cfg.Node.FallS,
 		ColdSlack: ColdSlack, StaleS: f.cfg.StaleS, LateMost: 90*time.Millisecond + seconds(f.cfg.SlowS)}
 }
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -10,7 +10,11 @@
 	labEtcdLong = "eiderwatch lab -quiet -forwarders 6 -planners 0 -for 100s -every 300ms -seed 5"
 	simCrowd    = "sim -shrink=false -schedules 8 -for 30s -planners 0 -forwarders 12 -scenario "
 	simPlaces   = "sim -shrink=false -schedules 8 -for 12s -planners 0 -forwarders 80 -scenario "
+	simShed     = "sim -overload -shrink=false -schedules 8 -for 25s -planners 0 -forwarders 8 -scenario "
+	simShedTwo  = "sim -overload -shrink=false -schedules 8 -for 25s -planners 3 -forwarders 5 -scenario "
 	module      = "policy/policy.go"
+	shedder     = "internal/overload/overload.go"
+	wordsFile   = "internal/planner/words.go"
 	counts      = "internal/tally/tally.go"
 	ceilings    = "internal/ceiling/ceiling.go"
 	lender      = "internal/places/places.go"
@@ -27,6 +31,27 @@
 
 // List is every guard that the laboratory is asked to miss.
 var List = []Mutant{
+	// ---- Overload shed as one ----
+	{Name: "what can't be served is turned away at the door", Rule: "overload shed as one", Unit: "./internal/overload",
+		Edits: edit(shedder, "if s.level >= least && lot(", "if s.level > 2 && lot("), Runs: []string{simShed + "overload", simShed + "overload-high"}},
+	{Name: "the level comes to what is served", Rule: "overload shed as one", Unit: "./internal/overload",
+		Edits: edit(shedder, "if to := s.target(now, done*beyond*(1-ease*much)); to > s.level {", "if to := s.target(now, 0*(1-ease*much)); to > s.level {"), Runs: []string{simShed + "overload-low"}},
+	{Name: "and falls again", Rule: "overload shed as one", Unit: "./internal/overload",
+		Edits: []Edit{{shedder, "s.level -= down * (1 - wait/right) * dt", "s.level -= 0.01 * down * (1 - wait/right) * dt"}, {shedder, "if to := s.target(now, s.can); s.can > 0 &&", "if to := s.target(now, s.can); s.can > 1e9 &&"}},
+		Runs:  []string{simShed + "overload", simShed + "overload-low"}},
+	{Name: "gateways meet in one level", Rule: "overload shed as one", Unit: "./internal/overload",
+		Edits: edit(shedder, "s.level += (middle - s.level) * min(dt/meetS, 1)", "s.level += 0 * (middle - s.level)"), Runs: []string{simShed + "overload", simShed + "overload-busy", simShed + "overload-low"}},
+	{Name: "cells of different planners meet in one level", Rule: "overload shed as one", Unit: "./internal/planner",
+		Edits: edit("internal/forward/core.go", "if q != p && c.peers[q].up {", "if q != p && c.peers[q].up && false {"), Runs: []string{simShedTwo + "overload-low", simShedTwo + "overload"}},
+	{Name: "plans are served alike", Rule: "overload shed as one",
+		Edits: edit(module, "g.press.Price(r.plan.Price), g.customer(q)", "r.plan.Price, g.customer(q)"), Runs: []string{simShed + "overload", simShed + "overload-high"}},
+	{Name: "what earns least goes first", Rule: "overload shed as one", Unit: "./internal/overload",
+		Edits: edit(shedder, "return d.Cheaper + 1, d.Classes + 1", "return d.Classes - d.Cheaper, d.Classes + 1"), Runs: []string{simShed + "overload"}},
+	{Name: "lots change with time", Rule: "overload shed as one", Unit: "./internal/overload",
+		Edits: edit(shedder, "golden*float64(slice)", "0*float64(slice)"), Runs: []string{simShed + "overload"},
+		Why: "accounts with a bad lot are starved for as long as an overload lasts: 20 of them in place of 4 in four runs of 60 s, which no rule is made of"},
+	{Name: "later tries are told where most are refused", Rule: "overload shed as one",
+		Edits: edit(module, "firstShare*g.press.Firsts()", "firstShare"), Runs: []string{simShed + "overload-high", simShed + "overload"}},
 	// ---- The module: further attempts and refusals ----
 	{Name: "unsafe runs once", Rule: "no effect twice", Unit: "./policy",
 		Edits: edit(module, "case r.ran == nil || r.cls.Effect == Safe ||", "case r.ran == nil || r.cls.Effect != Keyed ||"),
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"eiderspread/internal/forward"
+	"eiderspread/internal/ingress"
 	"eiderspread/internal/lab/audit"
 	"eiderspread/internal/lab/node"
+	"eiderspread/internal/planner"
 	"eiderspread/policy"
 )
 
@@ -212,8 +214,16 @@
 			}
 		}
 	}()
+	levels := make(chan struct{})
+	go func() {
+		defer close(levels)
+		if sc.Rush && sc.Operator != "" {
+			f.watchLevels(ctx)
+		}
+	}()
 	f.clients.Run(ctx)
 	<-looked
+	<-levels
 	<-faults
 	<-upgraded
 	<-measured
@@ -284,3 +294,35 @@
 	}
 	return n
 }
+
+const levelsEvery = 500 * time.Millisecond
+
+// watchLevels records for as long as ctx lasts what programs hold of overload.
+func (f *Fleet) watchLevels(ctx context.Context) {
+	for tick := time.NewTicker(levelsEvery); ; {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		}
+		var of []float64
+		for _, p := range f.Forwarders {
+			var st ingress.Status
+			if len(f.Planners) == 0 && p.ReadStatus(ctx, &st) == nil && st.Overload != nil {
+				of = append(of, st.Overload.Level)
+			}
+		}
+		for _, p := range f.Planners {
+			var st planner.Status
+			if p.ReadStatus(ctx, &st) == nil {
+				for _, c := range st.Cells {
+					if c.Overload != nil {
+						of = append(of, c.Overload.Level)
+					}
+				}
+			}
+		}
+		f.Hist.LevelsAre(of)
+	}
+}
--- a/internal/lab/rush.go
+++ b/internal/lab/rush.go
@@ -80,3 +80,9 @@
 		}
 	}
 }
+
+// partOfThem is what is stated while many ingresses are down: what is asked of those is no fleet's to serve, and the level is learned anew.
+func partOfThem(s *audit.Stated) { s.Share, s.Swing, s.Spread = 0.6, 1, 0.6 }
+
+// comesAndGoes is what is stated where the cause lasts for a part of the peak.
+func comesAndGoes(s *audit.Stated) { s.Swing, s.Share, s.Spread = 1, 0.75, 0.6 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -49,6 +49,7 @@
 	Overload                           overload.Config // of ingresses
 	Rush                               bool            // see lab.FleetConfig
 	Peak                               audit.Peak
+	Stated                             audit.Stated
 	Trace                              func(decider int, d why.Decision) // told of each decision of an ingress, in two levels of a planner, if not nil; true times
 }
 
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -28,21 +28,22 @@
 
 // Constants, with their reasons. Times are in seconds.
 const (
-	floorShare = 0.03  // of each account's requests are served whatever the level, so that none is served nothing
-	waitTauS   = 0.3   // memory of what waited
-	rateTauS   = 1.0   // and of what was asked for, let in and served
-	prior      = 2.0   // waits of nothing that are believed in beforehand: one request alone tells little
-	right      = 0.12  // of what they may, that requests wait for a server where as much is let in as can be served
-	aimS       = 0.1   // in which the level comes to where as much is let in as is served, while more than that waits
-	ease       = 0.8   // of what is served, that is let in less while all waits as long as it may, so that what waits becomes less
-	downS      = 0.2   // levels a second that it falls where nothing waits
-	easyS      = 1.0   // and where nodes' cores are free too
-	meetS      = 0.25  // in which it comes to what the others say
-	freshS     = 1.5   // for which what another one said counts
-	callS      = 0.5   // between words to one other gateway after the other, while anything is refused: not all have messages for each other
-	stepS      = 0.5   // a step of the phase
-	steps      = 4     // of them make a slice, in which the same accounts are served
-	rounds     = 32    // until the lots come again: the phase is a byte
+	floorShare = 0.03 // of each account's requests are served whatever the level, so that none is served nothing
+	waitTauS   = 0.3  // memory of what waited
+	rateTauS   = 0.5  // and of what was asked for, let in and served
+	prior      = 2.0  // waits of nothing that are believed in beforehand: one request alone tells little
+	right      = 0.12 // of what they may, that requests wait for a server where as much is let in as can be served
+	aimS       = 0.1  // in which the level comes to where as much is let in as is served, while more than that waits
+	ease       = 0.8  // of what is served, that is let in less while all waits as long as it may, so that what waits becomes less
+	downS      = 0.2  // levels a second that it falls where nothing waits
+	canS       = 0.5  // in which it is learned what can be served
+	easyS      = 1.0  // and where nodes' cores are free too
+	meetS      = 0.1  // in which it comes to what the others say
+	freshS     = 1.5  // for which what another one said counts
+	callS      = 0.5  // between words to one other gateway after the other, while anything is refused: not all have messages for each other
+	stepS      = 0.5  // a step of the phase
+	steps      = 4    // of them make a slice, in which the same accounts are served; the phase, a byte, counts 64 of these
+	golden     = math.Phi - 1
 	least      = 0.004 // a level that refuses nothing
 	waitLeast  = 0.02  // for which every request may wait
 	easyUtil   = 0.8   // nodes' cores less busy than this are free
@@ -68,7 +69,8 @@
 	since         float64 // since when it refuses; 0: it does not
 	shed          []int   // requests turned away, by place
 	wait          float64
-	me, next      int // next: who was told last
+	can           float64 // units a second let in that could be served when it last was too much
+	me, next      int     // next: who was told last
 	callAt        float64
 }
 
@@ -209,11 +211,12 @@
 	k := math.Exp((s.sampleAt - now) / waitTauS)
 	wait := (s.waits*k + shares) / (s.n*k + float64(waiting) + prior)
 	s.wait = wait
+	let, in, done := s.let.Now(now, rateTauS), s.in.Now(now, rateTauS), s.done.Now(now, rateTauS)
+	beyond := max(let, 1e-9) / min(max(in, 1e-9), max(let, 1e-9)) // let in, for a unit that quotas let in as well
 	if wait > right {
 		much := (wait - right) / (1 - right)
-		in := s.done.Now(now, rateTauS) * (1 - ease*much)
-		in *= max(s.let.Now(now, rateTauS), 1e-9) / min(max(s.in.Now(now, rateTauS), 1e-9), max(s.let.Now(now, rateTauS), 1e-9))
-		if to := s.target(now, in); to > s.level {
+		s.can += (done*beyond - s.can) * min(dt/canS, 1)
+		if to := s.target(now, done*beyond*(1-ease*much)); to > s.level {
 			s.level += (to - s.level) * min(dt/aimS, 1)
 		}
 	} else {
@@ -223,11 +226,14 @@
 			down = easyS
 		}
 		s.level -= down * (1 - wait/right) * dt
+		if to := s.target(now, s.can); s.can > 0 && to < s.level { // less is asked for than could be served a moment ago
+			s.level += (to - s.level) * min(dt/aimS, 1)
+		}
 	}
 	s.meet(now, dt)
 	s.level = min(max(s.level, 0), 1)
 	if s.level < least {
-		s.since = 0
+		s.since, s.can = 0, 0
 	} else if s.since == 0 {
 		s.since = now
 	}
@@ -297,10 +303,14 @@
 	return peermsg.AppendState(b, s.level, s.phase)
 }
 
-// lot is an account's in a slice, from 0 to 1. Accounts' slices begin at different steps, so that not all change places at once.
+// lot is an account's in a slice, from 0 to 1. From slice to slice it goes on by the golden section, so that within any few slices an account's lots
+// lie all over the range: whatever share is let in, each account has about that share of the slices. Accounts' slices begin at different steps, so
+// that not all change places at once.
 func lot(account uint32, step uint8) float64 {
-	slice := (uint32(step) + account%steps) / steps % rounds
-	return float64(peermsg.Mix(uint64(account)<<8|uint64(slice))>>11) / (1 << 53)
+	x := peermsg.Mix(uint64(account))
+	slice := (step + uint8(x%steps)) / steps
+	_, part := math.Modf(float64(x>>11)/(1<<53) + golden*float64(slice))
+	return part
 }
 
 // share is what of a place is let in at a level: each takes an equal part of the way of the level, the first one first.
--- a/internal/planner/words.go
+++ b/internal/planner/words.go
@@ -58,3 +58,14 @@
 	}
 	return nil
 }
+
+// Levels are those of the cells that are led here, from 0 to 1 each.
+func (h *Host) Levels(now float64) (list []float64) {
+	h.now = now
+	for i := range h.cells {
+		if s := h.pressure(i); s != nil {
+			list = append(list, s.Level())
+		}
+	}
+	return list
+}
