Phases met by the median, more hard cases of overload, tests of its words on both links

Need: an ingress whose phase runs away would have turned all lots (who is ahead was followed); a lying ingress, old reports of load, half of the nodes slow and clients that never come again had no scenario.

Change: the phase is met by the median as the level is. No server's hash is the word's own.

--- a/internal/ingress/status_test.go
+++ b/internal/ingress/status_test.go
@@ -18,6 +18,9 @@
 	if o, err := ReadOperator("../../deploy/ingress.toml"); err != nil || o.Status == "" {
 		t.Errorf("the example: %+v, %v", o, err)
 	}
+	if o, err := ReadOperator("../../deploy/run.toml"); err != nil || !o.Overload.On || o.Status != "" {
+		t.Errorf("what the platform runs with: %+v, %v", o, err)
+	}
 	for want, text := range map[string]string{
 		"":                             "",
 		"unknown key statuses":         "statuses = \"127.0.0.1:1\"\n",
@@ -25,6 +28,8 @@
 		"must be a loopback address":   "status = \"10.0.0.1:1\"\n",
 		"expected value but found":     "status = \n",
 		"incompatible types: TOML val": "status = 7\n",
+		"overload: floor is 0.7":       "[overload]\non = true\nfloor = 0.7\n",
+		"unknown key overload.level":   "[overload]\nlevel = 1\n",
 	} {
 		path := filepath.Join(t.TempDir(), "ingress.toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/internal/lab/clients.go
+++ b/internal/lab/clients.go
@@ -30,6 +30,7 @@
 	First, Spread int           // the forwarders that it comes through
 	From, To      time.Duration // asks between these alone; To 0: to the end
 	Deaf          bool          // its clients pay no heed to when they are to come back
+	Once          bool          // its clients never try again
 	Only          string        // class of all its requests, "" for all classes in their shares
 }
 
@@ -204,6 +205,9 @@
 		if r == audit.Served || r == audit.Alien || r == audit.Left || (r == audit.Failed || r == audit.Broken) && class.Effect == policy.Unsafe {
 			return
 		}
+		if a.Once {
+			return
+		}
 		if a.Deaf {
 			hint = 0
 		}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -117,6 +117,20 @@
 		wait(x.For)
 		f.Peers.All(Weather{}, nil)
 	}},
+	"liar": {"an ingress says of overload by turns that all is well and that all is lost", 0, 4, one("peers"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		f.Peers.All(Weather{Lies: true}, func(i, _ int) bool { return i == x.A%len(f.Forwarders) })
+		wait(x.For)
+		f.Peers.All(Weather{}, nil)
+	}},
+	"half heavy": {"every second node is three times as slow", 0, 5, one("weather"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
+		var half []*Node
+		for i, n := range f.Nodes() {
+			if i%2 == 0 {
+				half = append(half, n)
+			}
+		}
+		f.weather(Fault{For: x.For / 2}, wait, half, func(w *node.Weather) { w.Slow = 3 })
+	}},
 	"thick fog": {"half of all messages between ingresses are lost", 0, 4, one("peers"), func(f *Fleet, x Fault, wait func(time.Duration) bool) {
 		defer f.Hist.PeersTroubled(0, 0.5)()
 		f.Peers.All(Weather{Loss: 0.5}, nil)
--- a/internal/lab/rush.go
+++ b/internal/lab/rush.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// once has all clients try once.
+func once(list []Account) {
+	for i := range list {
+		list[i].Once = true
+	}
+}
+
 // cheapFlood has what comes in the peak ask for the cheapest class alone.
 func cheapFlood(list []Account) {
 	cheap := LabClasses[0]
@@ -86,3 +93,6 @@
 
 // comesAndGoes is what is stated where the cause lasts for a part of the peak.
 func comesAndGoes(s *audit.Stated) { s.Swing, s.Share, s.Spread = 1, 0.75, 0.6 }
+
+// muchInVain is what is stated where most of what is asked for is refused, or most of it is cheap: tries that come late are many.
+func muchInVain(s *audit.Stated) { s.Gone = 0.15 }
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -229,6 +229,20 @@
 		end := s.Hist.PeersTroubled(0, s.fog.Loss)
 		s.after(x.For.Seconds(), func() { s.fog = lab.Weather{}; end() })
 	},
+	"liar": func(s *Sim, x lab.Fault) {
+		s.liar = 1 + x.A%len(s.fwds)
+		s.after(x.For.Seconds(), func() { s.liar = 0 })
+	},
+	"half heavy": func(s *Sim, x lab.Fault) {
+		var half []*simNode
+		for i, n := range s.nodes {
+			if i%2 == 0 {
+				half = append(half, n)
+			}
+		}
+		x.For /= 2
+		s.weather(x, half, func(w *node.Weather) { w.Slow = 3 })
+	},
 	"thick fog": func(s *Sim, x lab.Fault) {
 		s.fog = lab.Weather{Loss: 0.5}
 		end := s.Hist.PeersTroubled(0, s.fog.Loss)
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -94,6 +94,7 @@
 	nextID     int
 	peerWay    lab.Weather // of datagrams between ingresses of different halves
 	fog        lab.Weather // of all
+	liar       int         // an ingress that lies of overload, from 1; 0: none
 	lateS      float64     // how late the roster tells
 	floods     map[string]float64
 	accounts   map[string]lab.Account
@@ -651,6 +652,9 @@
 func (f *simForwarder) Tell(to int, data []byte) {
 	s := f.s
 	s.sort(data)
+	if s.liar == f.n+1 {
+		lab.Lie(data, s.t)
+	}
 	for g := range s.fwds {
 		if g == f.n || to != policy.Broadcast && g != to {
 			continue
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -239,3 +239,25 @@
 		t.Errorf("%d came", next)
 	}
 }
+
+// A word of overload crosses from a planner to a forwarder and on to another planner, and is neither a cell nor a request to those that don't
+// know it.
+func TestOverloadWordsCross(t *testing.T) {
+	for _, cell := range []int{0, 5, 1000} {
+		for _, phase := range []uint8{0, 200} {
+			said := OverloadOf(cell, 0.6, phase)
+			if said.Kind != Release || said.Cell != OverloadCell || said.Cell == KnowsHoldsCell {
+				t.Fatalf("%+v", said)
+			}
+			gone := Msg{Kind: Gone, Handle: said.Epoch}
+			if c, l, p, ok := gone.Overload(); !ok || c != cell || l < 0.59 || l > 0.61 || p != phase {
+				t.Errorf("%d, %g, %d, %v", c, l, p, ok)
+			}
+		}
+	}
+	for _, handle := range []uint64{0, 1, KnowsHoldsHandle, 1 << 62} {
+		if _, _, _, ok := (&Msg{Kind: Gone, Handle: handle}).Overload(); ok {
+			t.Errorf("handle %x is taken for a word", handle)
+		}
+	}
+}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -56,7 +56,7 @@
 			s = fresh()
 			t.By[told.ID] = s
 			t.entry(s).Point = peermsg.Point(told.ID)
-			t.entry(s).Hash = uint16(t.entry(s).Point)
+			t.entry(s).Hash = min(uint16(t.entry(s).Point), peermsg.ServerMost)
 			t.index(s)
 		} else if told.SinceS > t.entry(s).SinceS {
 			restarted(s)
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -43,13 +43,14 @@
 	callS      = 0.5  // between words to one other gateway after the other, while anything is refused: not all have messages for each other
 	stepS      = 0.5  // a step of the phase
 	steps      = 4    // of them make a slice, in which the same accounts are served; the phase, a byte, counts 64 of these
+	phases     = 256  // steps until the phase begins again
 	golden     = math.Phi - 1
 	least      = 0.004 // a level that refuses nothing
 	waitLeast  = 0.02  // for which every request may wait
 	easyUtil   = 0.8   // nodes' cores less busy than this are free
 )
 
-type word struct{ level, at float64 }
+type word struct{ level, phase, at float64 }
 
 // State is one gateway's. Its words are bounded by the number of gateways, its rates by the number of classes.
 type State struct {
@@ -61,10 +62,9 @@
 	asked         []fade.Rate // units a second, by place in the order
 	let, in, done fade.Rate   // units a second that the level let in, that quotas let in of these, and that were served
 	words         []word      // by gateway
-	phase         uint8       // counted alike by all: who is ahead is followed
-	phaseAt       float64
-	fresh         []float64 // scratch
-	swings        int       // how often the level turned by a tenth or more
+	phase, ticked float64     // where this gateway is in the order of lots, in steps from 0 to 256, and when it was there
+	fresh, ahead  []float64   // scratch
+	swings        int         // how often the level turned by a tenth or more
 	turn, from    float64
 	since         float64 // since when it refuses; 0: it does not
 	shed          []int   // requests turned away, by place
@@ -86,7 +86,7 @@
 	for i := range w {
 		w[i].at = math.Inf(-1)
 	}
-	return &State{cfg: cfg, rng: rng, at: now, phaseAt: now, words: w, me: me, next: int(rng() * float64(gateways))}
+	return &State{cfg: cfg, rng: rng, at: now, ticked: now, words: w, me: me, next: int(rng() * float64(gateways))}
 }
 
 // Level is how far up the order of what can be refused the fleet refuses now, from 0 (nothing) to 1 (all but the floors).
@@ -243,33 +243,43 @@
 		}
 		s.turn, s.from = s.level, d
 	}
-	for now-s.phaseAt >= stepS {
-		s.phase++
-		s.phaseAt += stepS
-	}
 }
 
-// meet brings the level to the median of what others said of late: neither one that lies nor a few that are cut off carry the others away.
+// apart is how many steps one phase is ahead of another, the shorter way round.
+func apart(a, b float64) float64 {
+	return math.Mod(math.Mod(a-b, phases)+1.5*phases, phases) - phases/2
+}
+
+// meet brings level and phase to the medians of what others said of late: neither one that lies nor a few that are cut off carry the others away.
 func (s *State) meet(now, dt float64) {
-	s.fresh = s.fresh[:0]
+	s.phase, s.ticked = math.Mod(s.phase+(now-s.ticked)/stepS, phases), now
+	s.fresh, s.ahead = s.fresh[:0], s.ahead[:0]
 	for i := range s.words {
-		if now-s.words[i].at < freshS {
-			s.fresh = append(s.fresh, s.words[i].level)
+		if w := &s.words[i]; now-w.at < freshS {
+			s.fresh = append(s.fresh, w.level)
+			s.ahead = append(s.ahead, apart(w.phase+(now-w.at)/stepS, s.phase))
 		}
 	}
-	switch len(s.fresh) {
-	case 0:
+	if len(s.fresh) == 0 {
 		return
-	case 1: // one may lie: it is met half-way
-		s.fresh = append(s.fresh, s.level)
 	}
-	slices.Sort(s.fresh)
-	m := len(s.fresh) / 2
-	middle := s.fresh[m]
-	if len(s.fresh)%2 == 0 {
-		middle = (middle + s.fresh[m-1]) / 2
+	if len(s.fresh) == 1 { // one may lie: it is met half-way
+		s.fresh, s.ahead = append(s.fresh, s.level), append(s.ahead, 0)
+	}
+	s.level += (median(s.fresh) - s.level) * min(dt/meetS, 1)
+	if d := median(s.ahead); math.Abs(d) > 0.5 { // a byte tells no more
+		s.phase = math.Mod(s.phase+d*min(dt/meetS, 1)+phases, phases)
 	}
-	s.level += (middle - s.level) * min(dt/meetS, 1)
+}
+
+// median sorts a list and returns its middle.
+func median(list []float64) float64 {
+	slices.Sort(list)
+	m := len(list) / 2
+	if len(list)%2 == 0 {
+		return (list[m] + list[m-1]) / 2
+	}
+	return list[m]
 }
 
 // Hear takes in what another gateway says, and tells whether the item was of that kind.
@@ -286,21 +296,18 @@
 	if from < 0 || from >= len(s.words) || from == s.me || !(level >= 0 && level <= 1) {
 		return
 	}
-	s.words[from] = word{level, now}
-	if int8(phase-s.phase) > 0 {
-		s.phase, s.phaseAt = phase, now
-	}
+	s.words[from] = word{level, float64(phase) + 0.5, now}
 }
 
 // Word is what this gateway tells the others, for those who carry it by other ways than Say.
-func (s *State) Word() (level float64, phase uint8) { return s.level, s.phase }
+func (s *State) Word() (level float64, phase uint8) { return s.level, uint8(s.phase) }
 
 // Say appends to a message what this gateway tells the others.
 func (s *State) Say(b []byte) []byte {
 	if s == nil {
 		return b
 	}
-	return peermsg.AppendState(b, s.level, s.phase)
+	return peermsg.AppendState(b, s.level, uint8(s.phase))
 }
 
 // lot is an account's in a slice, from 0 to 1. From slice to slice it goes on by the golden section, so that within any few slices an account's lots
@@ -328,7 +335,7 @@
 		s.asked, s.shed = append(s.asked, fade.Rate{}), append(s.shed, 0)
 	}
 	s.asked[place].Add(now, units, rateTauS)
-	if s.level >= least && lot(d.Account, s.phase) >= max(share(s.level, place, places), s.cfg.Floor) {
+	if s.level >= least && lot(d.Account, uint8(s.phase)) >= max(share(s.level, place, places), s.cfg.Floor) {
 		s.shed[place]++
 		return false
 	}
@@ -338,15 +345,15 @@
 
 // Hint is when a client that is refused should come back, most at the latest: when its account's lot is good enough, by the level of now. It is
 // spread over the time behind, so that not all come back at once.
-func (s *State) Hint(now float64, d Door, most float64) float64 {
+func (s *State) Hint(d Door, most float64) float64 {
 	if s == nil || s.level < least || d.Classes == 0 {
 		return most
 	}
 	place, places := d.place()
 	let := max(share(s.level, place, places), s.cfg.Floor)
 	for k := uint8(1); float64(k)*stepS < most; k++ {
-		if lot(d.Account, s.phase+k) < let {
-			wait := float64(k)*stepS - (now - s.phaseAt)
+		if lot(d.Account, uint8(s.phase)+k) < let {
+			wait := (float64(k) - math.Mod(s.phase, 1)) * stepS
 			return min(max(wait, 0)+s.rng()*stepS, most)
 		}
 	}
--- a/internal/peermsg/peermsg.go
+++ b/internal/peermsg/peermsg.go
@@ -94,6 +94,9 @@
 	Value, At float64
 }
 
+// ServerMost is the largest hash of a server; the one above is stateServer.
+const ServerMost = stateServer - 1
+
 // stateServer stands in place of a server's hash in an item that tells of the sender's own level of overload. Versions before take it for the use
 // of a server that they don't know.
 const stateServer = math.MaxUint16
@@ -106,6 +109,18 @@
 	return append(b, stateServer>>8, stateServer&255, LoadItem, byte(math.Round(Clamp(level, 0, 1)*255)), phase)
 }
 
+// Belie puts another level and phase into what AppendState wrote into a message, if it has that: for laboratories whose gateways lie.
+func Belie(b []byte, level float64, phase uint8) {
+	if len(b) < HeaderLen || b[0] != Version {
+		return
+	}
+	for at := HeaderLen + int(b[CountAt])*RecordLen; at+ItemLen <= len(b); at += ItemLen {
+		if b[at] == stateServer>>8 && b[at+1] == stateServer&255 && b[at+2] == LoadItem {
+			b[at+3], b[at+4] = byte(math.Round(Clamp(level, 0, 1)*255)), phase
+		}
+	}
+}
+
 // State tells whether an item is what AppendState wrote, and reads it; now is the time that it was parsed at.
 func (n Item) State(now float64) (level float64, phase uint8, ok bool) {
 	return n.Value, uint8(math.Round((now - n.At) / itemStep)), n.Server == stateServer && n.Class == LoadItem
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -269,7 +269,7 @@
 		if r.taken && len(r.attempts) == 0 { // it was let in, and no server had room in time
 			g.press.Waited(g.now, 1)
 		}
-		g.act.Refuse(r.ID, g.press.Hint(g.now, r.Door, g.s.MaxRetryAfterS))
+		g.act.Refuse(r.ID, g.press.Hint(r.Door, g.s.MaxRetryAfterS))
 	}
 	for i := range r.attempts {
 		if a := &r.attempts[i]; g.s.Cancel && !a.done && !a.called {
