--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -32,10 +32,12 @@
 	waitTauS   = 0.3  // memory of what waited
 	rateTauS   = 0.5  // and of what was asked for, let in and served
 	prior      = 2.0  // waits of nothing that are believed in beforehand: one request alone tells little
-	right      = 0.12 // of what they may, that requests wait for a server where as much is let in as can be served
+	right      = 0.06 // of what they may, that requests wait for a server where as much is let in as can be served
 	aimS       = 0.1  // in which the level comes to where as much is let in as is served, while more than that waits
-	ease       = 0.8  // of what is served, that is let in less while all waits as long as it may, so that what waits becomes less
+	ease       = 1.2  // of what is served, that is let in less while all waits as long as it may, so that what waits becomes less
 	downS      = 0.2  // levels a second that it falls where nothing waits
+	calmS      = 1.5  // after which it falls as fast where nothing has waited since
+	cannotS    = 2.0  // and that less can be served than was thought
 	canS       = 0.5  // in which it is learned what can be served
 	easyS      = 1.0  // and where nodes' cores are free too
 	meetS      = 0.1  // in which it comes to what the others say
@@ -69,6 +71,7 @@
 	since         float64 // since when it refuses; 0: it does not
 	shed          []int   // requests turned away, by place
 	wait          float64
+	pressedAt     float64 // when too much last waited
 	can           float64 // units a second let in that could be served when it last was too much
 	me, next      int     // next: who was told last
 	callAt        float64
@@ -215,14 +218,19 @@
 	beyond := max(let, 1e-9) / min(max(in, 1e-9), max(let, 1e-9)) // let in, for a unit that quotas let in as well
 	if wait > right {
 		much := (wait - right) / (1 - right)
-		s.can += (done*beyond - s.can) * min(dt/canS, 1)
+		s.pressedAt = now
+		if can := done * beyond; can > s.can {
+			s.can += (can - s.can) * min(dt/canS, 1)
+		} else { // little is served also where little is let in
+			s.can += (can - s.can) * min(dt/cannotS, 1)
+		}
 		if to := s.target(now, done*beyond*(1-ease*much)); to > s.level {
 			s.level += (to - s.level) * min(dt/aimS, 1)
 		}
 	} else {
 		n := s.n*k + float64(waiting)
 		down := downS * n / (n + prior) // who asks for little itself sees little
-		if easy {
+		if easy || now-s.pressedAt > calmS {
 			down = easyS
 		}
 		s.level -= down * (1 - wait/right) * dt
