--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -32,9 +32,9 @@
 	waitTauS   = 0.3  // memory of what waited
 	rateTauS   = 0.5  // and of what was asked for, let in and served
 	prior      = 2.0  // waits of nothing that are believed in beforehand: one request alone tells little
-	right      = 0.06 // of what they may, that requests wait for a server where as much is let in as can be served
+	right      = 0.12 // of what they may, that requests wait for a server where as much is let in as can be served
 	aimS       = 0.1  // in which the level comes to where as much is let in as is served, while more than that waits
-	ease       = 1.2  // of what is served, that is let in less while all waits as long as it may, so that what waits becomes less
+	ease       = 0.8  // of what is served, that is let in less while all waits as long as it may, so that what waits becomes less
 	downS      = 0.2  // levels a second that it falls where nothing waits
 	calmS      = 1.5  // after which it falls as fast where nothing has waited since
 	cannotS    = 2.0  // and that less can be served than was thought
@@ -46,6 +46,7 @@
 	stepS      = 0.5  // a step of the phase
 	steps      = 4    // of them make a slice, in which the same accounts are served; the phase, a byte, counts 64 of these
 	phases     = 256  // steps until the phase begins again
+	keep       = 0.5  // of what is left of the level's way, that every place but the first has at least: operators ask that each class be served
 	golden     = math.Phi - 1
 	least      = 0.004 // a level that refuses nothing
 	waitLeast  = 0.02  // for which every request may wait
@@ -168,16 +169,22 @@
 
 // target is the level at which so many units a second are let in.
 func (s *State) target(now, units float64) float64 {
-	rest, n := units, float64(len(s.asked))
-	for place := len(s.asked) - 1; place >= 0; place-- {
-		ask := s.asked[place].Now(now, rateTauS)
-		rest -= s.cfg.Floor * ask
-		if ask *= 1 - s.cfg.Floor; rest < ask {
-			return (float64(place) + 1 - max(rest, 0)/max(ask, 1e-9)) / n
+	low, high := 0.0, 1.0
+	for range 12 { // to a part in four thousand
+		level, let := (low+high)/2, 0.0
+		for place := range s.asked {
+			let += s.asked[place].Now(now, rateTauS) * s.share(level, place, len(s.asked))
 		}
-		rest -= ask
+		if let > units {
+			low = level
+		} else {
+			high = level
+		}
+	}
+	if low == 0 {
+		return 0
 	}
-	return 0
+	return high
 }
 
 // Wait is a request's for a server: since when, and for how long it may.
@@ -328,9 +335,14 @@
 	return part
 }
 
-// share is what of a place is let in at a level: each takes an equal part of the way of the level, the first one first.
-func share(level float64, place, places int) float64 {
-	return 1 - min(max(level*float64(places)-float64(place), 0), 1)
+// share is what of a place is let in at a level. Each takes an equal part of the way of the level, the first one first; but any
+// other than the first, which has later tries alone, has at least a part of what is left of the way, and everything the floor.
+func (s *State) share(level float64, place, places int) float64 {
+	x := 1 - min(max(level*float64(places)-float64(place), 0), 1)
+	if place > 0 { // the first place has later tries alone
+		x = max(x, keep*(1-level))
+	}
+	return max(x, s.cfg.Floor)
 }
 
 // Ask takes in that units are asked for at a door, and tells whether the request is let in: the same everywhere at the same level.
@@ -343,7 +355,7 @@
 		s.asked, s.shed = append(s.asked, fade.Rate{}), append(s.shed, 0)
 	}
 	s.asked[place].Add(now, units, rateTauS)
-	if s.level >= least && lot(d.Account, uint8(s.phase)) >= max(share(s.level, place, places), s.cfg.Floor) {
+	if s.level >= least && lot(d.Account, uint8(s.phase)) >= s.share(s.level, place, places) {
 		s.shed[place]++
 		return false
 	}
@@ -358,7 +370,7 @@
 		return most
 	}
 	place, places := d.place()
-	let := max(share(s.level, place, places), s.cfg.Floor)
+	let := s.share(s.level, place, places)
 	for k := uint8(1); float64(k)*stepS < most; k++ {
 		if lot(d.Account, uint8(s.phase)+k) < let {
 			wait := (float64(k) - math.Mod(s.phase, 1)) * stepS
