Watches: indented lists, a silent agent asked again beside the call, no long pauses

A watch was cut by lines: an object over several lines was a parse error, and again after each reconnect. The pause between watches grew to 2 s unless the version had changed: 4.5 s of silence and 2 s are 6.5 s, more than the 6 s at which a change counts as told. A call made while discovery is down hung for 4.5 s. One bad entry threw its whole change away until the list had been asked for again. Lines at fault: roster.go, Run (backoff by version), watch (ScanLines, Parse of all or nothing), get (one call). Measured: each test red with its mend taken out: "pause 5 is 100ms, want 50ms"; indented: got the first object by way of the whole list alone (Version:5, AgeS:0, then nothing); silent agent and bad entry: "nothing came". Green five times with the race detector on two cores.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,8 +23,12 @@
 	// A watch sends a line every 2 s. After two that are missing the connection is taken for dead;
 	// the agent answers at once, so a needless reconnect costs little.
 	watchSilence = 4500 * time.Millisecond
+	// An agent answers at once. One that does not is silent, as what is behind it is, and what it gets when it comes back counts as told
+	// from that moment on: it is asked again so often beside a call that may hang for good. With backoffMost it stays under the least grace
+	// of a drain, 250 ms.
+	answerMost   = 150 * time.Millisecond
 	backoffFirst = 50 * time.Millisecond
-	backoffMost  = 2 * time.Second
+	backoffMost  = 100 * time.Millisecond
 	maxListLine  = 4 << 20
 )
 
@@ -101,7 +104,11 @@
 	addr    string
 	version int64 // the last that was taken in
 	whole   bool  // changes may be missing: only the whole list tells
+	heard   bool  // the watch that is or was last open has told something
 	age     age
+
+	answerMost, silence time.Duration
+	after               func(time.Duration) <-chan time.Time // the pause before the next watch
 }
 
 // Age is how old a watcher's word is, in seconds: since the last line of a watch, and how old that line was by its own account.
@@ -139,6 +146,7 @@
 // New makes a watcher of discovery at addr that goes on behind a version, or with one below 0 from the whole list on.
 func New(addr string, version int64, take func(List), note func(string, ...any)) *Watcher {
 	return &Watcher{take: take, note: note, addr: addr, version: version, whole: version < 0, age: age{heard: time.Now()},
+		answerMost: answerMost, silence: watchSilence, after: time.After,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
 }
@@ -151,7 +159,6 @@
 	for ctx.Err() == nil {
 		round, stop := context.WithCancel(ctx)
 		ended := make(chan error, 1)
-		before := w.version
 		go func() { ended <- w.watch(round) }()
 		select {
 		case err := <-ended:
@@ -160,14 +167,14 @@
 				return
 			}
 			w.note("watch ended", "error", err, "address", w.addr, "version", w.version)
-			if w.version != before {
+			if w.heard { // also where nothing changed: a watch that lived is no reason to wait
 				backoff = backoffFirst
 			}
 			select {
 			case <-ctx.Done():
 			case addr := <-moves:
 				w.addr, w.whole = addr, true
-			case <-time.After(backoff):
+			case <-w.after(backoff):
 			}
 			backoff = min(2*backoff, backoffMost)
 		case addr := <-moves:
@@ -180,73 +187,157 @@
 	}
 }
 
-// get asks discovery; the answer's body is the caller's to close.
-func (w *Watcher) get(ctx context.Context, query string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+"/api/targets"+query, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := w.http.Do(req)
-	if err != nil {
-		return nil, err
+// call is one call of discovery that is out, and what it came to.
+type call struct {
+	ctx  context.Context
+	stop context.CancelFunc
+	resp *http.Response
+	err  error
+}
+
+// begin makes a call; it comes back on answers, unless done is closed before that.
+func (w *Watcher) begin(ctx context.Context, url string, answers chan<- *call, done <-chan struct{}) *call {
+	c := &call{}
+	c.ctx, c.stop = context.WithCancel(ctx)
+	go func() {
+		req, err := http.NewRequestWithContext(c.ctx, http.MethodGet, url, nil)
+		if c.err = err; err == nil {
+			c.resp, c.err = w.http.Do(req)
+		}
+		select {
+		case answers <- c:
+		case <-done:
+			c.end()
+		}
+	}()
+	return c
+}
+
+func (c *call) end() {
+	c.stop()
+	if c.err == nil {
+		c.resp.Body.Close()
 	}
-	if resp.StatusCode != http.StatusOK {
-		resp.Body.Close()
-		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+}
+
+// get asks discovery; the answer's body is the caller's to close, and ends with ctx. While no answer begins, the call is made again
+// and again beside the first, which stays: a silent agent may answer either when it is back.
+func (w *Watcher) get(ctx context.Context, query string) (io.ReadCloser, error) {
+	url := "http://" + w.addr + "/api/targets" + query
+	answers, done := make(chan *call), make(chan struct{})
+	defer close(done)
+	first, again := w.begin(ctx, url, answers, done), (*call)(nil)
+	tick := time.NewTicker(w.answerMost)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if again != nil {
+				again.stop()
+			}
+			again = w.begin(ctx, url, answers, done)
+		case c := <-answers:
+			if c != first && c != again { // one of those that were given up
+				c.end()
+				continue
+			}
+			for _, other := range []*call{first, again} {
+				if other != nil && other != c {
+					other.stop()
+				}
+			}
+			if c.err == nil && c.resp.StatusCode != http.StatusOK {
+				c.resp.Body.Close()
+				c.err = fmt.Errorf("discovery answered %s", c.resp.Status)
+			}
+			if c.err != nil {
+				c.stop()
+				return nil, c.err
+			}
+			return c.resp.Body, nil
+		}
 	}
-	return resp.Body, nil
 }
 
 // watch reads one watch to its end, ahead of it the whole list if changes may be missing.
 func (w *Watcher) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+	w.heard = false
+	silence := time.AfterFunc(w.silence, cancel)
 	defer silence.Stop()
 	if w.whole {
 		if err := w.list(ctx); err != nil {
 			return fmt.Errorf("whole list: %w", err)
 		}
-		silence.Reset(watchSilence)
+		silence.Reset(w.silence)
 	}
 	body, err := w.get(ctx, fmt.Sprintf("?watch=1&after=%d", w.version))
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxListLine)
-	for lines.Scan() {
-		silence.Reset(watchSilence)
+	silence.Reset(w.silence)
+	objects := bufio.NewScanner(body)
+	objects.Buffer(nil, maxListLine)
+	objects.Split(new(splitter).split)
+	for objects.Scan() {
+		silence.Reset(w.silence)
+		w.heard = true
 		if w.Alive != nil {
 			w.Alive()
 		}
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
+		text := objects.Bytes()
+		if len(text) == 0 {
 			w.age.note(0)
 			continue
 		}
-		t, err := Parse(line)
-		if err == nil && !t.Full && t.Version < w.version {
-			err = fmt.Errorf("version %d comes after %d", t.Version, w.version)
-		}
-		if err != nil { // what it told is lost
+		if err := w.change(text); err != nil { // what it told is lost
 			w.whole = true
 			return err
 		}
-		w.version = t.Version
-		w.age.note(t.AgeS)
-		if t.Full || len(t.Servers) > 0 {
-			w.take(t)
-		}
 	}
-	if errors.Is(lines.Err(), bufio.ErrTooLong) {
+	if errors.Is(objects.Err(), bufio.ErrTooLong) {
 		w.whole = true
 	}
-	return lines.Err()
+	return objects.Err()
+}
+
+// change takes in what a watch tells, without those entries that can't be used; for these it returns an error.
+func (w *Watcher) change(text []byte) error {
+	var t List
+	err := json.Unmarshal(text, &t)
+	if err == nil && !t.Full && t.Version < w.version {
+		err = fmt.Errorf("version %d comes after %d", t.Version, w.version)
+	}
+	if err != nil {
+		return err
+	}
+	w.version = t.Version
+	w.age.note(t.AgeS)
+	err = t.Check()
+	if err != nil {
+		t.Servers = w.usable(t.Servers)
+		t.Full = false // the whole list tells who is gone
+	}
+	if t.Full || len(t.Servers) > 0 {
+		w.take(t)
+	}
+	return err
 }
 
-// list takes in the whole list. An entry that can't be used is left out: the rest must not wait for it.
+// usable leaves out the entries that can't be used: the rest must not wait for them.
+func (w *Watcher) usable(list []Target) []Target {
+	return slices.DeleteFunc(list, func(e Target) bool {
+		err := e.check()
+		if err != nil {
+			w.note("entry of the list left out", "error", err)
+		}
+		return err != nil
+	})
+}
+
+// list takes in the whole list.
 func (w *Watcher) list(ctx context.Context) error {
 	body, err := w.get(ctx, "")
 	if err != nil {
@@ -258,13 +349,7 @@
 		return err
 	}
 	t.Full = true
-	t.Servers = slices.DeleteFunc(t.Servers, func(e Target) bool {
-		err := e.check()
-		if err != nil {
-			w.note("entry of the list left out", "error", err)
-		}
-		return err != nil
-	})
+	t.Servers = w.usable(t.Servers)
 	w.whole = false
 	w.version = t.Version
 	w.age.note(t.AgeS)
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,192 @@
+package roster
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const patience = 20 * time.Second
+
+func get[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
+// follow runs a watcher against an agent to the end of the test and returns the lists that it hands on.
+func follow(t *testing.T, agent http.HandlerFunc, change func(*Watcher)) <-chan List {
+	srv := httptest.NewServer(agent)
+	lists := make(chan List, 64)
+	w := New(strings.TrimPrefix(srv.URL, "http://"), 0, func(l List) { lists <- l }, func(string, ...any) {})
+	w.silence = time.Hour
+	if change != nil {
+		change(w)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx, nil) }()
+	t.Cleanup(func() { cancel(); <-done; srv.CloseClientConnections(); srv.Close() })
+	return lists
+}
+
+func say(w http.ResponseWriter, text string) {
+	io.WriteString(w, text)
+	w.(http.Flusher).Flush()
+}
+
+const entry = `{"id":"%s","addr":"127.0.0.1:1","state":"%s"}`
+
+// Guards against a list that is never read: a watch cut by lines takes an object over several for an error, for ever.
+func TestIndentedLists(t *testing.T) {
+	lists := follow(t, func(w http.ResponseWriter, r *http.Request) {
+		say(w, "{\n  \"version\": 5,\n  \"full\": true,\n  \"servers\": [\n    "+fmt.Sprintf(entry, "x", "in_service")+"\n\n  ]\n}\n\r\n\n")
+		say(w, "{\n \"version\": 6, \"servers\": [\n"+fmt.Sprintf(entry, "x", "terminating"))
+		say(w, "]}")
+		<-r.Context().Done()
+	}, nil)
+	if l := get(t, lists); l.Version != 5 || !l.Full || len(l.Servers) != 1 {
+		t.Errorf("got %+v", l)
+	}
+	if l := get(t, lists); l.Version != 6 || l.Servers[0].State != "terminating" {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// Guards against a change of which nothing is taken for one entry that can't be read: the rest counts as told.
+func TestOneBadEntry(t *testing.T) {
+	lists := follow(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "" {
+			return // the whole list can't be had just then
+		}
+		say(w, `{"version":5,"servers":[`+fmt.Sprintf(entry, "odd", "odd")+","+fmt.Sprintf(entry, "x", "terminating")+"]}\n")
+		<-r.Context().Done()
+	}, nil)
+	if l := get(t, lists); len(l.Servers) != 1 || l.Servers[0].ID != "x" || l.Full {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// Guards against a call that hangs, as it was made while the agent was silent: what that gets at its return counts as told. It may answer a
+// call made later, or the one that hangs.
+func TestAgentThatWasSilent(t *testing.T) {
+	for name, serves := range map[string]func(call int) bool{
+		"a later call is answered":      func(call int) bool { return call > 2 },
+		"the call that hangs, in place": func(call int) bool { return call == 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, later := make(chan int, 1), make(chan struct{})
+			n <- 0
+			lists := follow(t, func(w http.ResponseWriter, r *http.Request) {
+				call := 1 + <-n
+				if n <- call; call == 3 {
+					close(later)
+				}
+				if call == 1 {
+					select {
+					case <-later:
+					case <-r.Context().Done():
+						return
+					}
+				}
+				if serves(call) {
+					say(w, `{"version":7,"servers":[`+fmt.Sprintf(entry, "x", "terminating")+"]}\n")
+				}
+				<-r.Context().Done()
+			}, func(w *Watcher) { w.answerMost = time.Millisecond })
+			if l := get(t, lists); l.Version != 7 {
+				t.Errorf("got %+v", l)
+			}
+		})
+	}
+}
+
+// Guards against a long pause after a watch that lived on a list that did not change: beside its silence that is more than the 6 s at which
+// a change counts as told. Only what tells nothing at all waits longer, and never so long that a drain's grace passes.
+func TestPausesBetweenWatches(t *testing.T) {
+	for name, tc := range map[string]struct {
+		line string
+		last time.Duration
+	}{"told something": {`{"version":0,"servers":[]}` + "\n", backoffFirst}, "alive": {"\n", backoffFirst}, "told nothing": {"", backoffMost}} {
+		t.Run(name, func(t *testing.T) {
+			pauses, at := make(chan time.Duration, 64), make(chan time.Time)
+			close(at)
+			follow(t, func(w http.ResponseWriter, _ *http.Request) { say(w, tc.line) }, func(w *Watcher) {
+				w.after = func(d time.Duration) <-chan time.Time {
+					select {
+					case pauses <- d:
+					default:
+					}
+					return at
+				}
+			})
+			for i := range 6 {
+				if d := get(t, pauses); i == 5 && d != tc.last || d > backoffMost {
+					t.Errorf("pause %d is %v, want %v", i, d, tc.last)
+				}
+			}
+		})
+	}
+	if answerMost+backoffMost > 250*time.Millisecond {
+		t.Error("an agent that is back may go unasked for longer than a drain's grace")
+	}
+}
+
+// What a watch says is told apart the same way however it comes in pieces, and whatever stands in its texts.
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		var want []string
+		for range rapid.IntRange(1, 8).Draw(t, "parts") {
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				text.WriteString(rapid.SampledFrom([]string{"\n", " \r\n", "\t\n"}).Draw(t, "empty"))
+				want = append(want, "")
+			case 1:
+				text.WriteString("noise}{\n")
+				want = append(want, "noise}{")
+			default:
+				s := rapid.StringMatching(`[a-z{}\[\] ]{0,12}`).Draw(t, "string")
+				o := fmt.Sprintf("{\n \"a\\\"%s\\\\\": [{\"b\":\"%s\"},\n\n[]]\n}", s, s)
+				text.WriteString(o + rapid.SampledFrom([]string{"", "\n"}).Draw(t, "end"))
+				want = append(want, o)
+			}
+		}
+		size := rapid.IntRange(1, 40).Draw(t, "size")
+		lines := bufio.NewScanner(&pieces{strings.NewReader(text.String()), size})
+		lines.Buffer(nil, 1<<16)
+		lines.Split(new(splitter).split)
+		var got []string
+		for lines.Scan() {
+			got = append(got, lines.Text())
+		}
+		// A line's end is an empty token where it comes apart from its object; how many of those there are tells nothing.
+		spoken := func(list []string) []string {
+			return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == "" })
+		}
+		if lines.Err() != nil || !slices.Equal(spoken(got), spoken(want)) {
+			t.Fatalf("%q came as %q, want %q (%v)", text.String(), got, want, lines.Err())
+		}
+	})
+}
+
+// pieces reads so many bytes at a time.
+type pieces struct {
+	r io.Reader
+	n int
+}
+
+func (p *pieces) Read(b []byte) (int, error) { return p.r.Read(b[:min(len(b), p.n)]) }
