Attempts: a command whose last byte is out may have run; late copies tell of no other

(1) A command that the socket took in parts is finished by a goroutine, whose last byte is out before it says so. A deadline, or the connection's end, in between reported "could not connect": an unsafe request that runs was free to be sent again. (2) A second copy of -BUSY or -ERR that comes when the next command is out was that command's answer, "never ran" of another request; only values were compared, with the one before alone, and never large ones. Checked and excluded: cancel, loss and reply queued at once end an attempt once (finish, replied look at done and closed); a late dial is looked at again (usable, unsendable); the grace of a drain counts from a send's first byte. Lines at fault: pool.go write (the flag after the last Write), expire and lost (read it), read (res.status == OK && hash of the last answer). Change: the goroutine takes the last byte by compare-and-swap against whoever gives up; a connection whose last answer was no value rests for 0.1 s, the last four values and the heads of large ones are known.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -103,7 +103,7 @@
 	case a.done:
 	case a.conn == nil:
 		in.finish(a, result{status: policy.Moot}, in.now)
-	case !a.conn.written.Load():
+	case a.conn.neverWhole():
 		in.finish(a, result{status: policy.ConnectFailed}, in.now)
 	default:
 		in.finish(a, result{status: policy.Timeout}, in.now)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -863,9 +863,8 @@
 	}
 }
 
-// Guards the edge between the two ways in which a broken connection may end an attempt: a command of
-// which the socket took only a part has not run, and one that is written in the end is served.
-func TestCommandThatTheSocketTakesInParts(t *testing.T) {
+// narrow takes connections of a backend, between which and the ingress there is little room.
+func narrow(t *testing.T) (l net.Listener, change func(*rig)) {
 	small := func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
 	}
@@ -873,8 +872,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	r := start(t, testConfig(l.Addr().String()), func(r *rig) {
+	t.Cleanup(func() { l.Close() })
+	return l, func(r *rig) {
 		sendTo(0)(r)
 		dial := r.in.backends.dial
 		r.in.backends.dial = func(addr string) (net.Conn, error) {
@@ -884,7 +883,14 @@
 			}
 			return c, err
 		}
-	})
+	}
+}
+
+// Guards the edge between the two ways in which a broken connection may end an attempt: a command of
+// which the socket took only a part has not run, and one that is written in the end is served.
+func TestCommandThatTheSocketTakesInParts(t *testing.T) {
+	l, change := narrow(t)
+	r := start(t, testConfig(l.Addr().String()), change)
 	body := strings.Repeat("x", maxValue)
 	post := func(id string) *wire {
 		c := r.client()
@@ -899,7 +905,7 @@
 	}
 	r.until("a part is written", func() bool {
 		a := r.in.requests["a"].attempts[0]
-		return a.conn != nil && !a.conn.written.Load()
+		return a.conn != nil && a.conn.written.Load() == partly
 	})
 	b.Close()
 	if o := get(t, r.mod.outcomes); o.Status != policy.ConnectFailed {
--- a/internal/ingress/large.go
+++ b/internal/ingress/large.go
@@ -191,9 +191,9 @@
 		in.note("a large value broke off", "id", id, "why", bad)
 	}
 	if v.a != nil && v.a.conn != nil && bad == nil {
-		if back := v.a.conn; !back.dead.Load() && back.written.Load() {
+		if back := v.a.conn; !back.dead.Load() && back.written.Load() == wholly {
 			v.a.conn = nil
-			in.release(back)
+			in.release(back, restS)
 		}
 	}
 	in.over(v, res)
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"hash/maphash"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -22,9 +23,20 @@
 	// A second copy of an answer comes right behind it. What has rested for so long is taken first, so
 	// that the copy is seen before the next command goes out.
 	restS = 0.005
-	// An answer with the same bytes as the one before it on its connection, no later than this, is taken
-	// for its copy. Values of requests differ, as do the load reports beside them.
+	// An answer with the same bytes as one of the last on its connection, no later than this, is taken for its copy. Values of requests
+	// differ, as do the load reports beside them. An answer that is no value may well be the same twice: its connection rests for so long,
+	// so that a copy finds no other command that it would tell of.
 	copyS = 0.1
+	// answers so far back may be copied
+	copiesOf = 4
+)
+
+// How far the command of an attempt has gone out.
+const (
+	partly int32 = iota // its last byte has not
+	ending              // a goroutine writes its last byte
+	wholly
+	givenUp // its last byte never will
 )
 
 var (
@@ -51,6 +63,7 @@
 	idleS float64
 	copyS float64 // see there; never changes
 	dial  func(addr string) (net.Conn, error)
+	ended func() // tests are told of the last byte of a command that did not go out at once, before anybody else
 }
 
 func (s *backendSet) init(cfg Config) {
@@ -58,6 +71,7 @@
 	s.whole = max(8, cfg.free()*3/8)
 	s.most = s.whole
 	s.copyS = copyS
+	s.ended = func() {}
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
 	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
 	s.dial = func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, timeout) }
@@ -143,26 +157,38 @@
 	at      target // as the backend stood when it was dialled
 	conn    *net.TCPConn
 	raw     syscall.RawConn
-	busy    atomic.Bool // a reply is expected
-	dead    atomic.Bool // not to be used again
-	written atomic.Bool // the whole of the attempt's command
-	writing sync.Mutex  // held while a write that the loop does not wait for goes on
+	busy    atomic.Bool  // a reply is expected
+	dead    atomic.Bool  // not to be used again
+	written atomic.Int32 // how far the attempt's command is
+	writing sync.Mutex   // held while a write that the loop does not wait for goes on
 
 	// Loop only.
 	attempt *attempt
 	idleAt  float64
+	restS   float64 // so long it is left alone from then on
 	closed  bool
 }
 
+// neverWhole sees to it that the attempt's command never goes out whole; false if it may have.
+func (c *backConn) neverWhole() bool {
+	return c.written.CompareAndSwap(partly, givenUp) || c.written.Load() == givenUp
+}
+
 // takeIdle takes a connection out of the pool, nil if there is none of use: the one used last of those
-// that have rested, else the one that has rested longest. One on which bytes wait that nobody asked for,
+// that have rested, else the one that has rested longest, if it served. One on which bytes wait that nobody asked for,
 // or that has ended, though its reader has not come to it yet, must not get a command.
 func (in *Ingress) takeIdle(be *backend) *backConn {
 	for len(be.idle) > 0 {
 		i := len(be.idle) - 1
-		for i > 0 && in.now-be.idle[i].idleAt < restS {
+		for i >= 0 && in.now-be.idle[i].idleAt < be.idle[i].restS {
 			i--
 		}
+		if i < 0 {
+			i = slices.IndexFunc(be.idle, func(c *backConn) bool { return c.restS <= restS })
+		}
+		if i < 0 {
+			return nil
+		}
 		c := be.idle[i]
 		if c.dead.Load() || in.now-c.idleAt > in.backends.idleS || !silent(c.raw) {
 			in.closeConn(c)
@@ -260,18 +286,18 @@
 		in.write(c, a)
 		return
 	}
-	in.release(c)
+	in.release(c, restS)
 }
 
 // release puts a connection into the pool. It does not go to what waits: that has a dial under way,
 // and a second copy of the answer may be right behind.
-func (in *Ingress) release(c *backConn) {
+func (in *Ingress) release(c *backConn, rest float64) {
 	c.attempt = nil
 	if !in.usable(c) {
 		in.closeConn(c)
 		return
 	}
-	c.idleAt = in.now
+	c.idleAt, c.restS = in.now, rest
 	c.be.idle = append(c.be.idle, c)
 }
 
@@ -284,28 +310,42 @@
 		in.bytes = nil
 	}
 	a.conn, c.attempt = c, a
-	c.written.Store(false)
+	c.written.Store(partly)
 	c.busy.Store(true)
 	n, err := tryWrite(c.raw, b)
 	switch {
 	case err != nil:
 		in.later(a, policy.ConnectFailed)
 	case n == len(b):
-		c.written.Store(true)
+		c.written.Store(wholly)
 	default:
-		rest := bytes.Clone(b[n:])
+		rest, ended := bytes.Clone(b[n:]), in.backends.ended
 		c.writing.Lock() // only its own reader takes it besides, for a moment at its end
 		go func() {
 			defer c.writing.Unlock()
-			if _, err := c.conn.Write(rest); err == nil {
-				c.written.Store(true)
-			} else {
+			if !c.finishWrite(c.conn, rest, ended) {
 				c.conn.Close() // its reader reports it
 			}
 		}()
 	}
 }
 
+// finishWrite writes the rest of a command, and tells whether all of it is out. The last byte goes only once it is known to everybody that
+// it may have: an attempt that ends in between would else be taken for one that never ran, and its request be sent again.
+func (c *backConn) finishWrite(to io.Writer, rest []byte, ended func()) bool {
+	last := len(rest) - 1
+	if _, err := to.Write(rest[:last]); err != nil || !c.written.CompareAndSwap(partly, ending) {
+		return false
+	}
+	if _, err := to.Write(rest[last:]); err != nil {
+		c.written.Store(partly)
+		return false
+	}
+	ended()
+	c.written.Store(wholly)
+	return true
+}
+
 func (in *Ingress) closeConn(c *backConn) {
 	if c.closed {
 		return
@@ -321,10 +361,7 @@
 func (c *backConn) read(in *Ingress) {
 	buf := buffer{budget: &in.input}
 	defer buf.free()
-	var last struct {
-		hash uint64
-		at   float64
-	}
+	var last copies
 	for {
 		room := buf.room()
 		if room == nil {
@@ -340,10 +377,16 @@
 		buf.grew(n)
 		if start, _, _, large := largeHead(buf.b); large {
 			enough := len(buf.b) >= start+largeFirst
-			if !enough && err != nil || enough && !c.pass(in, &buf, at) {
+			if !enough && err != nil {
+				break
+			}
+			if enough && last.has(buf.b[:start+largeFirst], at, in.backends.copyS) {
+				c.spoilt(in, at, buf.b, errCopy)
+				break
+			}
+			if enough && !c.pass(in, &buf, at) {
 				break
 			}
-			last.hash = 0
 			continue
 		}
 		size, bad := frame(buf.b)
@@ -361,12 +404,10 @@
 				break
 			}
 			// Bytes of a copy that were on their way when the next command was written are told by this.
-			hash := maphash.Bytes(hashSeed, buf.b[:size])
-			if res.status == policy.OK && hash == last.hash && at-last.at < in.backends.copyS {
+			if res.status == policy.OK && last.has(buf.b[:size], at, in.backends.copyS) {
 				c.spoilt(in, at, buf.b, errCopy)
 				break
 			}
-			last.hash, last.at = hash, at
 			stray := len(buf.b) > size
 			buf.drop(len(buf.b))
 			if stray {
@@ -390,6 +431,28 @@
 	in.post(at, func() { in.lost(c, at) })
 }
 
+// copies knows the last values that came on a connection.
+type copies struct {
+	last [copiesOf]struct {
+		hash uint64
+		at   float64
+	}
+	next int
+}
+
+// has tells that a value, or the start of a large one, came before within so many seconds; if not it is noted.
+func (l *copies) has(b []byte, at, within float64) bool {
+	hash := maphash.Bytes(hashSeed, b)
+	for _, x := range l.last {
+		if x.hash == hash && at-x.at < within {
+			return true
+		}
+	}
+	l.last[l.next].hash, l.last[l.next].at = hash, at
+	l.next = (l.next + 1) % copiesOf
+	return false
+}
+
 // spoilt ends the connection's attempt for what came in place of an answer.
 func (c *backConn) spoilt(in *Ingress, at float64, got []byte, why error) {
 	c.dead.Store(true)
@@ -411,9 +474,13 @@
 		in.note("bad reply", "backend", c.be.ID, "why", "a reply to something else")
 		res = spoilt("a reply to something else")
 	}
-	if c.written.Load() && !c.dead.Load() {
+	if c.written.Load() == wholly && !c.dead.Load() {
 		a.conn = nil
-		in.release(c)
+		rest := restS
+		if res.status != policy.OK {
+			rest = max(rest, in.backends.copyS)
+		}
+		in.release(c, rest)
 	}
 	in.finish(a, res, at)
 }
@@ -422,7 +489,7 @@
 func (in *Ingress) lost(c *backConn, at float64) {
 	if a := c.attempt; a != nil && !a.done {
 		status := policy.Reset
-		if !c.written.Load() {
+		if c.neverWhole() {
 			status = policy.ConnectFailed
 		}
 		in.finish(a, result{status: status}, at)
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -194,3 +194,120 @@
 		}
 	}
 }
+
+// Guards against a late second copy of a refusal or an error that is taken for what became of the next command: it would tell of another
+// request that it never ran. The connection rests until a copy has come, and what does come on it then ends it.
+func TestCopyOfWhatIsNoValue(t *testing.T) {
+	for _, answer := range []string{"-BUSY\r\n", "-ERR failed\r\n"} {
+		t.Run(answer[:len(answer)-2], func(t *testing.T) {
+			addr, conns := listen(t)
+			r := start(t, testConfig(addr), func(r *rig) {
+				sendTo(0)(r)
+				r.in.backends.copyS = 3600
+			})
+			c := r.client()
+			c.send(look("a")...)
+			b := get(t, conns)
+			b.command()
+			io.WriteString(b, answer)
+			get(t, r.mod.outcomes)
+			c2 := r.client()
+			c2.send(look("b")...)
+			other := get(t, conns) // not the one that answered last
+			if got := other.command(); len(got) != 4 || got[2] != "b" {
+				t.Fatalf("the new connection got %q", got)
+			}
+			io.WriteString(b, answer)
+			if b.command() != nil {
+				t.Error("the connection is used on")
+			}
+			io.WriteString(other, value)
+			c2.served("the second")
+		})
+	}
+}
+
+// Guards the same for values that come late, behind another answer, and for large ones, of which the start tells.
+func TestCopiesAreKnown(t *testing.T) {
+	var l copies
+	a, b := []byte("a"), []byte("b")
+	for i, step := range []struct {
+		b    []byte
+		at   float64
+		want bool
+	}{{a, 1, false}, {b, 1.01, false}, {a, 1.02, true}, {b, 1.02, true}, {a, 2, false}} {
+		if got := l.has(step.b, step.at, 0.1); got != step.want {
+			t.Errorf("step %d: %v", i, got)
+		}
+	}
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), func(r *rig) {
+		sendTo(0)(r)
+		r.in.backends.copyS = 3600
+	})
+	text, answer := large(maxValue+1, 7)
+	c := r.client()
+	c.send(look("a")...)
+	w := get(t, conns)
+	w.command()
+	w.Write(answer)
+	if got := c.bulk(); string(got) != string(text) {
+		t.Fatal("not served")
+	}
+	get(t, r.mod.outcomes)
+	c.send(look("b")...)
+	if w.command() == nil {
+		t.Fatal("no second command")
+	}
+	go w.Write(answer) // its end may be cut off
+	if o := get(t, r.mod.outcomes); o.Status != policy.Error || o.Over {
+		t.Errorf("a copy of a large value: %+v", o)
+	}
+}
+
+// Guards against an unsafe request that is sent again though it runs: its last byte is out, written by a goroutine that has not said so
+// yet, as it is given up.
+func TestLastByteIsOutBeforeItIsSaid(t *testing.T) {
+	l, change := narrow(t)
+	out, said := make(chan struct{}), make(chan struct{})
+	r := start(t, testConfig(l.Addr().String()), func(r *rig) {
+		change(r)
+		r.in.backends.ended = func() { close(out); <-said }
+	})
+	c := r.client()
+	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", string(make([]byte, maxValue)))
+	get(t, r.mod.requests)
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if args := newWire(t, b).command(); len(args) != 5 { // all of it is there: it runs
+		t.Fatal("the command did not come whole")
+	}
+	get(t, out)
+	r.do(func() { r.in.expire(r.in.requests["a"].attempts[0]) })
+	close(said)
+	if o := get(t, r.mod.outcomes); o.Status != policy.Timeout {
+		t.Errorf("given up while its last byte was out: %+v, may it be sent again?", o)
+	}
+}
+
+// Guards the other side of that edge: what is given up before its last byte never goes out whole.
+func TestGivenUpBeforeTheLastByte(t *testing.T) {
+	mine, theirs := net.Pipe()
+	defer theirs.Close()
+	c := &backConn{}
+	got := make(chan []byte, 1)
+	go func() {
+		b, _ := io.ReadAll(theirs)
+		got <- b
+	}()
+	if !c.neverWhole() || !c.neverWhole() {
+		t.Fatal("nothing of it was out")
+	}
+	c.finishWrite(mine, []byte("rest"), func() { t.Error("the last byte went out") })
+	mine.Close()
+	if b := get(t, got); string(b) != "res" || !c.neverWhole() {
+		t.Errorf("%q went out", b)
+	}
+}
