Ends of connections: by the settings' deadlines, our side first, nothing unread reset

(1) What is owed failed 3.5 s after SIGTERM whatever the settings: with deadlines of 1.2 s SIGKILL may come at 1.9 s. (2) A connection was closed after its last answer, or looked at and then closed, with a command coming in between: a reset, which may take that answer along. (3) Closing the listener reset what the kernel alone had accepted; what was taken and not known to the loop was closed unread. (4) The drain's end cut answers that a goroutine was writing. (5) A client that left while its request waited is seen by its reader alone, which does not read with a full pipeline or once stopped: the request was sent on. (6) One more send of an id that came before the old connection's end was answered "a request of this id is open". Checked and excluded: bytes set aside at a hand-over go along with the connection (pass); what is dropped when clients are sent away is sent again, and the listener is open then. An id whose former attempt is still out stays closed: run twice would break "never two attempts out". Lines at fault: loop.go drainMost, flow.go failAfter and endAfter, clients.go closeIdle, written, addClient, loop.go leave, requests.go stop and take, backends.go Send, pool.go give; away.go looked at idle instead of quiet. Change: limits of the end come from the longest deadline (3 s at most) and 0.7 s; bid ends our side first and leaves the other 0.3 s; the listener closes once nothing more comes; new connections are given 0.2 s for their first command; what waited over 0.1 s is sent after a look at its client's socket (TCP_INFO where bytes wait before the end). Two mutants follow the new lines.

--- a/internal/ingress/away.go
+++ b/internal/ingress/away.go
@@ -48,8 +48,8 @@
 	last := in.awayLast()
 	for c := range in.clients.all {
 		switch {
-		case c.idle() && in.now-c.usedAt > awayRest && silent(c.raw):
-			in.closeClient(c)
+		case c.quiet() && !c.ending && in.now-c.usedAt > awayRest && silent(c.raw):
+			in.bid(c)
 		case last && c.asked:
 			c.halt()
 		}
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -43,7 +43,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	switch {
-	case len(r.attempts) > max(1, in.maxAttempts, r.most) || in.unsendable(a) && timeoutS >= 0:
+	case len(r.attempts) > max(1, in.maxAttempts, r.most) || in.unsendable(a) && timeoutS >= 0 || in.left(r):
 		in.later(a, policy.Moot)
 	case timeoutS < 0:
 		in.later(a, policy.Timeout)
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 
 	"eiderspread/internal/console"
 )
@@ -24,10 +25,13 @@
 	lingerBytes  = 1 << 20         // and how many
 	idleMost     = 10.0            // seconds for which a connection may stand idle
 	acceptRetry  = 5 * time.Millisecond
-	youngS       = 0.2               // seconds in which the first command of a new connection may be on its way
-	acceptSlack  = 8                 // connections accepted that the loop has not come to
-	reservedFDs  = 32                // for the listener, discovery, peers, the slack and the runtime
-	doorFDs      = console.Conns + 8 // for the operators' door, the link to another process and files
+	lastLook     = 2 * time.Millisecond // how long nothing may come before the listener closes
+	endS         = 0.3                  // how long a connection whose sending side has ended waits for the client's end, while nothing else does
+	leftLook     = 0.1                  // what waited for longer is sent only after a look whether its client is still there
+	youngS       = 0.2                  // seconds in which the first command of a new connection may be on its way
+	acceptSlack  = 8                    // connections accepted that the loop has not come to
+	reservedFDs  = 32                   // for the listener, discovery, peers, the slack and the runtime
+	doorFDs      = console.Conns + 8    // for the operators' door, the link to another process and files
 )
 
 var clientWriteS = 5 * time.Second // for how long; tests make it shorter
@@ -120,20 +124,34 @@
 		if c.ending && c.idle() && in.now-c.usedAt > lingerMost.Seconds() {
 			in.closeClient(c)
 		} else if c.spoke && c.quiet() && in.now-c.usedAt > idleMost && silent(c.raw) {
-			in.closeClient(c)
+			in.bid(c)
 		}
 	}
 }
 
-// closeIdle closes each connection that waits for no answer.
+// closeIdle ends each connection that waits for no answer, but for those whose first command is on its way.
 func (s *clientSet) closeIdle(in *Ingress) {
 	for c := range s.all {
-		if c.quiet() && !c.passing && (c.ending || silent(c.raw)) {
-			in.closeClient(c)
+		if c.quiet() && !c.passing && !c.young(in) && silent(c.raw) {
+			in.bid(c)
 		}
 	}
 }
 
+// bid ends a connection on which nothing is open: our side first. Between a look whether it is silent and a close a command may come, and
+// a close on bytes that nobody has read is a reset, which can take the answer before it along. Its client sends such a command again.
+func (in *Ingress) bid(c *client) {
+	if c.closed || c.ending {
+		return
+	}
+	c.ending, c.lingered = true, true
+	if err := c.conn.CloseWrite(); err != nil {
+		in.clientGone(c)
+		return
+	}
+	in.after(endS, func() { in.closeClient(c) })
+}
+
 // rank orders the connections that may be closed for others: first those that were told their last
 // answer, then those that have said nothing, then those that have never asked for anything but a PING, then those that idle.
 func (c *client) rank() int {
@@ -204,8 +222,10 @@
 	c.conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
 }
 
-// accept takes connections until the listener is closed, or pause and with it the listener's deadline.
+// accept takes connections until the listener is closed, or pause and with it the listener's deadline, or until there is none with last and
+// the deadline.
 func (in *Ingress) accept(l *net.TCPListener, pause chan struct{}) {
+	taken := true
 	for {
 		select {
 		case <-pause:
@@ -222,6 +242,7 @@
 		}
 		conn, err := l.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
+			<-in.clients.room
 			return
 		}
 		var c *client
@@ -234,12 +255,21 @@
 		if err != nil {
 			<-in.clients.room
 			if errors.Is(err, os.ErrDeadlineExceeded) {
+				if in.last.Load() && !taken { // all that the kernel had accepted is taken: a close resets what it still has
+					l.Close()
+					in.post(at, func() { in.listening = false })
+					return
+				} else if in.last.Load() {
+					taken = false
+					l.SetDeadline(time.Now().Add(lastLook))
+				}
 				continue
 			}
 			in.post(at, func() { in.note("accept failed", "error", err) })
 			time.Sleep(acceptRetry) // out of descriptors: others must end first
 			continue
 		}
+		taken = true
 		c.await(in)
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in)
@@ -248,10 +278,6 @@
 
 func (in *Ingress) addClient(c *client) {
 	c.usedAt = in.now
-	if in.leaving {
-		in.closeClient(c)
-		return
-	}
 	c.surplus = in.clients.full(in, c)
 	in.clients.all[c] = struct{}{}
 	if c.surplus && in.clients.open()+in.clients.elsewhere > in.clients.most+in.clients.surplus { // refused unread, but in words
@@ -395,7 +421,7 @@
 
 // answerAtOnce answers a command that never reaches the module.
 func (in *Ingress) answerAtOnce(c *client, answer []byte, last bool) {
-	if c.closed {
+	if c.closed || c.ending {
 		return
 	}
 	c.spoke = true
@@ -492,8 +518,8 @@
 		in.closeClient(c)
 	case c.parked && len(c.slots) == 0:
 		in.settle(c)
-	case in.leaving && in.heirs.stage == none && len(c.slots) == 0:
-		in.closeClient(c)
+	case in.leaving && in.heirs.stage == none && c.quiet() && (in.stopped || silent(c.raw)): // else what waits there is served before
+		in.bid(c)
 	default:
 		in.lend(c)
 	}
@@ -549,6 +575,38 @@
 	}()
 }
 
+// gone tells that the client has ended its side of the connection, whatever of its bytes nobody has read yet. Its reader does not read while
+// the pipeline is full, once it was stopped, and while an error is its last answer.
+func (c *client) gone() (gone bool) {
+	if c.closed {
+		return true
+	}
+	var one [1]byte
+	bad := c.raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+		case err != nil || n == 0:
+			gone = true
+		default: // bytes before the end
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			gone = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+		}
+	})
+	return gone || bad != nil
+}
+
+// left tells that a request has waited and its client has gone meanwhile; nothing may be sent for it then. The module hears of it when
+// its event method has returned.
+func (in *Ingress) left(r *request) bool {
+	c := r.client
+	if in.now-r.since < leftLook || !c.gone() {
+		return false
+	}
+	in.soon = append(in.soon, func() { in.clientGone(c) })
+	return true
+}
+
 // clientGone takes a client's hang-up: nothing is owed for what it had asked.
 func (in *Ingress) clientGone(c *client) {
 	if c.closed {
--- a/internal/ingress/flow.go
+++ b/internal/ingress/flow.go
@@ -22,8 +22,9 @@
 const (
 	moveAfter = 2.0  // seconds from the hand-over on, after which a value that is still on its way moves
 	moveEvery = 0.1  // between two looks for such values
-	failAfter = 3.4  // seconds, after which what the old process still owes fails: values behind which it waits move then
-	endAfter  = 3.6  // and after which it ends; SIGKILL may come 3.7 s after the signal
+	moveAhead = 0.7  // or so many seconds before what is owed fails, if that is earlier
+	failAhead = 0.3  // so many seconds before it may be killed, what the old process still owes fails: values behind which it waits move then
+	endAhead  = 0.25 // and so many before, it ends, but for its last words
 	moveBytes = 90e3 // that may go along with a value, so that they fit a message
 
 	blockedLook = 20 * time.Millisecond // how often the backend is looked at while the client does not read
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -404,10 +404,11 @@
 	for c := range in.clients.all {
 		c.halt()
 	}
-	in.after(moveAfter, in.moveValues)
-	s.end = in.after(failAfter, func() {
+	kill := in.killAfter()
+	in.after(max(min(moveAfter, kill-failAhead-moveAhead), 0), in.moveValues)
+	s.end = in.after(kill-failAhead, func() {
 		in.failOwed()
-		s.end = in.after(endAfter-failAfter, in.stop)
+		s.end = in.after(failAhead-endAhead, in.stop)
 	})
 }
 
@@ -501,7 +502,7 @@
 		in.awaitSuccessor()
 	}
 	if in.signalled && was == handed {
-		in.after(drainMost.Seconds(), in.stop)
+		in.after(in.killAfter()-stopAhead, in.stop)
 	}
 	if in.signalled { // to end: it takes nothing again, and what was to be passed on ends with its drain
 		return
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -31,11 +31,25 @@
 	// New connections come for up to 0.4 s after a planned restart was announced, and what is lost
 	// from 0.7 s on counts: the listener closes between the two.
 	acceptAfterTerm = 500 * time.Millisecond
-	// SIGKILL may follow from 3.7 s after the signal on. The module answers long before.
-	drainMost  = 3500 * time.Millisecond
-	sweepEvery = time.Second
+	sweepEvery      = time.Second
+	leaveEvery      = 100 * time.Millisecond // between two looks for connections that may close, while it leaves
+	// SIGKILL may follow the signal after the longest deadline, or so many seconds if that is longer, and so many more.
+	killDeadline, killMore = 3.0, 0.7
+	stopAhead              = 0.2 // so long before, a drain is over: what is still owed fails
 )
 
+// lastWords are the seconds for which such answers are written and read, before all connections close. Tests make it longer.
+var lastWords = 0.15
+
+// killAfter is how many seconds after the signal the process may be killed.
+func (in *Ingress) killAfter() float64 {
+	longest := 0.0
+	for _, c := range in.classes {
+		longest = max(longest, c.DeadlineS)
+	}
+	return min(longest, killDeadline) + killMore
+}
+
 // event is something that happened outside the loop, with the time at which it did.
 type event struct {
 	at float64
@@ -107,9 +121,11 @@
 	taking      atomic.Bool                // clients are taken; of all goroutines
 	oldList     bool                       // the list of backends was said to be old
 	peers       *peerLink
-	signalled   bool // to end
-	stopped     bool // what was still owed has failed
-	leaving     bool // the listener is closed, connections close between requests
+	signalled   bool        // to end
+	stopped     bool        // what was still owed has failed
+	leaving     bool        // the listener is closed, connections close between requests
+	last        atomic.Bool // the listener closes once it has nothing more; of the loop and of who accepts
+	listening   bool        // that is still to come
 }
 
 // Run serves until ctx ends and then drains. It returns nil after a complete drain. Of each
@@ -295,7 +311,7 @@
 func (in *Ingress) loop(ctx context.Context) {
 	defer close(in.done)
 	term := ctx.Done()
-	for !in.leaving || in.clients.open() > 0 || in.lingers() {
+	for !in.leaving || in.clients.open() > 0 || in.listening || in.lingers() {
 		in.arm()
 		select {
 		case e := <-in.events:
@@ -341,14 +357,21 @@
 	do()
 }
 
-// leave ends the time in which new connections are taken.
+// leave ends the time in which new connections are taken, but for those that the kernel has accepted by now.
 func (in *Ingress) leave() {
 	in.leaving = true
 	in.taking.Store(false)
-	in.listener.Close()
+	if in.heirs.stage == none {
+		in.last.Store(true)
+		in.listening = true
+		in.listener.SetDeadline(time.Now().Add(lastLook))
+		in.every(leaveEvery, func() { in.clients.closeIdle(in) })
+	} else {
+		in.listener.Close() // who takes connections now has one of its own
+	}
 	in.clients.closeIdle(in)
 	if in.heirs.stage != handed { // else it ends by the hand-over
-		in.after((drainMost - acceptAfterTerm).Seconds(), in.stop)
+		in.after(max(in.killAfter()-stopAhead-acceptAfterTerm.Seconds(), 0), in.stop)
 	}
 }
 
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -279,7 +279,7 @@
 	for len(be.waiting) > 0 {
 		a := be.waiting[0]
 		be.waiting = be.waiting[1:]
-		if in.unsendable(a) {
+		if in.unsendable(a) || a.req != nil && in.left(a.req) {
 			in.later(a, policy.Moot)
 			continue
 		}
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -14,6 +14,7 @@
 	*call
 	client   *client
 	slot     *slot
+	since    float64 // when its last byte came
 	deadline float64
 	timer    *timer     // rings when the module ought to have answered; stopped with the answer
 	attempts []*attempt // as many as the module may ask for, and one
@@ -43,8 +44,11 @@
 			in.input.give(q.size)
 		}
 	}()
+	if old := in.requests[q.ID]; old != nil && old.client != c && old.client.gone() {
+		in.clientGone(old.client) // its end is still on its way here: this is the same request, sent once more
+	}
 	switch {
-	case c.closed:
+	case c.closed, c.ending: // it was told the end, and sends this again elsewhere
 		return
 	case c.surplus && in.clients.full(in, c):
 		in.note("request refused: too many connections", "open", in.clients.open())
@@ -59,7 +63,7 @@
 	}
 	taken = true
 	c.surplus, c.spoke, c.asked = false, true, true
-	r := &request{call: q, client: c, slot: &slot{}, most: in.maxAttempts, deadline: at + q.waitS}
+	r := &request{call: q, client: c, slot: &slot{}, most: in.maxAttempts, since: at, deadline: at + q.waitS}
 	r.slot.req = r
 	c.slots = append(c.slots, r.slot)
 	c.usedAt = in.now
@@ -143,11 +147,19 @@
 	}
 }
 
-// stop ends a drain that takes too long: what is still owed fails while its client can hear of it.
+// stop ends a drain that takes too long: what is still owed fails while its client can hear of it, and what is written by then is read.
 func (in *Ingress) stop() {
 	in.stopped = true
 	in.failOwed()
 	for c := range in.clients.all {
-		in.closeClient(c)
+		if c.idle() {
+			in.bid(c)
+		}
 	}
+	in.after(lastWords, func() {
+		in.listening = false
+		for c := range in.clients.all {
+			in.closeClient(c)
+		}
+	})
 }
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -197,7 +197,7 @@
 		Edits: edit(in+"backends.go", "\t\tin.closeConn(a.conn)\n\t\ta.conn = nil\n", "\t\ta.conn.attempt = nil\n\t\ta.conn = nil\n"),
 		Runs:  []string{labOne + "answers", labOne + "snow"}},
 	{Name: "a copy of an answer is no answer", Rule: "one answer", Unit: "./internal/ingress", // its bytes, what waits on a connection, and the rest before use each tell it
-		Edits: []Edit{{in + "pool.go", "if res.status == policy.OK && hash == last.hash && at-last.at < in.backends.copyS {", "if false {"},
+		Edits: []Edit{{in + "pool.go", "if res.status == policy.OK && last.has(buf.b[:size], at, in.backends.copyS) {", "if false {"},
 			{in + "pool.go", "if n > 0 && !c.busy.Load() {", "if n > 0 && !c.busy.Load() && false {"},
 			{in + "pool.go", "stray := len(buf.b) > size\n\t\t\tbuf.drop(len(buf.b))", "stray := false\n\t\t\tbuf.drop(size)"},
 			{in + "pool.go", "in.now-c.idleAt > in.backends.idleS || !silent(c.raw) {", "in.now-c.idleAt > in.backends.idleS {"}},
@@ -210,7 +210,7 @@
 		Edits: edit(in+"clients.go", "\tn, bytes := 0, len(c.pending)\n", "\tn, bytes := 0, len(c.pending)\n\tfor i, s := range c.slots {\n\t\tif s.answer != nil && c.slots[0].answer == nil {\n\t\t\tc.slots[0], c.slots[i] = s, c.slots[0]\n\t\t}\n\t}\n"),
 		Runs:  []string{labOne + "rude"}},
 	{Name: "a planned restart answers what was taken", Rule: "no request lost", Unit: "./internal/ingress",
-		Edits: edit(in+"clients.go", "\t\tif c.quiet() && !c.passing && (c.ending || silent(c.raw)) {\n\t\t\tin.closeClient(c)", "\t\tif true {\n\t\t\tin.closeClient(c)"),
+		Edits: edit(in+"clients.go", "\t\tif c.quiet() && !c.passing && !c.young(in) && silent(c.raw) {\n\t\t\tin.bid(c)", "\t\tif true {\n\t\t\tin.closeClient(c)"),
 		Runs:  []string{"lab -forwarders 4 -planners 0 -nodes 6 -for 30s -scenario playoff -kinds roll,snow,snow -every 600ms"}}, // requests that last longer than the time in which new connections are taken
 	{Name: "a client's hang-up ends its own requests alone", Rule: "no request lost",
 		Edits: edit(in+"clients.go", "\t\tif s.req != nil && !s.req.over {\n\t\t\tin.end(s.req)\n\t\t\tin.gate.Gone(in.now, s.req.ID)\n\t\t}\n", "\t\tif s.req != nil && !s.req.over {\n\t\t\tfor _, r := range in.requests {\n\t\t\t\tif !r.over {\n\t\t\t\t\tin.end(r)\n\t\t\t\t\tin.gate.Gone(in.now, r.ID)\n\t\t\t\t}\n\t\t\t}\n\t\t}\n"),
