State of an account is kept by its plan too; a class that has gone is refused, not failed

Observed, by reading: what a gateway keeps of a customer was kept under 32 bits of its hash alone. A customer that moves to another plan, or one of another plan with the same hash, was counted by the first one's rate, cap and ceiling. A request whose class went between its reading and its coming to the module (SIGHUP) was answered "failed", though nothing was sent: priced, and for an unsafe one no leave to try again. Checked and excluded: requests under way keep the class that they came with (setClasses copies); buffers of a request are its own (call.keep); nothing depends on a class's or plan's name; peers name the plan beside the hash. Two customers of one plan with the same 32 bits share a quota still (one pair in four thousand million; messages hold no more). Lines at fault: state.go customer, policy.go newCustomer, Peer, Request; keep.go Adopt. Change: the map's key is hash and plan; Request refuses. Measured: red without: "handed on: [send more ...]" beyond the quota, "[... fail id:a]". policy's tests green with the race detector.

--- a/policy/ceilings_test.go
+++ b/policy/ceilings_test.go
@@ -37,7 +37,7 @@
 	if sent, late := len(r.of("send", "")), len(r.of("refuse", ""))-refused; sent != 40-refused || late != 0 {
 		t.Errorf("%d of %d that waited were sent, %d refused after all", sent, 40-refused, late)
 	}
-	if c := g.custs[uint32(peermsg.Point("c-capped")>>32)]; c.ceil.Owed != 0 {
+	if c := g.account(uint32(peermsg.Point("c-capped") >> 32)); c.ceil.Owed != 0 {
 		t.Errorf("%v units owed when all are sent", c.ceil.Owed)
 	}
 }
@@ -48,7 +48,7 @@
 	for i := range 10 {
 		ask(g, 100, fmt.Sprint("q", i), "read", "capped", 1)
 	}
-	c := g.custs[uint32(peermsg.Point("c-capped")>>32)]
+	c := g.account(uint32(peermsg.Point("c-capped") >> 32))
 	if c.ceil.Owed != 10 {
 		t.Fatalf("%v units owed, want 10", c.ceil.Owed)
 	}
--- a/policy/keep.go
+++ b/policy/keep.go
@@ -69,10 +69,10 @@
 	}
 	for _, x := range k.Customers {
 		p := g.byPlan[x.Plan]
-		if c := g.custs[x.Key]; c != nil {
-			kept.Restore(c.figures()[:4], x.Figures)
+		if p == nil || x.Entries < 0 || x.Entries > g.s.Gateways {
 			continue
-		} else if p == nil || x.Entries < 0 || x.Entries > g.s.Gateways {
+		} else if c := g.custs[account{x.Key, uint32(p.index)}]; c != nil {
+			kept.Restore(c.figures()[:4], x.Figures)
 			continue
 		}
 		c := g.newCustomer(x.Key, p)
--- a/policy/overload_test.go
+++ b/policy/overload_test.go
@@ -29,13 +29,13 @@
 					n++
 					c := []string{"read", "pay"}[n%2]
 					total, was := 0.0, len(r.acts)
-					if x := g.custs[uint32(peermsg.Point(fmt.Sprint("c", n%40))>>32)]; x != nil {
+					if x := g.account(uint32(peermsg.Point(fmt.Sprint("c", n%40)) >> 32)); x != nil {
 						total = x.total
 					}
 					g.Request(now, Request{ID: fmt.Sprint(n), Class: c, Plan: "wide", Customer: fmt.Sprint("c", n%40), DeadlineS: now + 4 - 2*float64((n+1)%2),
 						Entries: 1, Units: 1})
 					if last := r.acts[was:]; len(last) > 0 && last[0].kind == "refuse" {
-						if x := g.custs[uint32(peermsg.Point(fmt.Sprint("c", n%40))>>32)]; x.total != total {
+						if x := g.account(uint32(peermsg.Point(fmt.Sprint("c", n%40)) >> 32)); x.total != total {
 							t.Fatalf("%d was refused and charged", n)
 						}
 						if last[0].x < 0 || last[0].x > 0.5 {
--- a/policy/places_test.go
+++ b/policy/places_test.go
@@ -116,11 +116,11 @@
 		t.Errorf("it was told %+v", v)
 	}
 	b.run(101.02, 103.9)
-	if n := b.g.free(b.g.custs[77]); n != 0 {
+	if n := b.g.free(b.g.account(77)); n != 0 {
 		t.Errorf("%d places are free while its attempts may be out", n)
 	}
 	b.run(103.9, 104.2)
-	if n := b.g.free(b.g.custs[77]); n != 2 {
+	if n := b.g.free(b.g.account(77)); n != 2 {
 		t.Errorf("%d places are free three seconds later", n)
 	}
 }
@@ -159,7 +159,7 @@
 	for i := range n {
 		ask(100, fmt.Sprint("q", i))
 	}
-	return g, r, g.custs[uint32(peermsg.Point(name)>>32)], ask
+	return g, r, g.account(uint32(peermsg.Point(name) >> 32)), ask
 }
 
 // What can't get its place in time is told so at once, not when half of its time is over; the others wait for a word that comes unasked.
@@ -265,7 +265,7 @@
 		g.Request(100, Request{ID: "q", Class: "read", Plan: "capped", Customer: name, DeadlineS: 102, Entries: 9, Units: 4})
 		from, b := verdictOf(t, r, 1, func(v *record) { v.Lends, v.Flag, v.Total, v.Want, v.Lease = true, paid, 9, 4, ceiling.AheadS })
 		g.Peer(100.03, from, b)
-		if c := g.custs[uint32(peermsg.Point(name)>>32)]; (c.ahead > 0) != paid {
+		if c := g.account(uint32(peermsg.Point(name) >> 32)); (c.ahead > 0) != paid {
 			t.Errorf("paid %v: %v units ahead", paid, c.ahead)
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -97,7 +97,7 @@
 	}
 	g := &Gateway{s: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, born: now,
 		classes: map[string]*class{}, byPlan: map[string]*plan{}, nodes: nodes.New((*server).entry),
-		reqs: map[string]*request{}, custs: map[uint32]*customer{},
+		reqs: map[string]*request{}, custs: map[account]*customer{},
 		orders: make([]peermsg.Order, s.Gateways), pulse: pulse.New(s.Gateways),
 		box: outbox.New[*customer](s.Gateways, now)}
 	g.boot = uint8(g.rng.Uint32())
@@ -128,7 +128,7 @@
 	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now,
 		turnedAt: math.Inf(-1),
 		ceil:     ceiling.New(g.born)}
-	g.custs[key] = c
+	g.custs[account{key, uint32(p.index)}] = c
 	return c
 }
 
@@ -140,8 +140,8 @@
 	cls := g.classes[q.Class]
 	if g.reqs[q.ID] != nil {
 		return
-	} else if cls == nil {
-		g.act.Fail(q.ID)
+	} else if cls == nil { // it has gone since the request was read, of which nothing was sent
+		g.act.Refuse(q.ID, 0)
 		return
 	}
 	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
@@ -687,7 +687,7 @@
 	}
 	b := g.header()
 	for _, r := range recs {
-		c := g.custs[r.Key]
+		c := g.custs[account{r.Key, uint32(r.Plan)}]
 		switch {
 		case r.Plan >= len(g.plans):
 		case r.Owner && c != nil && c.askOf == from:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -177,7 +177,7 @@
 	if len(r.of("send", "")) != 2 {
 		t.Fatalf("%d sent after a grant", len(r.of("send", "")))
 	}
-	if c := g.custs[uint32(peermsg.Point(name)>>32)]; len(c.asks) > 2 {
+	if c := g.account(uint32(peermsg.Point(name) >> 32)); len(c.asks) > 2 {
 		t.Fatalf("%d ask again, the cap is 2", len(c.asks))
 	}
 }
@@ -403,13 +403,13 @@
 	key := uint32(0)
 	owner := 0
 	for k, c := range g[0].custs {
-		if key = k; g[0].owner(c) == 1 {
+		if key = k.key; g[0].owner(c) == 1 {
 			owner = 1
 		}
 	}
 	mem := 1 - owner
-	total := g[mem].custs[key].total
-	was := *g[owner].custs[key].led.Members[mem]
+	total := g[mem].account(key).total
+	was := *g[owner].account(key).led.Members[mem]
 	old, parts := g[mem], g[mem].Keep(now)
 	s := g[mem].s
 	next, err := New(s, 99, now, r[mem])
@@ -431,8 +431,8 @@
 		}
 		pump(now)
 	}
-	is := g[owner].custs[key].led.Members[mem]
-	sum := g[mem].custs[key].total
+	is := g[owner].account(key).led.Members[mem]
+	sum := g[mem].account(key).total
 	if sum < total+15 {
 		t.Fatalf("no occasion: %v units, %v before", sum, total)
 	}
@@ -715,7 +715,7 @@
 	}
 	g.Request(250, Request{ID: "held", Class: "pay", Plan: "capped", Customer: "held", DeadlineS: 254, Entries: 1, Units: 4})
 	g.Timer(290, 1)
-	if kept := g.custs[uint32(peermsg.Point("held")>>32)]; len(r.of("send", "held")) != 1 || kept == nil {
+	if kept := g.account(uint32(peermsg.Point("held") >> 32)); len(r.of("send", "held")) != 1 || kept == nil {
 		t.Error("a customer with an attempt out is forgotten")
 	}
 }
@@ -846,7 +846,7 @@
 			fresh.Peer(104.3, m, a.data)
 		}
 	}
-	c := fresh.custs[uint32(peermsg.Point("c-basic")>>32)]
+	c := fresh.account(uint32(peermsg.Point("c-basic") >> 32))
 	if c == nil || fresh.ledger(c).Room > 4 {
 		t.Fatal("the restarted owner grants a fresh window")
 	}
@@ -866,7 +866,7 @@
 	return g, r, func(now float64, id string, units float64) *customer {
 		g.Request(now, Request{ID: id, Class: "read", Plan: "basic", Customer: name, DeadlineS: now + 2, Entries: g.s.Gateways,
 			Units: units})
-		return g.custs[uint32(peermsg.Point(name)>>32)]
+		return g.account(uint32(peermsg.Point(name) >> 32))
 	}
 }
 
@@ -936,11 +936,11 @@
 	}
 	tell(1, record{Key: 77, Want: 6, First: 6})
 	tell(2, record{Key: 77, Want: 6, First: 6}) // told again, as the answer was lost
-	if room := g.custs[77].led.Room; room != 2 {
+	if room := g.account(77).led.Room; room != 2 {
 		t.Fatalf("room is %v after 6 of 8 were set aside, told twice", room)
 	}
 	tell(3, record{Key: 77})
-	if room := g.custs[77].led.Room; room != 8 {
+	if room := g.account(77).led.Room; room != 8 {
 		t.Fatalf("room is %v after the grant was handed back", room)
 	}
 }
@@ -1264,7 +1264,7 @@
 	b := peermsg.AppendRecord(peermsg.AppendHeader(nil, 1, 1), record{Key: 5, Known: true, Total: 0, Room: 1})
 	b[peermsg.CountAt] = 1
 	g.Peer(104, 1, b)
-	if room := g.ledger(g.custs[5]).Room; room > 1 {
+	if room := g.ledger(g.account(5)).Room; room > 1 {
 		t.Fatalf("room is %v after a member handed back 1", room)
 	}
 }
@@ -1326,7 +1326,7 @@
 		b := peermsg.AppendRecord(peermsg.AppendHeader(nil, 1, seq), r)
 		b[peermsg.CountAt] = 1
 		g.Peer(now, 1, b)
-		return g.custs[77].led.Room
+		return g.account(77).led.Room
 	}
 	tell(100, 1, record{Key: 77})
 	if room := tell(100, 2, record{Key: 77, Total: 11}); room != -3 {
@@ -1339,3 +1339,55 @@
 		t.Fatalf("room %v after far too much: %v is owed at most", room, 8*debtShare)
 	}
 }
+
+// account finds what is kept of the account with a hash, of whatever plan.
+func (g *Gateway) account(key uint32) *customer {
+	for id, c := range g.custs {
+		if id.key == key {
+			return c
+		}
+	}
+	return nil
+}
+
+// Guards against an account served by another plan's figures: one that has moved, or whose hash is that of an account of another plan.
+func TestAccountUnderAnotherPlan(t *testing.T) {
+	g, r := gateway(t, alone)
+	ask(g, 100, "old", "read", "wide", 4)
+	for i := range 12 { // the same customer, by the plan of a quota of 8
+		g.Request(100, Request{ID: fmt.Sprint("q", i), Class: "pay", Plan: "basic", Customer: "c-wide", DeadlineS: 104, Entries: 1, Units: 1})
+	}
+	if n := len(r.of("send", "")); n != 9 {
+		t.Errorf("%d sent, want the first and a burst of 8", n)
+	}
+	for _, n := range r.of("send", "") {
+		g.Outcome(100.1, Outcome{ID: n.id, Server: n.server, Status: OK, Over: true})
+	}
+	parts := g.Keep(100.2)
+	next, nr := gateway(t, alone)
+	for _, p := range parts {
+		next.Adopt(100.3, p)
+	}
+	next.Request(100.3, Request{ID: "more", Class: "pay", Plan: "basic", Customer: "c-wide", DeadlineS: 104, Entries: 1, Units: 1})
+	next.Request(100.3, Request{ID: "still", Class: "pay", Plan: "wide", Customer: "c-wide", DeadlineS: 104, Entries: 1, Units: 1})
+	if len(nr.of("refuse", "more")) != 1 || len(nr.of("send", "still")) != 1 {
+		t.Errorf("handed on: %+v", nr.acts)
+	}
+}
+
+// Guards against a failure for what was never sent: a class may go between the reading of a request and its coming here.
+func TestClassThatHasGone(t *testing.T) {
+	g, r := gateway(t, alone)
+	ask(g, 100, "under way", "read", "wide", 1)
+	if err := g.Retune(100, testSettings().Classes[1:], 3); err != nil {
+		t.Fatal(err)
+	}
+	ask(g, 100.1, "a", "read", "wide", 1)
+	if len(r.of("refuse", "a")) != 1 || len(r.of("fail", "a")) != 0 {
+		t.Errorf("%+v", r.acts)
+	}
+	s := r.of("send", "under way")[0].server
+	if g.Outcome(100.2, Outcome{ID: "under way", Server: s, Status: Full}); len(r.of("send", "under way")) != 2 {
+		t.Error("a request under way is not served by the class that it came with")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,7 @@
 func (s *server) entry() *nodes.Entry { return &s.Entry }
 
 type record = peermsg.Record
+type account struct{ key, plan uint32 } // an account that moves to another plan is another account
 
 type attempt struct {
 	srv                *server
@@ -142,7 +143,7 @@
 	reqs           map[string]*request
 	live, queue    []*request
 
-	custs      map[uint32]*customer
+	custs      map[account]*customer
 	orders     []peermsg.Order // of peers' messages
 	pulse      pulse.Pulse     // of peers, and who is silent
 	work, done fade.Rate       // seconds of it a second that quotas let in, and that were answered well
@@ -272,11 +273,10 @@
 
 // customer finds or makes what is kept of a customer.
 func (g *Gateway) customer(q Request) *customer {
-	h := peermsg.Point(q.Customer)
-	key := uint32(h >> 32)
-	c := g.custs[key]
+	h, p := peermsg.Point(q.Customer), g.byPlan[q.Plan]
+	c := g.custs[account{uint32(h >> 32), uint32(p.index)}]
 	if c == nil {
-		c = g.newCustomer(key, g.byPlan[q.Plan])
+		c = g.newCustomer(uint32(h>>32), p)
 	}
 	if c.entries == 0 {
 		c.hash, c.first, c.entries = h, q.First, q.Entries
