Both new terms are measured: what is sent for who left, what goes beyond quotas priced

Change: the auditor's rule "nothing sent for who left" (occasions: clients that left before any attempt), and the price of what went beyond rates beside that of a policy whose ingresses see the true count 0.3 s late and know their own; over the gap on a run without failures is a breach of "quotas kept". Both stand in lab's and sim's reports; the laboratory's plans have the operators' costs beyond. A drain that meets a process replaced before no longer waits for a listener that rests. Both plants are found (TestAuditFindsPlantedBreaches).

--- a/cmd/eiderfleet/sim.go
+++ b/cmd/eiderfleet/sim.go
@@ -50,6 +50,7 @@
 	size := 0
 	seen, counts, nearest := map[string]int{}, map[string]int{}, map[string]float64{}
 	tries, attempts, messages, drowned, handshakes := 0, 0, 0, 0, 0
+	var cost audit.Cost
 	var ideal, withheld, beyond, service, placeS, beyondS float64
 	reasons, byPlan, kinds := map[why.Reason]int{}, map[string]float64{}, map[string]int{}
 	for range *jobs {
@@ -87,6 +88,7 @@
 				for _, o := range r.Overshoots {
 					beyond += o.Units
 				}
+				cost.Real, cost.Late = cost.Real+r.Beyond.Real, cost.Late+r.Beyond.Late
 				messages, drowned = messages+r.Messages, drowned+r.Drowned
 				handshakes += r.Handshakes
 				placeS, beyondS = placeS+r.PlaceS, beyondS+r.BeyondS
@@ -138,6 +140,7 @@
 	for _, k := range slices.Sorted(maps.Keys(byPlan)) {
 		fmt.Printf(" %s %.3f", k, byPlan[k]/played)
 	}
+	fmt.Printf("\n  beyond quotas: costs %.3f of the worth asked for inside, %.3f under a policy that sees all late", cost.Real/played, cost.Late/played)
 	fmt.Printf("\n  connections opened to nodes: %.2f an attempt\n", float64(handshakes)/float64(max(attempts, 1)))
 	if ideal > 0 {
 		fmt.Printf("  counts: %.0f units would be let in without fault, %.1f%% of them were withheld; the worst moments of accounts add up to %.1f%% beyond\n",
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -359,16 +359,17 @@
 
 // leave ends the time in which new connections are taken, but for those that the kernel has accepted by now.
 func (in *Ingress) leave() {
+	rests := in.leaving || in.heirs.stage != none // the listener, for a process that takes over, or has tried to
 	in.leaving = true
 	in.taking.Store(false)
-	if in.heirs.stage == none {
+	if !rests {
 		in.last.Store(true)
 		in.listening = true
 		in.listener.SetDeadline(time.Now().Add(lastLook))
-		in.every(leaveEvery, func() { in.clients.closeIdle(in) })
 	} else {
 		in.listener.Close() // who takes connections now has one of its own
 	}
+	in.every(leaveEvery, func() { in.clients.closeIdle(in) })
 	in.clients.closeIdle(in)
 	if in.heirs.stage != handed { // else it ends by the hand-over
 		in.after(max(in.killAfter()-stopAhead-acceptAfterTerm.Seconds(), 0), in.stop)
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -31,10 +31,11 @@
 	Stale    = "none on a stale word"
 	Views    = "views equal the truth"
 	Shed     = "overload shed as one" // by what is stated of a fleet that does
+	Gone     = "nothing sent for who left"
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Used, Caps, Ceilings, Stale, Views, Held, Replaced, Shed}
+var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Used, Caps, Ceilings, Stale, Views, Held, Replaced, Shed, Gone}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
@@ -102,6 +103,7 @@
 	Counted           map[int]Margin // the worst of any account, by the length of time in seconds: let in beyond rate and burst
 	Short             map[int]Margin // and withheld
 	Withheld          float64        // and of these, that were not let in
+	Beyond            Cost           // of what went out beyond rates
 	Handshakes        int            // connections to nodes that were opened, where they are counted
 	PlaceS, BeyondS   float64        // seconds of attempts out of accounts with a cap: within it, and beyond
 	Kinds             map[string]int // of messages between ingresses, where they are counted
@@ -204,6 +206,7 @@
 	rep.caps(h, rules, plans)
 	inside := rep.quotas(h, rules, plans)
 	rep.counts(h, rules)
+	rep.beyond(h, rules, classes, plans)
 	rep.asked(h, plans)
 	rep.service(h, classes, plans, inside)
 	if rules.Overload {
@@ -234,6 +237,7 @@
 		if slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.How == "copy" || a.How == "late" }) {
 			rep.saw(Answer, "late answers and copies")
 		}
+		rep.left(t, attempts, rules)
 		if t.Batch > 1 && t.Answers > 0 {
 			rep.saw(Order, "answers behind others on a connection")
 		}
@@ -268,6 +272,24 @@
 	}
 }
 
+// leftS is how long after its client has left a request that waits may still be sent on.
+const leftS = 0.3
+
+// left judges what is sent for a client that has left while its request waited.
+func (rep *Report) left(t *Try, attempts []*Attempt, rules Rules) {
+	if t.Left == 0 {
+		return
+	}
+	if !slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.At <= t.Left }) {
+		rep.saw(Gone, "clients that left while their request waited")
+	}
+	for _, a := range attempts {
+		if a.At > t.Left+seconds(leftS+rules.OverlapS) {
+			rep.breach(Gone, a.At, "%s came to %s %v after its client had left", t.ID, a.Node, a.At-t.Left)
+		}
+	}
+}
+
 // end is when an attempt was over for whoever sent it, by the node or by the end of its connection; 0: it never was.
 func (h *History) end(a *Attempt) time.Duration {
 	end := a.End
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -18,7 +18,7 @@
 		{Name: "courier-send", AimS: 1.5, DeadlineS: 4, Worth: 5, Effect: policy.Unsafe},
 	}
 	testPlans = []policy.Plan{
-		{Name: "comptoir", Rate: 2, Burst: 9, Price: 0.8},
+		{Name: "comptoir", Rate: 2, Burst: 9, Price: 0.8, ExcessCost: 1},
 		{Name: "resto", Rate: 9, Burst: 18, Price: 1.1, Parallel: 6},
 		{Name: "chaine", Rate: 38, Burst: 76, Price: 1.6, CeilingRate: 68, CeilingBurst: 137, CeilingSlack: 14},
 	}
@@ -61,7 +61,20 @@
 		"two answers":     {"one answer", func(h *History) { h.Tries[4].Answers = 2 }},
 		"another's value": {"one answer", func(h *History) { h.Tries[4].Result = Alien }},
 		"made-up value":   {"one answer", func(h *History) { h.Attempts[4].Answered = 0 }},
-		"out of order":    {Order, func(h *History) { h.Tries[4].Result, h.Tries[4].Batch = Alien, 2 }},
+		"sent for who left": {Gone, func(h *History) {
+			h.Tries[4].Result, h.Tries[4].Answers, h.Tries[4].Left = Left, 0, h.Tries[4].Sent+ms(10)
+			h.Attempts[4].At = h.Tries[4].Left + ms(450)
+		}},
+		"beyond quotas on a quiet day": {Quotas, func(h *History) {
+			for i := range 60 { // of an account with 9 units, by hand: a policy that sees late lets in more than that, for 0.3 s
+				id := fmt.Sprint("x", i)
+				h.Tries = append(h.Tries, &Try{ID: id, First: id, Account: "b", Class: "zone-check", Plan: "comptoir", Units: 1, Sent: ms(100 * i),
+					Deadline: ms(100*i + 2000), Answered: ms(100*i + 20), Answers: 1, Result: Served})
+				h.Attempts = append(h.Attempts, &Attempt{ID: id, Account: "b", Class: "zone-check", Plan: "comptoir", Units: 1, At: ms(100*i + 1),
+					End: ms(100*i + 9), Answered: ms(100*i + 9), Began: true, How: "served", Node: "z1"})
+			}
+		}},
+		"out of order": {Order, func(h *History) { h.Tries[4].Result, h.Tries[4].Batch = Alien, 2 }},
 		"sent after its answer": {Answer, func(h *History) {
 			b := *h.Attempts[0]
 			b.At, b.End = ms(300), ms(400)
@@ -183,6 +196,10 @@
 			h.Tries[0].Answered = ms(141)
 			h.Attempts = append(h.Attempts, &b)
 		},
+		"sent as it hung up": func(h *History) {
+			h.Tries[4].Result, h.Tries[4].Answers, h.Tries[4].Left = Left, 0, h.Tries[4].Sent
+			h.Attempts[4].At += ms(250)
+		},
 		"hung up": func(h *History) { h.Tries[4].Result, h.Tries[4].Answers, h.Tries[4].Left = Left, 0, h.Tries[4].Sent },
 		"behind others on its connection": func(h *History) {
 			h.Tries[4].Batch, h.Tries[4].Answered = 2, h.Tries[4].Deadline+ms(900)
--- a/internal/lab/audit/print.go
+++ b/internal/lab/audit/print.go
@@ -40,6 +40,7 @@
 		}
 		fmt.Fprintf(w, "overshoot %s %s: %.1f units, %.1f%% of the burst, at %.1f s\n", o.Account, o.Plan, o.Units, o.Percent, o.At.Seconds())
 	}
+	fmt.Fprintf(w, "beyond quotas: costs %.3f of the worth asked for inside, %.3f under a policy that sees all %.1f s late\n", r.Beyond.Real, r.Beyond.Late, lateS)
 	fmt.Fprintf(w, "nearest to what is allowed (1: at it): %s\n", sorted(r.Nearest, "%s %.2f"))
 	fmt.Fprintf(w, "%-18s %9s %9s %9s\n", "rule", "breaches", "occasions", "floor")
 	for _, rule := range RuleNames {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -26,9 +26,9 @@
 		{Name: "courier-send", AimS: 1.5, DeadlineS: 4, Worth: 5, Effect: policy.Unsafe},
 	}
 	LabPlans = []policy.Plan{
-		{Name: "comptoir", Rate: 2, Burst: 9, Price: 0.8},
+		{Name: "comptoir", Rate: 2, Burst: 9, Price: 0.8, ExcessCost: 1},
 		{Name: "resto", Rate: 9, Burst: 18, Price: 1.1, Parallel: 6},
-		{Name: "chaine", Rate: 38, Burst: 76, Price: 1.6, CeilingRate: 68, CeilingBurst: 137, CeilingSlack: 14},
+		{Name: "chaine", Rate: 38, Burst: 76, Price: 1.6, ExcessCost: 0.8, CeilingRate: 68, CeilingBurst: 137, CeilingSlack: 14},
 	}
 	labWork   = map[string]float64{"zone-check": 0.03, "slot-hold": 0.06, "courier-send": 0.1}
 	LabShares = map[string]float64{"zone-check": 0.37, "slot-hold": 0.34, "courier-send": 0.29}
