--- /dev/null
+++ b/cmd/eiderspread/term_test.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A test that starts itself with this set is the program.
+const asProgram = "EIDERSPREAD_TEST_RUNS_IT"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program starts the program as a process of its own, with one backend that answers at once.
+func program(t *testing.T, deadline string) (listen string, cmd *exec.Cmd) {
+	t.Helper()
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { backend.Close() })
+	go func() {
+		for {
+			c, err := backend.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if id, ok := strings.CutPrefix(line, "q-"); ok {
+						fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(strings.TrimSpace(id)), strings.TrimSpace(id))
+					}
+				}
+			}()
+		}
+	}()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen = free.Addr().String()
+	free.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"term","listen":"%s","discovery":"127.0.0.1:1","seed":"1",
+		"known":{"version":1,"full":true,"servers":[{"id":"s","addr":"%s","state":"in_service"}]},
+		"settings":{"balancers":1,"limits":{"dialTimeoutS":1,"connIdleS":15,"maxAttempts":3},
+		"profiles":[{"name":"look","aimS":%s,"deadlineS":%s,"effect":"retryable","worth":1}],
+		"packages":[{"name":"basic","unitsPerS":1000000,"peakUnits":1000000,"pays":1}]}}`, listen, backend.Addr(), deadline, deadline)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd = exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asProgram+"=1", "EDGE_CONFIG="+path)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if c, err := net.Dial("tcp", listen); err == nil {
+			c.Close()
+			return listen, cmd
+		} else if time.Now().After(end) {
+			t.Fatal("the program does not listen")
+		}
+	}
+}
+
+// Clients that always have requests under way, and new ones, go on through a planned restart: a connection ends between two whole answers,
+// none is reset, and what came whole before the signal is served. A close with a command unread resets it, and takes answers along.
+func TestClientsThatGoOnAfterSIGTERM(t *testing.T) {
+	const clients, ahead = 6, 4
+	listen, cmd := program(t, "0.4")
+	var all, first sync.WaitGroup
+	errs := make(chan error, clients)
+	for n := range clients {
+		first.Add(1)
+		all.Go(func() {
+			errs <- func() error {
+				c, err := net.Dial("tcp", listen)
+				if err != nil {
+					first.Done()
+					return err
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				r := bufio.NewReader(c)
+				send := func(k int) error {
+					id, fields := fmt.Sprintf("q-%d-%d", n, k), "c=look,t=basic,d=400,units=1,spread=1,first=0"
+					_, err := fmt.Fprintf(c, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n00000000b4d6552%d\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", n, len(id), id, len(fields), fields)
+					return err
+				}
+				for k := range ahead {
+					if err := send(k); err != nil {
+						return err
+					}
+				}
+				for k := 0; ; k++ {
+					line, err := r.ReadString('\n')
+					switch {
+					case errors.Is(err, io.EOF) && line == "" && k > 0:
+						return nil // the end, between two answers
+					case err != nil:
+						return fmt.Errorf("answer %d: %q, %w", k, line, err)
+					case line[0] == '$':
+						want := fmt.Sprintf("%d-%d\r\n", n, k)
+						if value, err := r.ReadString('\n'); err != nil || value != want {
+							return fmt.Errorf("answer %d: %q, %v, want %q", k, value, err, want)
+						}
+					case line[0] != '-':
+						return fmt.Errorf("answer %d: %q", k, line)
+					}
+					if k == 20 {
+						first.Done()
+					}
+					send(k + ahead) // to an end that was sent already, perhaps: what comes back tells
+				}
+			}()
+		})
+	}
+	first.Wait()
+	cmd.Process.Signal(syscall.SIGTERM)
+	all.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+}
--- a/internal/ingress/crossings_test.go
+++ b/internal/ingress/crossings_test.go
@@ -312,3 +312,95 @@
 	io.WriteString(b, value)
 	again.served("sent once more")
 }
+
+// An answer, the end of its connection and a cancel stand in the loop's queue at once: the attempt ends once, by the first of them.
+func TestAnswerEndAndCancelAtOnce(t *testing.T) {
+	for _, order := range []string{"cancel first", "answer first"} {
+		t.Run(order, func(t *testing.T) {
+			addr, conns := listen(t)
+			r := start(t, testConfig(addr), sendTo(0))
+			c := r.client()
+			c.send(look("a")...)
+			b := get(t, conns)
+			b.command()
+			r.do(func() { // the loop is busy while all of it comes
+				io.WriteString(b, value)
+				b.Close()
+				for len(r.in.events) < 2 { // its reader has posted both
+					time.Sleep(time.Millisecond)
+				}
+				if order == "cancel first" {
+					r.in.Cancel("a", 0)
+				} else {
+					r.in.post(0, func() { r.in.Cancel("a", 0) })
+				}
+			})
+			want := policy.Cancelled
+			if order == "answer first" {
+				want = policy.OK
+			}
+			if o := get(t, r.mod.outcomes); o.Status != want {
+				t.Errorf("got %+v", o)
+			}
+			r.do(func() {}) // behind all of it
+			r.until("the connection has ended", func() bool { return r.in.backends.open == 0 })
+			if r.do(func() {}); len(r.mod.outcomes) != 0 {
+				t.Errorf("and then %+v", get(t, r.mod.outcomes))
+			}
+			if order == "answer first" {
+				c.served("the answer")
+			}
+		})
+	}
+}
+
+// The id of a request that is over stays taken while an attempt of it is out: what comes with it again would have two out.
+func TestIDOfAnAttemptThatIsOut(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), sendTo(0))
+	c := r.client()
+	c.send(look("a")...)
+	b := get(t, conns)
+	b.command()
+	c.Close()
+	get(t, r.mod.gone)
+	again := r.client()
+	again.send(look("a")...)
+	if got := again.line(); got != "-ERR a request of this id is open" {
+		t.Errorf("got %q", got)
+	}
+	io.WriteString(b, value)
+	get(t, r.mod.outcomes)
+	again.send(look("a")...)
+	if got := b.command(); len(got) != 4 {
+		t.Fatalf("got %q", got)
+	}
+	io.WriteString(b, value)
+	again.served("once nothing is out")
+}
+
+// A connection that is taken for one that rests, as clients are sent away, has a command on its way to the loop.
+func TestOnItsWayAsClientsAreSentAway(t *testing.T) {
+	r := start(t, testConfig("127.0.0.1:1"), nil)
+	c := r.client()
+	c.send("PING")
+	c.line()
+	r.do(func() {
+		for c := range r.in.clients.all {
+			c.usedAt -= 1
+			c.permits <- struct{}{} // as its reader does with each command, before the loop hears of it
+			r.in.away = awayState{on: true, since: r.in.now}
+			r.in.thin()
+			if c.closed || c.ending {
+				t.Error("it was closed with the command on its way")
+			}
+			<-c.permits
+			if r.in.thin(); !c.ending {
+				t.Error("a connection that rests stays")
+			}
+		}
+	})
+	if c.line() != "" {
+		t.Error("no end")
+	}
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -190,3 +190,79 @@
 }
 
 func (p *pieces) Read(b []byte) (int, error) { return p.r.Read(b[:min(len(b), p.n)]) }
+
+// Guards a move, two in a row, to an address that is silent and on from there: what is known stays until the last has told the whole list, and
+// what comes between that list and the watch behind it costs one pause.
+func TestMovesInARow(t *testing.T) {
+	asked := make(chan string, 64)
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		asked <- "silent"
+		<-r.Context().Done()
+	}))
+	defer silent.Close()
+	first := true
+	last := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- "last " + r.URL.RawQuery
+		if r.URL.RawQuery == "" {
+			say(w, `{"version":3,"servers":[`+fmt.Sprintf(entry, "y", "in_service")+"]}")
+			return
+		}
+		if first { // reset between the list and its watch
+			first = false
+			panic(http.ErrAbortHandler)
+		}
+		say(w, `{"version":4,"servers":[`+fmt.Sprintf(entry, "y", "terminating")+"]}\n")
+		<-r.Context().Done()
+	}))
+	defer last.Close()
+	began := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		say(w, `{"version":50,"full":true,"servers":[`+fmt.Sprintf(entry, "x", "in_service")+"]}\n")
+		<-r.Context().Done()
+	}))
+	defer began.Close()
+	addr := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	lists, moves := make(chan List, 64), make(chan string)
+	w := New(addr(began), 0, func(l List) { lists <- l }, func(string, ...any) {})
+	w.silence, w.answerMost = time.Hour, time.Hour // by the moves alone
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx, moves) }()
+	defer func() { cancel(); <-done }()
+	if l := get(t, lists); l.Version != 50 {
+		t.Fatalf("got %+v", l)
+	}
+	moves <- addr(silent)
+	if got := get(t, asked); got != "silent" {
+		t.Fatal(got)
+	}
+	select {
+	case moves <- addr(last):
+	case <-time.After(patience):
+		t.Fatal("no move from an address that is silent")
+	}
+	for i, want := range []string{"last ", "last watch=1&after=3", "last watch=1&after=3"} {
+		if got := get(t, asked); got != want {
+			t.Errorf("call %d is %q, want %q", i, got, want)
+		}
+	}
+	if l := get(t, lists); l.Version != 3 || !l.Full {
+		t.Errorf("got %+v", l)
+	}
+	if l := get(t, lists); l.Version != 4 || l.Servers[0].State != "terminating" {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// Guards an agent that starts anew and counts from the beginning: its whole list is taken, whatever was known.
+func TestWholeListOfALowerVersion(t *testing.T) {
+	lists := follow(t, func(w http.ResponseWriter, r *http.Request) {
+		say(w, `{"version":9,"full":true,"servers":[]}`+"\n"+`{"version":1,"full":true,"servers":[`+fmt.Sprintf(entry, "x", "terminating")+"]}\n")
+		<-r.Context().Done()
+	}, nil)
+	if l := get(t, lists); l.Version != 9 {
+		t.Errorf("got %+v", l)
+	}
+	if l := get(t, lists); l.Version != 1 || len(l.Servers) != 1 {
+		t.Errorf("got %+v", l)
+	}
+}
