--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -369,7 +369,11 @@
 	} else {
 		in.listener.Close() // who takes connections now has one of its own
 	}
-	in.every(leaveEvery, func() { in.clients.closeIdle(in) })
+	in.every(leaveEvery, func() {
+		if in.heirs.stage == none { // else what idles is passed on
+			in.clients.closeIdle(in)
+		}
+	})
 	in.clients.closeIdle(in)
 	if in.heirs.stage != handed { // else it ends by the hand-over
 		in.after(max(in.killAfter()-stopAhead-acceptAfterTerm.Seconds(), 0), in.stop)
