Tests for what held: a request's own bytes, and a successor that dies before the end

Need: two rows of crossings.md named tests that stayed green with the guard taken out (call.keep, leave's look at a listener that rests). Change: TestRequestsKeepTheirBytes; TestSuccessorThatDiesAfterTheSignal in both orders, and that it does not wait for the drain's limit.

--- a/internal/ingress/crossings_test.go
+++ b/internal/ingress/crossings_test.go
@@ -404,3 +404,18 @@
 		t.Error("no end")
 	}
 }
+
+// A request waits while its connection's reader goes on to the next: what is sent on is its own, byte for byte.
+func TestRequestsKeepTheirBytes(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), nil)
+	c := r.client()
+	c.send(look("first")...)
+	get(t, r.mod.requests)
+	c.send("CALL.POST", customer, "other", "c=bill,t=basic,d=300000,units=1,spread=1,first=0", "body")
+	get(t, r.mod.requests)
+	r.do(func() { r.in.Send("first", "s0", 300) })
+	if got := get(t, conns).command(); len(got) != 4 || got[0] != "CALL.GET" || got[2] != "first" || !strings.HasPrefix(got[3], "c=look,t=basic,d=") {
+		t.Errorf("sent on: %q", got)
+	}
+}
--- a/internal/ingress/door_test.go
+++ b/internal/ingress/door_test.go
@@ -265,25 +265,40 @@
 // Guards the end of a process that was asked to end, and of which the successor has died: it answers what it holds, and does
 // not come back to life.
 func TestSuccessorThatDiesAfterTheSignal(t *testing.T) {
-	r := start(t, withDoor(t, "127.0.0.1:1"), func(r *rig) { r.in.acceptFor = time.Hour }) // until the test says so
-	open, idle := r.client(), r.client()
-	idle.send("PING")
-	idle.line()
-	open.send(look("open")...)
-	get(t, r.mod.requests)
-	path, _ := takeover.Path(os.TempDir(), r.in.cfg.Name)
-	link := successor(t, path)
-	takeOver(t, link)
-	r.term()
-	r.until("it has heard the signal", func() bool { return r.in.signalled })
-	r.do(r.in.leave)
-	link.Close()
-	r.until("it knows that its successor has died", func() bool { return r.in.heirs.stage == none })
-	r.do(func() { r.in.Fail("open") })
-	if open.line() != "-ERR failed" {
-		t.Error("what it had taken was not answered")
-	}
-	get(t, r.end)
+	for _, order := range []string{"after it leaves", "before"} {
+		t.Run(order, func(t *testing.T) {
+			r := start(t, withDoor(t, "127.0.0.1:1"), func(r *rig) { r.in.acceptFor = time.Hour }) // until the test says so
+			open, idle := r.client(), r.client()
+			idle.send("PING")
+			idle.line()
+			open.send(look("open")...)
+			get(t, r.mod.requests)
+			path, _ := takeover.Path(os.TempDir(), r.in.cfg.Name)
+			link := successor(t, path)
+			takeOver(t, link)
+			r.term()
+			r.until("it has heard the signal", func() bool { return r.in.signalled })
+			die := func() {
+				link.Close()
+				r.until("it knows that its successor has died", func() bool { return r.in.heirs.stage == none })
+			}
+			if order == "before" {
+				die()
+				r.do(r.in.leave)
+			} else {
+				r.do(r.in.leave)
+				die()
+			}
+			r.do(func() { r.in.Fail("open") })
+			if open.line() != "-ERR failed" {
+				t.Error("what it had taken was not answered")
+			}
+			get(t, r.end)
+			if r.in.stopped {
+				t.Error("it waited for a listener that rests")
+			}
+		})
+	}
 }
 
 // Guards the descriptors of an ingress that runs as two processes: what the other one still has counts.
