Log and count why connections close, requests are refused and attempts are not sent

Cause or need: the incident's evidence had no word on a single connection: its age, its requests, why it stayed or ended. Change: each client connection has an id, each end a reason; refusals and unsent attempts have reasons; counts stand in the status, a drain's ends and what outlives it in the log, 60 lines at most. Measured: go test -race ./internal/ingress passes.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -42,9 +42,16 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
+	in.counts.attempts++
+	if len(r.attempts) > 1 {
+		in.counts.retries++
+	}
+	reason, bad := in.unsendable(a)
 	switch {
-	case len(r.attempts) > max(1, in.maxAttempts, r.most) || in.unsendable(a) && timeoutS >= 0 || in.left(r):
-		in.later(a, policy.Moot)
+	case len(r.attempts) > max(1, in.maxAttempts, r.most):
+		in.notSent(a, unsentAttemptLimit)
+	case bad && timeoutS >= 0:
+		in.notSent(a, reason)
 	case timeoutS < 0:
 		in.later(a, policy.Timeout)
 	default:
@@ -73,9 +80,25 @@
 	in.start(a)
 }
 
-// unsendable tells that no byte of the attempt may be written any more.
-func (in *Ingress) unsendable(a *attempt) bool {
-	return a.be == nil || a.be.state != policy.Up || a.req != nil && a.req.over || in.now >= a.until
+// unsendable tells that no byte of the attempt may be written any more, and why.
+func (in *Ingress) unsendable(a *attempt) (reason unsentReason, bad bool) {
+	switch {
+	case a.be == nil, a.be.state != policy.Up:
+		return unsentBackendState, true
+	case a.req != nil && a.req.over:
+		return unsentRequestOver, true
+	case in.now >= a.until:
+		return unsentTooLate, true
+	case a.req != nil && in.left(a.req):
+		return unsentClientGone, true
+	}
+	return 0, false
+}
+
+// notSent gives an attempt back to the module as one of which nothing was written.
+func (in *Ingress) notSent(a *attempt, reason unsentReason) {
+	in.counts.unsent[reason]++
+	in.later(a, policy.Moot)
 }
 
 // start writes the attempt to an idle connection, or has it wait for a new one.
@@ -85,7 +108,7 @@
 		in.write(c, a)
 	} else if !in.dialFor(a) {
 		in.note("send not made: too many connections", "open", in.backends.open)
-		in.later(a, policy.Moot)
+		in.notSent(a, unsentNoConnection)
 	}
 }
 
@@ -102,6 +125,7 @@
 	switch {
 	case a.done:
 	case a.conn == nil:
+		in.counts.unsent[unsentTooLate]++
 		in.finish(a, result{status: policy.Moot}, in.now)
 	case a.conn.neverWhole():
 		in.finish(a, result{status: policy.ConnectFailed}, in.now)
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -46,6 +46,7 @@
 
 // client is one client's connection.
 type client struct {
+	id      uint64 // of this process, for the log
 	conn    *net.TCPConn
 	raw     syscall.RawConn
 	permits chan struct{} // bounds the open commands; taken by the reader
@@ -58,6 +59,11 @@
 	timed  bool // a deadline for the next whole command is set
 
 	// Loop only.
+	acceptedAt    float64
+	requestCount  int         // requests taken on it
+	lastRequestAt float64     // when the last of them came
+	closeReason   closeReason // of its end, from the decision on
+
 	slots    []*slot // no more than permits, and one
 	pending  []byte  // what the socket has not taken yet
 	held     int     // of the budget, for what is pending or being written
@@ -122,9 +128,9 @@
 func (s *clientSet) sweep(in *Ingress) {
 	for c := range s.all {
 		if c.ending && c.idle() && in.now-c.usedAt > lingerMost.Seconds() {
-			in.closeClient(c)
+			in.closeClient(c, closeIdleTimeout)
 		} else if c.spoke && c.quiet() && in.now-c.usedAt > idleMost && silent(c.raw) {
-			in.bid(c)
+			in.bid(c, closeIdleTimeout)
 		}
 	}
 }
@@ -133,23 +139,24 @@
 func (s *clientSet) closeIdle(in *Ingress) {
 	for c := range s.all {
 		if c.quiet() && !c.passing && !c.young(in) && silent(c.raw) {
-			in.bid(c)
+			in.bid(c, closeShutdown)
 		}
 	}
 }
 
 // bid ends a connection on which nothing is open: our side first. Between a look whether it is silent and a close a command may come, and
 // a close on bytes that nobody has read is a reset, which can take the answer before it along. Its client sends such a command again.
-func (in *Ingress) bid(c *client) {
+func (in *Ingress) bid(c *client, reason closeReason) {
 	if c.closed || c.ending {
 		return
 	}
+	c.decideClose(reason)
 	c.ending, c.lingered = true, true
 	if err := c.conn.CloseWrite(); err != nil {
-		in.clientGone(c)
+		in.clientGone(c, reason)
 		return
 	}
-	in.after(endS, func() { in.closeClient(c) })
+	in.after(endS, func() { in.closeClient(c, reason) })
 }
 
 // rank orders the connections that may be closed for others: first those that were told their last
@@ -201,7 +208,7 @@
 			}
 			asking[first] = true
 		default:
-			in.closeClient(first)
+			in.closeClient(first, closeNoCapacity)
 		}
 	}
 }
@@ -212,7 +219,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &client{conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
+	return &client{id: connectionIDs.Add(1), conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
 		stop: make(chan struct{}), buf: buffer{budget: &in.input}}, nil
 }
 
@@ -277,11 +284,14 @@
 }
 
 func (in *Ingress) addClient(c *client) {
-	c.usedAt = in.now
+	c.usedAt, c.acceptedAt = in.now, in.now
+	in.counts.accepted++
 	c.surplus = in.clients.full(in, c)
 	in.clients.all[c] = struct{}{}
 	if c.surplus && in.clients.open()+in.clients.elsewhere > in.clients.most+in.clients.surplus { // refused unread, but in words
 		in.note("client turned away: too many connections", "open", in.clients.open())
+		in.counts.refused[refuseNoCapacity]++
+		c.decideClose(closeNoCapacity)
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), true)
 	}
 }
@@ -328,7 +338,7 @@
 			c.refuse(in, at, errors.New("no whole command in time"))
 			return
 		case err != nil:
-			in.post(at, func() { in.clientGone(c) })
+			in.post(at, func() { in.clientGone(c, closeByClient) })
 			return
 		case unfinished && (used > 0 || !c.timed):
 			c.timed = true
@@ -381,13 +391,16 @@
 func (c *client) refuse(in *Ingress, at float64, bad error) {
 	answer := errorOf(bad)
 	c.buf.free()
-	in.post(at, func() { in.answerAtOnce(c, answer, true) })
+	in.post(at, func() {
+		c.decideClose(closeBadInput)
+		in.answerAtOnce(c, answer, true)
+	})
 	c.conn.SetReadDeadline(time.Now().Add(lingerMost))
 	n, err := io.Copy(io.Discard, io.LimitReader(c.conn, lingerBytes))
 	gone := n < lingerBytes && !errors.Is(err, os.ErrDeadlineExceeded)
 	in.post(in.clock.Now(), func() {
 		if c.lingered = true; gone || c.idle() {
-			in.clientGone(c)
+			in.clientGone(c, closeBadInput)
 		} // else once the answers before the last one are written
 	})
 }
@@ -405,6 +418,7 @@
 		if !in.input.take(call.size) {
 			in.post(at, func() {
 				in.note("request refused: too much input waits", "bytes", call.size)
+				in.counts.refused[refuseNoMemory]++
 				in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 			})
 			return nil
@@ -455,7 +469,7 @@
 		in.push(c)
 	} else if !in.hold(c, len(c.pending)-bytes) || len(c.pending) > pendingMost {
 		in.note("client dropped: it does not read its answers")
-		in.clientGone(c)
+		in.clientGone(c, closeSlowReader)
 	}
 }
 
@@ -475,7 +489,7 @@
 	c.held = 0
 	n, err := tryWrite(c.raw, c.pending)
 	if err != nil {
-		in.clientGone(c)
+		in.clientGone(c, closeWriteFailed)
 		return
 	}
 	rest := c.pending[n:]
@@ -488,7 +502,7 @@
 	}
 	if !in.hold(c, len(rest)) {
 		in.note("client dropped: too many answers are unread")
-		in.clientGone(c)
+		in.clientGone(c, closeNoMemory)
 		return
 	}
 	c.writing, c.pending = true, nil
@@ -501,7 +515,7 @@
 			switch {
 			case c.closed:
 			case err != nil:
-				in.clientGone(c)
+				in.clientGone(c, closeSlowReader)
 			default:
 				in.push(c)
 			}
@@ -515,11 +529,11 @@
 	case c.ending && !c.lingered:
 		c.conn.CloseWrite()
 	case c.ending:
-		in.closeClient(c)
+		in.closeClient(c, in.drainReason())
 	case c.parked && len(c.slots) == 0:
 		in.settle(c)
 	case in.leaving && in.heirs.stage == none && c.quiet() && (in.stopped || silent(c.raw)): // else what waits there is served before
-		in.bid(c)
+		in.bid(c, closeShutdown)
 	default:
 		in.lend(c)
 	}
@@ -562,8 +576,9 @@
 	if c.passing || in.pass(c) {
 		return
 	}
+	c.decideClose(in.drainReason())
 	if len(c.buf.b) == 0 && silent(c.raw) {
-		in.closeClient(c)
+		in.closeClient(c, c.closeReason)
 		return
 	}
 	c.ending, c.lingered = true, true
@@ -571,7 +586,7 @@
 	go func() {
 		c.conn.SetReadDeadline(time.Now().Add(lingerMost / 2))
 		io.Copy(io.Discard, io.LimitReader(c.conn, lingerBytes))
-		in.post(in.clock.Now(), func() { in.closeClient(c) })
+		in.post(in.clock.Now(), func() { in.closeClient(c, c.closeReason) })
 	}()
 }
 
@@ -603,17 +618,17 @@
 	if in.now-r.since < leftLook || !c.gone() {
 		return false
 	}
-	in.soon = append(in.soon, func() { in.clientGone(c) })
+	in.soon = append(in.soon, func() { in.clientGone(c, closeByClient) })
 	return true
 }
 
 // clientGone takes a client's hang-up: nothing is owed for what it had asked.
-func (in *Ingress) clientGone(c *client) {
+func (in *Ingress) clientGone(c *client, reason closeReason) {
 	if c.closed {
 		return
 	}
 	slots := c.slots
-	in.closeClient(c)
+	in.closeClient(c, reason)
 	for _, s := range slots {
 		if s.req != nil && !s.req.over {
 			in.end(s.req)
@@ -622,10 +637,30 @@
 	}
 }
 
-func (in *Ingress) closeClient(c *client) {
+// decideClose notes why the connection is to end; the first reason stands.
+func (c *client) decideClose(reason closeReason) {
+	if c.closeReason == closeUnset {
+		c.closeReason = reason
+	}
+}
+
+// drainReason is the reason of an end that a drain or a shutdown brings.
+func (in *Ingress) drainReason() closeReason {
+	if in.leaving {
+		return closeShutdown
+	}
+	return closeDrained
+}
+
+func (in *Ingress) closeClient(c *client, reason closeReason) {
 	if c.closed {
 		return
 	}
+	c.decideClose(reason)
+	in.counts.closed[c.closeReason]++
+	if c.requestCount > 0 { // else a front's PING, of which there are many
+		in.logConnection("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.ending)
+	}
 	c.closed = true
 	in.input.give(c.held)
 	c.slots, c.pending, c.held = nil, nil, 0
--- a/internal/ingress/flow.go
+++ b/internal/ingress/flow.go
@@ -246,7 +246,7 @@
 func (in *Ingress) moved(v *largeValue) {
 	v.flow.verdict <- true
 	in.over(v, result{status: policy.OK})
-	in.closeClient(v.c)
+	in.closeClient(v.c, closeHandedOver)
 }
 
 // over ends a value's attempt, or what stands for it.
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -362,6 +362,7 @@
 	in.heirs.link, in.heirs.stage = link, stopping
 	in.taking.Store(false)
 	in.stopTimer(in.away.timer)
+	in.stopTimer(in.away.over)
 	in.away = awayState{}
 	close(in.heirs.pause)
 	in.listener.SetDeadline(time.Unix(pastTime, 0))
@@ -468,7 +469,7 @@
 					in.moved(p.value)
 					return
 				}
-				in.closeClient(p.c)
+				in.closeClient(p.c, closeHandedOver)
 			})
 		}
 	}
--- a/internal/ingress/large.go
+++ b/internal/ingress/large.go
@@ -201,7 +201,7 @@
 		return
 	}
 	if bad != nil {
-		in.clientGone(c)
+		in.clientGone(c, closeValueFailed)
 		return
 	}
 	clear(c.slots[:1])
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -126,6 +126,8 @@
 	leaving     bool        // the listener is closed, connections close between requests
 	last        atomic.Bool // the listener closes once it has nothing more; of the loop and of who accepts
 	listening   bool        // that is still to come
+	counts      counters
+	drainLines  int // written of this drain, see logConnection
 }
 
 // Run serves until ctx ends and then drains. It returns nil after a complete drain. Of each
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -124,7 +124,7 @@
 		return
 	}
 	for len(be.waiting) > 0 {
-		in.later(be.waiting[0], policy.Moot)
+		in.notSent(be.waiting[0], unsentBackendState)
 	}
 }
 
@@ -279,8 +279,8 @@
 	for len(be.waiting) > 0 {
 		a := be.waiting[0]
 		be.waiting = be.waiting[1:]
-		if in.unsendable(a) || a.req != nil && in.left(a.req) {
-			in.later(a, policy.Moot)
+		if reason, bad := in.unsendable(a); bad {
+			in.notSent(a, reason)
 			continue
 		}
 		in.write(c, a)
--- a/internal/ingress/relay_test.go
+++ b/internal/ingress/relay_test.go
@@ -87,7 +87,7 @@
 	if o := get(t, is.outcomes); o.ID != "late" || o.Status != policy.Moot || !o.Over {
 		t.Errorf("%+v", o)
 	}
-	old.do(func() { old.in.clientGone(old.in.requests["left"].client) }) // a reader that rests hears of no hang-up
+	old.do(func() { old.in.clientGone(old.in.requests["left"].client, closeByClient) }) // a reader that rests hears of no hang-up
 	if get(t, is.gone) != "left" {
 		t.Error("a client that has gone is not told of")
 	}
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -26,6 +26,9 @@
 // ping tells the front that this ingress can serve.
 func (in *Ingress) ping(c *client) {
 	if in.away.on {
+		if in.away.pings++; len(c.slots) > 0 {
+			in.away.behind++
+		}
 		in.answerAtOnce(c, redcon.AppendError(nil, "LOADING this ingress takes no clients"), false)
 		return
 	}
@@ -45,19 +48,22 @@
 		}
 	}()
 	if old := in.requests[q.ID]; old != nil && old.client != c && old.client.gone() {
-		in.clientGone(old.client) // its end is still on its way here: this is the same request, sent once more
+		in.clientGone(old.client, closeByClient) // its end is still on its way here: this is the same request, sent once more
 	}
 	switch {
 	case c.closed, c.ending: // it was told the end, and sends this again elsewhere
 		return
 	case c.surplus && in.clients.full(in, c):
 		in.note("request refused: too many connections", "open", in.clients.open())
+		in.counts.refused[refuseNoCapacity]++
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
 	case in.requests[q.ID] != nil, in.elders[q.ID] != nil:
+		in.counts.refused[refuseOpenID]++
 		in.answerAtOnce(c, redcon.AppendError(nil, "ERR a request of this id is open"), false)
 		return
 	case in.cfg.Settings.MostHeld > 0 && len(in.requests) >= in.cfg.Settings.MostHeld:
+		in.counts.refused[refuseOpenLimit]++
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
 	}
@@ -66,7 +72,9 @@
 	r := &request{call: q, client: c, slot: &slot{}, most: in.maxAttempts, since: at, deadline: at + q.waitS}
 	r.slot.req = r
 	c.slots = append(c.slots, r.slot)
-	c.usedAt = in.now
+	c.usedAt, c.lastRequestAt = in.now, at
+	c.requestCount++
+	in.counts.taken++
 	in.requests[q.ID] = r
 	// The module answers well before; should it fail to, the client hears all the same.
 	r.timer = in.after(r.deadline+in.cfg.Settings.AnswerSlackS-in.now, func() {
@@ -150,16 +158,17 @@
 // stop ends a drain that takes too long: what is still owed fails while its client can hear of it, and what is written by then is read.
 func (in *Ingress) stop() {
 	in.stopped = true
+	in.logRemaining()
 	in.failOwed()
 	for c := range in.clients.all {
 		if c.idle() {
-			in.bid(c)
+			in.bid(c, closeShutdownEnd)
 		}
 	}
 	in.after(lastWords, func() {
 		in.listening = false
 		for c := range in.clients.all {
-			in.closeClient(c)
+			in.closeClient(c, closeShutdownEnd)
 		}
 	})
 }
--- a/internal/ingress/status.go
+++ b/internal/ingress/status.go
@@ -53,6 +53,8 @@
 	Clients  int              `json:"clients"`  // connections
 	Requests int              `json:"requests"` // open
 	Leaving  bool             `json:"leaving"`
+	Draining bool             `json:"draining"`           // operators have sent its clients away
+	Counts   CounterStatus    `json:"counts"`             // of what it did, and why
 	Overload *overload.Status `json:"overload,omitempty"` // nil: off
 }
 
@@ -77,7 +79,7 @@
 			load = g.Overload().Status(in.now)
 		}
 		got <- Status{Overload: load, Kind: "ingress", Name: in.cfg.Name, List: age, Old: age.Old(), Backends: len(in.backends.byID), Clients: in.clients.open(),
-			Requests: len(in.requests), Leaving: in.leaving}
+			Requests: len(in.requests), Leaving: in.leaving, Draining: in.away.on, Counts: in.counts.status()}
 	})
 	select {
 	case st := <-got:
