A failing test of the drain incident: clients that go on coming are held and reused

Need: the incident reproduced on real processes over loopback, before any mend. Change: two ingress processes are drained by their operators' call while clients go on opening connections, with a quick and a slow backend; after 4 s nobody may be held that idles or asked in the last 2 s, and no connection opened late may be used again.

--- /dev/null
+++ b/cmd/eiderspread/drain_test.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	drainTime     = 4 * time.Second // after which a drained ingress may hold no client, by the operators' page
+	drainRecent   = 2 * time.Second // but for connections whose request is older than this
+	drainSlack    = 250 * time.Millisecond
+	drainWarmUp   = 300 * time.Millisecond
+	drainClients  = 12
+	drainPause    = 15 * time.Millisecond   // of a client between an answer and its next request
+	noticedLately = 700 * time.Millisecond  // a front that notices sends no new connection so long after the call
+	lateInDrain   = 1800 * time.Millisecond // a connection that is opened later may carry one request
+)
+
+// keptConnection is one that a client keeps open between its requests, as long as the ingress does.
+type keptConnection struct {
+	net.Conn
+	reader   *bufio.Reader
+	mu       sync.Mutex
+	requests int
+	lastSent time.Time
+	awaits   bool // an answer
+	ended    bool
+}
+
+// ask sends a request and reads its answer; false once the connection has ended. A connection that ends between two answers has lost nothing.
+func (k *keptConnection) ask(id string, lost *atomic.Int64) bool {
+	k.mu.Lock()
+	k.requests++
+	k.lastSent, k.awaits = time.Now(), true
+	first := k.requests == 1
+	k.mu.Unlock()
+	fields := "c=look,t=basic,d=2000,units=1,spread=1,first=0"
+	_, err := fmt.Fprintf(k, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n00000000b4d65521\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(fields), fields)
+	line := ""
+	if err == nil {
+		line, err = k.reader.ReadString('\n')
+	}
+	if err == nil && line[0] == '$' {
+		_, err = k.reader.ReadString('\n')
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.awaits = false
+	if err != nil {
+		k.ended = true
+		if first || line != "" { // nothing was answered on it, or half of an answer
+			lost.Add(1)
+		}
+	}
+	return err == nil
+}
+
+// hold tells how the connection breaks the rule at the end of a drain, or "".
+func (k *keptConnection) hold(now time.Time) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.ended:
+		return ""
+	case !k.awaits:
+		return "idle"
+	case now.Sub(k.lastSent) < drainRecent:
+		return "with a recent request"
+	}
+	return ""
+}
+
+// deafFront is clients behind a front that goes on dealing requests to an ingress, whatever that says to PING: each client keeps its
+// connection while it can and opens another when it has ended.
+type deafFront struct {
+	listen string
+	stop   chan struct{}
+	ids    atomic.Int64
+	lost   atomic.Int64 // requests whose connection ended with no answer on it
+	after  atomic.Int64 // connections opened later than noticedLately after the call
+	reused atomic.Int64 // answers behind the first on connections opened later than lateInDrain after the call
+	called atomic.Int64 // when operators called, Unix nanoseconds
+
+	mu   sync.Mutex
+	open map[*keptConnection]bool
+	wg   sync.WaitGroup
+}
+
+func (f *deafFront) client(t *testing.T) {
+	for {
+		conn, err := net.Dial("tcp", f.listen)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		k := &keptConnection{Conn: conn, reader: bufio.NewReader(conn)}
+		conn.SetDeadline(time.Now().Add(patience))
+		if f.sinceCall() > noticedLately {
+			f.after.Add(1)
+		}
+		f.mu.Lock()
+		f.open[k] = true
+		f.mu.Unlock()
+		late := f.sinceCall() > lateInDrain
+		for k.ask(fmt.Sprintf("q-%d", f.ids.Add(1)), &f.lost) {
+			if late && k.requests > 1 {
+				f.reused.Add(1)
+			}
+			select {
+			case <-f.stop:
+				conn.Close()
+				return
+			case <-time.After(drainPause):
+			}
+		}
+		conn.Close()
+		f.mu.Lock()
+		delete(f.open, k)
+		f.mu.Unlock()
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(drainPause):
+		}
+	}
+}
+
+// sinceCall is how long ago operators called; 0 before they have.
+func (f *deafFront) sinceCall() time.Duration {
+	called := f.called.Load()
+	if called == 0 {
+		return 0
+	}
+	return time.Duration(time.Now().UnixNano() - called)
+}
+
+// held tells which connections break the rule at one moment.
+func (f *deafFront) held(now time.Time) map[*keptConnection]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := map[*keptConnection]string{}
+	for k := range f.open {
+		if why := k.hold(now); why != "" {
+			list[k] = why
+		}
+	}
+	return list
+}
+
+// Guards the end of a drain by operators (incident 2026-12-02): 4 s after the call the process holds no client's connection that is idle or has a
+// request from the last 2 s, also where clients go on coming on new connections, as they do behind a front that does not notice; and no
+// connection that is opened late in the drain is used again. Each ingress is a process of its own.
+func TestDrainedIngressLetsGoOfClientsThatGoOnComing(t *testing.T) {
+	for name, answerAfter := range map[string]time.Duration{"quick backend": 20 * time.Millisecond, "slow backend": 600 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			drainUnderClients(t, answerAfter)
+		})
+	}
+}
+
+func drainUnderClients(t *testing.T, answerAfter time.Duration) {
+	console := freeAddress(t)
+	listen, _ := startProgram(t, programOptions{deadline: "2", console: console, answerAfter: answerAfter})
+	front := &deafFront{listen: listen, stop: make(chan struct{}), open: map[*keptConnection]bool{}}
+	for range drainClients {
+		front.wg.Go(func() { front.client(t) })
+	}
+	time.Sleep(drainWarmUp) // clients are at work when operators call
+	resp, err := http.Post("http://"+console+"/v1/ingress/drain", "", strings.NewReader(""))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	resp.Body.Close()
+	called := time.Now()
+	front.called.Store(called.UnixNano())
+	time.Sleep(time.Until(called.Add(drainTime)))
+	held := front.held(time.Now())
+	time.Sleep(drainSlack)
+	still := front.held(time.Now().Add(-drainSlack))
+	for k, why := range held {
+		if still[k] != "" {
+			t.Errorf("%v after the call a connection with %d requests is held, %s", drainTime, k.requests, why)
+		}
+	}
+	close(front.stop)
+	front.wg.Wait()
+	if n := front.after.Load(); n < drainClients {
+		t.Errorf("%d connections were opened later than %v after the call: no occasion", n, noticedLately)
+	}
+	if n := front.reused.Load(); n > 0 {
+		t.Errorf("%d further requests were answered on connections opened later than %v after the call", n, lateInDrain)
+	}
+	if n := front.lost.Load(); n > 0 {
+		t.Errorf("%d requests were lost", n)
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -12,7 +12,15 @@
 run=$(sed -n 's/^run = "exec \(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$run" ] || { echo "run in deploy/balancer.toml does not end by exec"; exit 1; }
 readelf -l "$run" | grep -q INTERP || { echo "$run is not linked dynamically"; exit 1; }
-go test -race -count=1 ./...
+# KNOWN-RED.txt lists tests that fail for a real fault which is not mended yet (test: cause: issue; three lines at most). The others must pass;
+# those are run apart and printed.
+red=$(sed -n 's/^\([A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
+[ ! -f KNOWN-RED.txt ] || [ "$(grep -c . KNOWN-RED.txt)" -le 3 ] || { echo "KNOWN-RED.txt holds more than three lines"; exit 1; }
+go test -race -count=1 ${red:+-skip "^($red)\$"} ./...
+if [ -n "$red" ]; then
+  echo "known to fail:"; cat KNOWN-RED.txt
+  go test -race -count=1 -run "^($red)\$" ./... | grep -v 'no tests to run\|no test files' || true
+fi
 go test -tags unfenced -count=1 -run Unfenced ./internal/lab/sim   # the same schedules must show breaches without fencing
 for f in $(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",'); do
   lines=$(grep -c '[^[:space:]]' "$f")
