One guard for sending, repeating, starting and closing, asked at the moment of the act

Broken rules, near misses and stopped acts are counted by rule in the status; d is worked out at the write.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -21,6 +21,12 @@
 	timer  *timer  // rings then
 	conn   *backConn
 	done   bool
+
+	writtenAt  float64          // before its first byte went out; 0: none has
+	lastMoment float64          // up to when it may be written
+	lastRule   policy.Violation // that ends it
+	reported   bool             // the module has its outcome
+	status     policy.Status    // that was reported
 	// when the answer's first bytes came, if its value is too large to be kept: from then on nothing ends the attempt
 	// but the value
 	firstAt float64
@@ -105,7 +111,9 @@
 func (in *Ingress) start(a *attempt) {
 	a.timer = in.after(a.until-in.now, func() { in.expire(a) })
 	if c := in.takeIdle(a.be); c != nil {
-		in.write(c, a)
+		if !in.write(c, a) {
+			in.release(c, 0)
+		}
 	} else if !in.dialFor(a) {
 		in.note("send not made: too many connections", "open", in.backends.open)
 		in.notSent(a, unsentNoConnection)
@@ -117,7 +125,7 @@
 	if a.req == nil {
 		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(b, 2), "INFO"), "load")
 	}
-	return a.req.appendTo(b, a.until-in.now)
+	return a.req.appendTo(b, a.until-a.writtenAt)
 }
 
 // expire stops waiting for an attempt. What was never wholly written has not run.
@@ -168,6 +176,7 @@
 		at = a.firstAt // how fast the client reads says nothing of the backend
 	}
 	spent := max(at-a.sentAt, 0)
+	a.reported, a.status = true, res.status
 	if a.req == nil {
 		in.gate.Probed(in.now, policy.ProbeResult{Server: a.be.ID, Status: res.status, SpentS: spent, Load: res.load})
 		return
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -18,11 +18,12 @@
 // call is a client's request as it was read: what the module has to know of it, and the command
 // as it is to be passed on.
 type call struct {
-	policy.Request          // without its deadline
-	waitS          float64  // how long the client waits
-	args           [][]byte // command, customer, id, fields and, in a write, the body
-	size           int      // of all of them
-	d              [2]int   // where the value of d stands in the fields
+	policy.Request              // without its deadline
+	class          policy.Class // as it stood when the request came
+	waitS          float64      // how long the client waits
+	args           [][]byte     // command, customer, id, fields and, in a write, the body
+	size           int          // of all of them
+	d              [2]int       // where the value of d stands in the fields
 }
 
 // keep makes the call's bytes its own: they were the reader's.
@@ -179,7 +180,7 @@
 	case fieldClass:
 		var class policy.Class
 		class, ok = v.classes[value]
-		c.Class = class.Name
+		c.Class, c.class = class.Name, class
 	case fieldPlan:
 		c.Plan, ok = v.plans[value]
 	case fieldWait:
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -654,6 +654,7 @@
 	}
 	c.decideClose(reason)
 	in.counts.closed[c.closeReason]++
+	in.checkClose(c)
 	if c.requestCount > 0 { // else a front's PING, of which there are many
 		in.logConnection("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.ending)
 	}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -12,20 +12,22 @@
 	target  = roster.Target
 )
 
-// takeList applies a list to the pools and tells the module.
-func (in *Ingress) takeList(t targets) {
+// takeList applies a list that was told at a time to the pools and tells the module.
+func (in *Ingress) takeList(t targets, toldAt float64) {
 	if in.held != nil {
 		t = in.held.Take(t)
 	}
-	in.applyList(t)
+	in.applyListAt(t, toldAt)
 }
 
 // applyList takes a list as it stands with what operators hold.
-func (in *Ingress) applyList(t targets) {
+func (in *Ingress) applyList(t targets) { in.applyListAt(t, in.now) }
+
+func (in *Ingress) applyListAt(t targets, toldAt float64) {
 	if len(t.Servers) == 0 && !t.Full {
 		return
 	}
-	in.backends.apply(in, t)
+	in.backends.apply(in, t, toldAt)
 	in.gate.Servers(in.now, t.Policy(), t.Full)
 }
 
@@ -58,7 +60,10 @@
 // newWatcher makes the watcher of discovery; watchDiscovery's goroutine owns it but for its age.
 func (in *Ingress) newWatcher() *roster.Watcher {
 	return roster.New(in.cfg.Discovery, in.cfg.Known.Version,
-		func(t targets) { in.post(in.clock.Now(), func() { in.takeList(t) }) },
+		func(t targets) {
+			at := in.clock.Now()
+			in.post(at, func() { in.takeList(t, at) })
+		},
 		func(what string, args ...any) { in.post(in.clock.Now(), func() { in.note(what, args...) }) })
 }
 
--- a/internal/ingress/door_test.go
+++ b/internal/ingress/door_test.go
@@ -69,7 +69,7 @@
 	if s := backendIn(t, get(t, r.mod.lists), "s0"); s.State != policy.Draining {
 		t.Fatalf("told as %+v", s)
 	}
-	r.do(func() { r.in.takeList(cfg.Known) }) // discovery says that it serves
+	r.do(func() { r.in.takeList(cfg.Known, r.in.now) }) // discovery says that it serves
 	if s := backendIn(t, get(t, r.mod.lists), "s0"); s.State != policy.Draining {
 		t.Fatalf("discovery put it back: %+v", s)
 	}
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -29,7 +29,10 @@
 	in.drain.Begin(in.now)
 	in.taking.Store(false)
 	in.drain.look = in.after(in.drain.NextLook(in.now), in.sweepDrained)
-	in.drain.over = in.after(in.drain.EndsIn(in.now), in.logRemaining)
+	in.drain.over = in.after(in.drain.EndsIn(in.now)+networkS, func() {
+		in.checkDrained()
+		in.logRemaining()
+	})
 }
 
 // endDrain takes clients again.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -421,9 +421,9 @@
 	addr, conns := listen(t)
 	for name, change := range map[string]func(*rig){
 		"draining": func(r *rig) {
-			r.in.takeList(targets{Servers: []target{{ID: "s0", Addr: addr, State: "terminating"}}})
+			r.in.takeList(targets{Servers: []target{{ID: "s0", Addr: addr, State: "terminating"}}}, r.in.now)
 		},
-		"gone": func(r *rig) { r.in.takeList(targets{Full: true}) },
+		"gone": func(r *rig) { r.in.takeList(targets{Full: true}, r.in.now) },
 		"over": func(r *rig) { r.in.Refuse("a", 0) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -445,7 +445,7 @@
 				t.Errorf("got %+v", o)
 			}
 			b := get(t, conns)
-			r.do(func() { r.in.takeList(targets{Full: true}) }) // closes the pool
+			r.do(func() { r.in.takeList(targets{Full: true}, r.in.now) }) // closes the pool
 			if got := b.command(); got != nil {
 				t.Errorf("the backend got %q", got)
 			}
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -127,6 +127,7 @@
 	last        atomic.Bool // the listener closes once it has nothing more; of the loop and of who accepts
 	listening   bool        // that is still to come
 	counts      counters
+	guards      guardCounts
 	drainLines  int // written of this drain, see logConnection
 }
 
@@ -284,7 +285,7 @@
 	if in.console != nil {
 		in.openDoor(background)
 	}
-	in.takeList(in.cfg.Known)
+	in.takeList(in.cfg.Known, in.now)
 	if in.heir != nil {
 		in.adopt(in.heir.parts)
 	}
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -52,6 +52,9 @@
 	idle    []*backConn // least idle last
 	waiting []*attempt  // for a dial, oldest first
 	dials   int         // under way
+
+	writtenAt float64 // when it was last sent to
+	toldAt    float64 // when it was told to drain or to be gone; 0: it serves
 }
 
 // backendSet holds the backends by id, those of the list alone. Loop only.
@@ -89,7 +92,7 @@
 
 // apply takes in a list or a change of it. A send that waits for a dial to a backend that may get
 // nothing new is given back to the module at once.
-func (s *backendSet) apply(in *Ingress, t targets) {
+func (s *backendSet) apply(in *Ingress, t targets, toldAt float64) {
 	listed := map[string]bool{}
 	for _, e := range t.Servers {
 		listed[e.ID] = true
@@ -100,6 +103,12 @@
 		}
 		moved := be.Addr != e.Addr || be.StartedMS != e.StartedMS
 		be.target, be.state = e, roster.States[e.State]
+		if be.state != policy.Up && be.toldAt == 0 {
+			be.toldAt = toldAt
+			in.checkDrain(be, toldAt)
+		} else if be.state == policy.Up {
+			be.toldAt = 0
+		}
 		if moved || be.state != policy.Up {
 			s.retire(in, be)
 		}
@@ -107,6 +116,7 @@
 	for id, be := range s.byID {
 		if t.Full && !listed[id] {
 			be.state = policy.Removed
+			in.checkDrain(be, toldAt)
 			s.retire(in, be)
 		}
 		if be.state == policy.Removed {
@@ -283,8 +293,9 @@
 			in.notSent(a, reason)
 			continue
 		}
-		in.write(c, a)
-		return
+		if in.write(c, a) {
+			return
+		}
 	}
 	in.release(c, restS)
 }
@@ -301,9 +312,12 @@
 	c.be.idle = append(c.be.idle, c)
 }
 
-// write sends the command: at once what the socket takes, the rest on a goroutine of its own, which
-// ends with the connection.
-func (in *Ingress) write(c *backConn, a *attempt) {
+// write sends the command, if it may be sent by now: at once what the socket takes, the rest on a goroutine of its own, which
+// ends with the connection. Nothing else writes to a backend.
+func (in *Ingress) write(c *backConn, a *attempt) bool {
+	if !in.mayWrite(a) {
+		return false
+	}
 	in.bytes = in.command(in.bytes[:0], a)
 	b := in.bytes
 	if cap(in.bytes) > 4*readSize {
@@ -320,21 +334,26 @@
 		c.written.Store(wholly)
 	default:
 		rest, ended := bytes.Clone(b[n:]), in.backends.ended
+		last := a.lastMoment
+		inTime := func() bool { return in.clock.Now() <= last }
 		c.writing.Lock() // only its own reader takes it besides, for a moment at its end
 		go func() {
 			defer c.writing.Unlock()
-			if !c.finishWrite(c.conn, rest, ended) {
+			if !c.finishWrite(c.conn, rest, inTime, ended) {
 				c.conn.Close() // its reader reports it
 			}
 		}()
 	}
+	in.wrote(a)
+	return true
 }
 
 // finishWrite writes the rest of a command, and tells whether all of it is out. The last byte goes only once it is known to everybody that
-// it may have: an attempt that ends in between would else be taken for one that never ran, and its request be sent again.
-func (c *backConn) finishWrite(to io.Writer, rest []byte, ended func()) bool {
+// it may have: an attempt that ends in between would else be taken for one that never ran, and its request be sent again. A command whose last
+// moment has passed meanwhile never goes out whole: a backend begins it with its last byte.
+func (c *backConn) finishWrite(to io.Writer, rest []byte, inTime func() bool, ended func()) bool {
 	last := len(rest) - 1
-	if _, err := to.Write(rest[:last]); err != nil || !c.written.CompareAndSwap(partly, ending) {
+	if _, err := to.Write(rest[:last]); err != nil || !inTime() || !c.written.CompareAndSwap(partly, ending) {
 		return false
 	}
 	if _, err := to.Write(rest[last:]); err != nil {
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -103,7 +103,7 @@
 			r.do(func() {
 				e := r.in.backends.byID["s0"].target
 				change(&e)
-				r.in.takeList(targets{Servers: []target{e}})
+				r.in.takeList(targets{Servers: []target{e}}, r.in.now)
 			})
 			io.WriteString(b, value)
 			c.served("the answer that was out")
@@ -305,7 +305,7 @@
 	if !c.neverWhole() || !c.neverWhole() {
 		t.Fatal("nothing of it was out")
 	}
-	c.finishWrite(mine, []byte("rest"), func() { t.Error("the last byte went out") })
+	c.finishWrite(mine, []byte("rest"), func() bool { return true }, func() { t.Error("the last byte went out") })
 	mine.Close()
 	if b := get(t, got); string(b) != "res" || !c.neverWhole() {
 		t.Errorf("%q went out", b)
--- a/internal/ingress/status.go
+++ b/internal/ingress/status.go
@@ -55,6 +55,7 @@
 	Leaving  bool             `json:"leaving"`
 	Draining bool             `json:"draining"`           // operators have sent its clients away
 	Counts   CounterStatus    `json:"counts"`             // of what it did, and why
+	Guard    GuardStatus      `json:"guard"`              // of rules, see policy/guard.go
 	Overload *overload.Status `json:"overload,omitempty"` // nil: off
 }
 
@@ -79,7 +80,7 @@
 			load = g.Overload().Status(in.now)
 		}
 		got <- Status{Overload: load, Kind: "ingress", Name: in.cfg.Name, List: age, Old: age.Old(), Backends: len(in.backends.byID), Clients: in.clients.open(),
-			Requests: len(in.requests), Leaving: in.leaving, Draining: in.drain.On(), Counts: in.counts.status()}
+			Requests: len(in.requests), Leaving: in.leaving, Draining: in.drain.On(), Counts: in.counts.status(), Guard: in.guards.status()}
 	})
 	select {
 	case st := <-got:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -78,12 +78,16 @@
 func (t List) Policy() []policy.Server {
 	list := make([]policy.Server, 0, len(t.Servers))
 	for _, s := range t.Servers {
-		list = append(list, policy.Server{ID: s.ID, Zone: s.Zone, Cell: s.Cell, State: States[s.State],
-			Weight: s.Weight, SinceS: float64(s.StartedMS) / 1000})
+		list = append(list, s.Policy(States[s.State]))
 	}
 	return list
 }
 
+// Policy is the entry as the decision module has it, in a state.
+func (s Target) Policy(state policy.State) policy.Server {
+	return policy.Server{ID: s.ID, Zone: s.Zone, Cell: s.Cell, State: state, Weight: s.Weight, SinceS: float64(s.StartedMS) / 1000}
+}
+
 func (s Target) check() error {
 	state, known := States[s.State]
 	if s.ID == "" || !known {
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -19,6 +19,7 @@
 	drainRestS     = 0.15 // a connection has been unused for so long before it is closed: its client has read its answer
 	drainLastS     = 1.7  // from then on each connection ends with its next answer
 	drainRefuseS   = 1.9  // from then on a request would be too young at the end
+	drainRecentS   = 2.0  // a request that is younger may not be open at the end
 	drainEndS      = 4.0  // the time that operators allow
 	drainRetryInS  = 0.2  // a refused client's wait before it asks another ingress
 	drainLookEvery = 0.1  // how often what idles is looked for
@@ -63,6 +64,18 @@
 	return d.on && (now-d.since >= drainLastS || acceptedAt-d.since >= drainNoticeS)
 }
 
+// Holds tells that, with the time that operators allow over, a connection breaks their rule: it idles, but for one that was opened or used just now,
+// or its last request is too young.
+func (d *Drain) Holds(now, acceptedAt, usedAt, lastRequestAt float64, idle bool) bool {
+	switch {
+	case !d.on || now-d.since < drainEndS:
+		return false
+	case idle:
+		return now-max(acceptedAt, usedAt) > drainRestS+2*drainLookEvery
+	}
+	return now-lastRequestAt < drainRecentS
+}
+
 // Refuse tells that a request that comes now is to be refused, and in how many seconds its client may try elsewhere.
 func (d *Drain) Refuse(now float64) (retryInS float64, refuse bool) {
 	if d.on && now-d.since >= drainRefuseS {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -321,7 +321,7 @@
 		return why.AimGone
 	case !r.written && g.now > r.halfAt:
 		return why.HalfGone
-	case r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS:
+	case r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-heldUpS:
 		return why.None
 	}
 	return why.MayHaveRun
