--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -29,6 +29,8 @@
 	endS         = 0.3                  // how long a connection whose sending side has ended waits for the client's end, while nothing else does
 	leftLook     = 0.1                  // what waited for longer is sent only after a look whether its client is still there
 	youngS       = 0.2                  // seconds in which the first command of a new connection may be on its way
+	atOnceS      = 0.001                // a read that takes longer has waited for its bytes
+	behindS      = 0.005                // a reader that is so far behind, as too many commands were open, can't tell when what it reads has come
 	acceptSlack  = 8                    // connections accepted that the loop has not come to
 	reservedFDs  = 32                   // for the listener, discovery, peers, the slack and the runtime
 	doorFDs      = console.Conns + 8    // for the operators' door, the link to another process and files
@@ -207,12 +209,29 @@
 				asking = map[*client]bool{}
 			}
 			asking[first] = true
+		case !first.ending && !in.endUnread(first): // a command came in that moment
+			if asking == nil {
+				asking = map[*client]bool{}
+			}
+			asking[first] = true
 		default:
 			in.closeClient(first, closeNoCapacity)
 		}
 	}
 }
 
+// endUnread ends our side of a connection that is to be closed at once, and tells that nothing has come on it meanwhile. What has is read
+// and dropped behind the end.
+func (in *Ingress) endUnread(c *client) bool {
+	c.decideClose(closeNoCapacity)
+	if err := c.conn.CloseWrite(); err != nil || silent(c.raw) {
+		return true
+	}
+	c.ending, c.lingered = true, true
+	in.after(endS, func() { in.closeClient(c, closeNoCapacity) })
+	return false
+}
+
 // newClient makes a client of a connection that is not read yet. Its place in the room is the caller's to take.
 func (in *Ingress) newClient(conn *net.TCPConn) (*client, error) {
 	raw, err := conn.SyscallConn()
@@ -306,6 +325,7 @@
 		}
 	}()
 	left := len(c.buf.b) > 0 // by whoever read this connection before
+	emptyAt := in.clock.Now()
 	for {
 		if c.stopped() {
 			parked = true
@@ -313,6 +333,7 @@
 			return
 		}
 		var err error
+		at := in.clock.Now()
 		if !left {
 			room := c.buf.room()
 			if room == nil {
@@ -320,11 +341,17 @@
 				return
 			}
 			var n int
+			began := in.clock.Now()
 			n, err = c.conn.Read(room)
 			c.buf.grew(n)
+			if at = in.clock.Now(); at-began > atOnceS { // it waited: what it got has come just now
+				emptyAt = at
+			}
 		}
 		left = false
-		at := in.clock.Now()
+		if at-emptyAt > behindS { // what was there may have come at any time since this reader was last up to date
+			at = emptyAt
+		}
 		used, ok := c.commands(in, at)
 		if !ok {
 			return
@@ -588,12 +615,12 @@
 
 // gone tells that the client has ended its side of the connection, whatever of its bytes nobody has read yet. Its reader does not read while
 // the pipeline is full, once it was stopped, and while an error is its last answer.
-func (c *client) gone() (gone bool) {
-	if c.closed {
-		return true
-	}
+func (c *client) gone() bool { return c.closed || hungUp(c.raw) }
+
+// hungUp is gone, of any goroutine.
+func hungUp(raw syscall.RawConn) (gone bool) {
 	var one [1]byte
-	bad := c.raw.Control(func(fd uintptr) {
+	bad := raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
 		case err == syscall.EAGAIN || err == syscall.EINTR:
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -18,9 +18,10 @@
 	pingsBehind int     // of these: behind other answers
 }
 
-// startDrain has the front told and lets go of all clients, by and by; a second call changes nothing.
+// startDrain has the front told and lets go of all clients, by and by; a second call changes nothing. A process that is replaced, or ends, lets go
+// of them in its own way: what idles there may be on its way to another process.
 func (in *Ingress) startDrain() {
-	if in.drain.On() || in.leaving {
+	if in.drain.On() || in.leaving || in.heirs.stage != none {
 		return
 	}
 	in.log.Info("drain begins", "connections", in.clients.open(), "requests", len(in.requests))
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -290,7 +290,7 @@
 		in.clients.elsewhere = max(0, in.clients.elsewhere-1)
 		c.spoke, c.asked = true, true // as far as this process knows: what it asked may be on its way
 		if in.heirs.stage == handed { // on to the next process
-			c.usedAt, in.clients.all[c] = in.now, struct{}{}
+			c.usedAt, c.acceptedAt, in.clients.all[c] = in.now, in.now, struct{}{}
 			c.halt()
 			return
 		}
--- /dev/null
+++ b/internal/ingress/moment_test.go
@@ -0,0 +1,210 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"eiderspread/policy"
+)
+
+// Tests of the sweep after the incident of 2026-12-02: what was decided, or looked at, in one moment and holds no longer in the next.
+
+// Guards the last words of a process: what is read after all that was owed has failed, on a connection that is still being written to, is refused
+// and not sent on to be cut off.
+func TestRequestAfterTheLastAnswers(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), sendTo(300))
+	c := r.client()
+	c.send(look("first")...)
+	get(t, conns).command()
+	get(t, r.mod.requests)
+	r.do(func() {
+		client := r.in.requests["first"].client
+		client.writing = true // it does not read its answers as fast as they come
+		r.in.leaving = true
+		r.in.stop()
+		late, err := r.in.words.Load().parseCall(fields(look("late")))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		r.in.input.take(late.size)
+		r.in.take(client, late, r.in.now)
+		if n := r.in.counts.refused[refuseDraining]; n != 1 || r.in.requests["late"] != nil {
+			t.Errorf("%d refused", n)
+		}
+	})
+	if n := len(r.mod.requests); n != 0 {
+		t.Errorf("the module has %d requests of the time after", n)
+	}
+}
+
+// fields is a command's parts as a reader has them.
+func fields(command []string) (args [][]byte) {
+	for _, part := range command {
+		args = append(args, []byte(part))
+	}
+	return args
+}
+
+// Guards connections on their way to a new process: a drain that is asked for at that moment closes none of them.
+func TestDrainOfAProcessThatIsReplaced(t *testing.T) {
+	r := start(t, withDoor(t, "127.0.0.1:1"), nil)
+	r.do(func() {
+		r.in.heirs.stage = stopping
+		r.in.startDrain()
+		if r.in.drain.On() {
+			t.Error("it is drained beside the replacement")
+		}
+		r.in.heirs.stage = none
+		if r.in.startDrain(); !r.in.drain.On() {
+			t.Error("no drain without a replacement")
+		}
+	})
+}
+
+// Guards the time of a request that lay unread while too many others of its connection were open: it runs from when it may have come, so that
+// no backend is told more of it than the client has left.
+func TestTimeOfWhatLayUnread(t *testing.T) {
+	r := start(t, testConfig("127.0.0.1:1"), nil)
+	c := r.client()
+	for i := range pipelineMost + 1 { // the reader waits with the last of them
+		c.send(look(fmt.Sprint("q", i))...)
+		if i < pipelineMost {
+			get(t, r.mod.requests)
+		}
+	}
+	var blockedAt, freeAt float64
+	r.do(func() { blockedAt = r.in.clock.Now() })
+	c.send(look("unread")...)
+	const waitS = 0.1
+	r.until("it has lain for a while", func() bool { return r.in.clock.Now() > blockedAt+waitS })
+	r.do(func() {
+		freeAt = r.in.clock.Now()
+		r.in.Fail("q0")
+		r.in.Fail("q1")
+	})
+	get(t, r.mod.requests)
+	q := get(t, r.mod.requests)
+	if q.ID != "unread" {
+		t.Fatalf("%+v", q)
+	}
+	if left := q.DeadlineS - freeAt; left > 600-waitS+0.01 {
+		t.Errorf("%v s of its 600 are taken to be left after %v s unread", left, freeAt-blockedAt)
+	}
+}
+
+// Guards the last byte of a command that goes out in parts: it stays back when the client has left meanwhile, which its reader does not see.
+func TestClientThatLeftBeforeTheLastByte(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	r := start(t, testConfig(l.Addr().String()), func(r *rig) {
+		sendTo(5)(r)
+		dial := r.in.backends.dial
+		r.in.backends.dial = func(addr string) (net.Conn, error) {
+			c, err := dial(addr)
+			if err == nil {
+				err = c.(*net.TCPConn).SetWriteBuffer(1 << 10)
+			}
+			return c, err
+		}
+	})
+	c := r.client()
+	body := strings.Repeat("x", maxValue)
+	c.send("CALL.POST", customer, "a", "c=hold,t=basic,k=5c0f,d=600000,units=2,spread=2,first=1", body)
+	get(t, r.mod.requests)
+	backend, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer backend.Close()
+	backend.(*net.TCPConn).SetReadBuffer(1 << 10)
+	r.do(func() { r.in.requests["a"].client.halt() })
+	parts := false
+	r.until("its reader has stopped, and the command is being written", func() bool {
+		a := r.in.requests["a"]
+		if a == nil || len(a.attempts) == 0 || a.attempts[0].conn == nil {
+			return false
+		}
+		parts = a.attempts[0].conn.written.Load() == partly
+		return a.client.parked
+	})
+	if !parts {
+		t.Fatal("the system took the whole command at once: no occasion")
+	}
+	c.Close()
+	r.until("its end is here", func() bool { return hungUp(r.in.requests["a"].client.raw) })
+	got, _ := io.ReadAll(backend)
+	if len(got) == 0 || strings.HasSuffix(string(got), body+"\r\n") {
+		t.Errorf("%d bytes came: the whole command", len(got))
+	}
+	if o := get(t, r.mod.outcomes); o.Status != policy.ConnectFailed {
+		t.Errorf("%+v", o)
+	}
+}
+
+// Guards a command that comes in the moment in which its resting connection is closed for a newcomer: its client hears the end first.
+func TestCommandAsItsConnectionMakesRoom(t *testing.T) {
+	r := start(t, testConfig("127.0.0.1:1"), nil)
+	c := r.client()
+	c.send("PING")
+	c.line()
+	r.do(func() {
+		for rests := range r.in.clients.all {
+			rests.halt() // so that the command stays unread
+		}
+	})
+	r.until("its reader has stopped, and its end is said", func() bool {
+		for rests := range r.in.clients.all {
+			return rests.ending
+		}
+		return false
+	})
+	mine, theirs := pair(t)
+	client, err := r.in.newClient(theirs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(mine, "*1\r\n")
+	r.do(func() {
+		r.in.clients.room <- struct{}{}
+		r.in.clients.all[client] = struct{}{}
+	})
+	r.until("the bytes are there", func() bool { return !silent(client.raw) })
+	r.do(func() {
+		if r.in.endUnread(client) || client.closed || !client.ending {
+			t.Error("closed over what nobody had read")
+		}
+	})
+	if _, err := mine.Read(make([]byte, 1)); err == nil || strings.Contains(err.Error(), "reset") {
+		t.Errorf("its client got %v", err)
+	}
+	r.do(func() { r.in.closeClient(client, closeNoCapacity) })
+}
+
+// pair is two ends of one connection.
+func pair(t *testing.T) (mine, theirs *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, _ := l.Accept()
+		accepted <- c
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn), get(t, accepted).(*net.TCPConn)
+}
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -334,8 +334,11 @@
 		c.written.Store(wholly)
 	default:
 		rest, ended := bytes.Clone(b[n:]), in.backends.ended
-		last := a.lastMoment
-		inTime := func() bool { return in.clock.Now() <= last }
+		last, client := a.lastMoment, syscall.RawConn(nil)
+		if a.req != nil {
+			client = a.req.client.raw
+		}
+		inTime := func() bool { return in.clock.Now() <= last && (client == nil || !hungUp(client)) }
 		c.writing.Lock() // only its own reader takes it besides, for a moment at its end
 		go func() {
 			defer c.writing.Unlock()
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -67,7 +67,7 @@
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
 	}
-	if retryInS, refuse := in.drain.Refuse(in.now); refuse {
+	if retryInS, refuse := in.refuses(); refuse {
 		in.counts.refused[refuseDraining]++
 		c.spoke, c.asked = true, true
 		in.answerAtOnce(c, in.busy(retryInS), false)
@@ -103,6 +103,14 @@
 	handed = true
 }
 
+// refuses tells that a request that comes now is refused, as its answer would come too late for the drain, or for the process.
+func (in *Ingress) refuses() (retryInS float64, refuse bool) {
+	if in.stopped {
+		return 0, true
+	}
+	return in.drain.Refuse(in.now)
+}
+
 // Refuse implements policy.Actions.
 func (in *Ingress) Refuse(id string, retryInS float64) {
 	if r := in.requests[id]; r != nil {
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -61,7 +61,7 @@
 		Edits: edit(module, "case r.ran == nil || r.cls.Effect == Safe ||", "case r.ran == nil || r.cls.Effect != Keyed ||"),
 		Runs:  []string{simOne + "answers", labOne + "answers"}},
 	{Name: "keys are remembered for a time", Rule: "no effect twice", Unit: "./policy",
-		Edits: edit(module, "r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS", "r.cls.Effect == Keyed"),
+		Edits: edit(module, "r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-heldUpS", "r.cls.Effect == Keyed"),
 		Runs:  []string{simOne + "keys", simTwo + "keys"}},
 	{Name: "no harmless refusal of what may have run", Rule: "no effect twice", Unit: "./policy",
 		Edits: edit(module, "if may && (r.cls.Effect == Unsafe ||", "if may && (r.cls.Effect == Unsafe && r.out > 9 ||"),
@@ -169,9 +169,10 @@
 		Runs:  []string{"sim -shrink=false -schedules 24 -for 20s -planners 0 -forwarders 60 -scenario back"}},
 	{Name: "under overload a cold server's part is of what is answered", Rule: "cold nodes stand",
 		Edits: edit(module, "min(g.work.Now(g.now, demandTauS), coldAhead*g.done.Now(g.now, demandTauS))", "g.work.Now(g.now, demandTauS)"), Runs: []string{"sim -shrink=false -schedules 24 -for 20s -planners 0 -forwarders 60 -scenario back"}},
-	{Name: "no new work for a node that drains", Rule: "drains kept", // the module, the pool and the last check before a write each hold it alone
+	{Name: "no new work for a node that drains", Rule: "drains kept", // the module, the pool, the last check before a write and the guard at the write each hold it alone
 		Edits: []Edit{{module, "if s.State != Up || g.now < s.downUntil {", "if g.now < s.downUntil {"},
-			{in + "backends.go", "a.be == nil || a.be.state != policy.Up ||", "a.be == nil ||"},
+			{in + "backends.go", "case a.be == nil, a.be.state != policy.Up:", "case a.be == nil:"},
+			{"policy/guard.go", "if a.Server.State != Up {", "if false {"},
 			{in + "pool.go", "return !c.closed && !c.dead.Load() && c.be.state == policy.Up &&", "return !c.closed && !c.dead.Load() &&"}},
 		Runs: []string{labOne + "drains", labTwo + "drains"}},
 	{Name: "a node that drains is told from one that is up", Rule: "drains kept",
@@ -210,13 +211,13 @@
 		Edits: edit(in+"clients.go", "\tn, bytes := 0, len(c.pending)\n", "\tn, bytes := 0, len(c.pending)\n\tfor i, s := range c.slots {\n\t\tif s.answer != nil && c.slots[0].answer == nil {\n\t\t\tc.slots[0], c.slots[i] = s, c.slots[0]\n\t\t}\n\t}\n"),
 		Runs:  []string{labOne + "rude"}},
 	{Name: "a planned restart answers what was taken", Rule: "no request lost", Unit: "./internal/ingress",
-		Edits: edit(in+"clients.go", "\t\tif c.quiet() && !c.passing && !c.young(in) && silent(c.raw) {\n\t\t\tin.bid(c)", "\t\tif true {\n\t\t\tin.closeClient(c)"),
+		Edits: edit(in+"clients.go", "\t\tif c.quiet() && !c.passing && !c.young(in) && silent(c.raw) {\n\t\t\tin.closeGracefully(c, closeShutdown)", "\t\tif true {\n\t\t\tin.closeClient(c, closeShutdown)"),
 		Runs:  []string{"lab -forwarders 4 -planners 0 -nodes 6 -for 30s -scenario playoff -kinds roll,snow,snow -every 600ms"}}, // requests that last longer than the time in which new connections are taken
 	{Name: "a client's hang-up ends its own requests alone", Rule: "no request lost",
 		Edits: edit(in+"clients.go", "\t\tif s.req != nil && !s.req.over {\n\t\t\tin.end(s.req)\n\t\t\tin.gate.Gone(in.now, s.req.ID)\n\t\t}\n", "\t\tif s.req != nil && !s.req.over {\n\t\t\tfor _, r := range in.requests {\n\t\t\t\tif !r.over {\n\t\t\t\t\tin.end(r)\n\t\t\t\t\tin.gate.Gone(in.now, r.ID)\n\t\t\t\t}\n\t\t\t}\n\t\t}\n"),
 		Runs:  []string{labOne + "rude"}},
 	{Name: "a bad command ends no other's request", Rule: "no request lost",
-		Edits: edit(in+"clients.go", "\tanswer := errorOf(bad)\n\tc.buf.free()\n", "\tanswer := errorOf(bad)\n\tc.buf.free()\n\tin.post(at, func() {\n\t\tfor x := range in.clients.all {\n\t\t\tin.closeClient(x)\n\t\t}\n\t})\n"),
+		Edits: edit(in+"clients.go", "\tanswer := errorOf(bad)\n\tc.buf.free()\n", "\tanswer := errorOf(bad)\n\tc.buf.free()\n\tin.post(at, func() {\n\t\tfor x := range in.clients.all {\n\t\t\tin.closeClient(x, closeBadInput)\n\t\t}\n\t})\n"),
 		Runs:  []string{labOne + "rude"}},
 	// ---- Forwarders ----
 	{Name: "only the promised leader is followed", Rule: "one attempt out", Unit: "./internal/forward", // by epoch and promise, and by the handle of the telling
