A soak of 10 to 40 real processes, and what it found: requests read with the last one

Change: eiderfleet soak draws a run from a number (drains with deaf fronts, processes that stand still, reloads, replacements, late dials, all former faults); new rules: a drained ingress lets go of its clients, no ingress counts a broken rule itself. Laboratories have an address and ids of their own: two at a time could meet on a freed port.

--- a/cmd/eiderfleet/main.go
+++ b/cmd/eiderfleet/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"eiderspread/internal/lab"
 	"eiderspread/internal/program"
 )
 
@@ -19,6 +20,7 @@
   upgrade [-check] [-from NAME] FILE   rolls a fleet's programs one by one (deploy/upgrade.toml)
   status ADDR [ADDR ...]    who leads what, by the status addresses of forwarders and planners
   lab [flags]               a fleet with stand-ins on loopback, with faults and an audit; lab -h lists the flags
+  soak [flags]              real processes under faults that overlap, drawn from numbers, one run after the other; soak -h lists the flags
   judge FILE                judges a run that lab -record kept, without running it again
   shrink FILE [-runs N]     cuts the faults of a run that lab -record kept down to those that its breach needs
   sim [flags]               the decision parts alone in virtual time, many schedules; sim -h lists the flags
@@ -61,6 +63,13 @@
 		return status(rest, os.Stdout)
 	case "lab":
 		return runLab(rest)
+	case "soak":
+		return runSoak(rest, os.Stdout)
+	case "ingress": // of a soak
+		if len(rest) != 1 {
+			return fmt.Errorf("ingress wants one file")
+		}
+		return lab.RunIngress(rest[0])
 	case "judge":
 		return judge(rest)
 	case "shrink":
--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -72,28 +72,5 @@
 // and the ingress goes on as it is.
 func rereadOn(hup <-chan os.Signal, done <-chan struct{}, path string, first ingress.Config,
 	to chan<- ingress.Config, log *slog.Logger) {
-	for {
-		select {
-		case <-hup:
-		case <-done:
-			return
-		}
-		cfg, err := read(path)
-		if err != nil {
-			log.Error("configuration not taken over", "error", err)
-			continue
-		}
-		if err := cfg.Usable(first); err != nil {
-			log.Error("configuration not taken over", "error", err)
-			continue
-		}
-		if cfg.Differs(first) {
-			log.Warn("of the new configuration the address of discovery, classes and attempts alone are taken over before a restart")
-		}
-		select {
-		case to <- cfg:
-		case <-done:
-			return
-		}
-	}
+	ingress.Reload(hup, done, func() (ingress.Config, error) { return read(path) }, first, to, log)
 }
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,6 +55,7 @@
 	permits chan struct{} // bounds the open commands; taken by the reader
 	quit    chan struct{} // closed with the connection
 	stop    chan struct{} // closed by halt: nothing more is to be read
+	finish  atomic.Bool   // with it: what has been read is to be passed on first, for the connection ends here
 
 	// Its reader's, and the loop's once it is parked.
 	buf    buffer
@@ -328,6 +330,13 @@
 	emptyAt := in.clock.Now()
 	for {
 		if c.stopped() {
+			if c.finish.Load() {
+				used, ok := c.commands(in, emptyAt)
+				if !ok {
+					return
+				}
+				c.buf.drop(used)
+			}
 			parked = true
 			in.post(in.clock.Now(), func() { in.park(c) })
 			return
@@ -381,7 +390,7 @@
 // connection has ended or is about to.
 func (c *client) commands(in *Ingress, at float64) (used int, ok bool) {
 	var space [8][]byte
-	for used < len(c.buf.b) && !c.stopped() {
+	for used < len(c.buf.b) && (!c.stopped() || c.finish.Load()) {
 		args, size, bad := parseCommand(c.buf.b[used:], space[:0])
 		if bad != nil {
 			c.refuse(in, at, fmt.Errorf("Protocol error: %w", bad))
@@ -390,9 +399,13 @@
 		if size == 0 {
 			break
 		}
+		stop := c.stop
+		if c.finish.Load() {
+			stop = nil
+		}
 		select {
 		case c.permits <- struct{}{}:
-		case <-c.stop:
+		case <-stop:
 			return used, true
 		case <-c.quit:
 			return 0, false
@@ -566,6 +579,15 @@
 	}
 }
 
+// finishReading has the connection's reader stop behind the whole commands that it has read: a request that was read is owed an answer. What
+// waits in the socket is not read any more; its client hears the end and sends it again.
+func (c *client) finishReading() {
+	if !c.halted {
+		c.finish.Store(true)
+		c.halt()
+	}
+}
+
 // halt has the connection's reader stop between two commands. What it has read and not used, and what waits in the
 // socket, is left for whoever settles the connection.
 func (c *client) halt() {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"reflect"
 	"strconv"
+	"time"
 
 	"eiderspread/internal/settings"
 )
@@ -30,6 +32,9 @@
 	shape    shape    // of the file
 	Operator Operator // of the operator's file, if there is one
 	Member   bool     // of a fleet: its planners are told what is held
+
+	// Dial makes connections to backends in place of the system's own; nil: none does. Not of the file.
+	Dial func(addr string, timeout time.Duration) (net.Conn, error)
 }
 
 const (
@@ -41,6 +46,7 @@
 // that is read again, or than what is new with each start.
 func (c Config) Differs(from Config) bool {
 	c.Discovery, c.Known, c.Seed, c.shape = from.Discovery, from.Known, from.Seed, from.shape
+	c.Dial, from.Dial = nil, nil
 	c.Settings.Classes, c.Settings.MaxAttempts = from.Settings.Classes, from.Settings.MaxAttempts
 	return !reflect.DeepEqual(c, from)
 }
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -66,7 +66,7 @@
 		case c.quiet() && !c.ending && in.drain.CloseIdle(in.now, c.usedAt) && silent(c.raw):
 			in.closeGracefully(c, closeDrained)
 		case c.asked && in.drain.LastRequest(in.now, c.acceptedAt):
-			c.halt()
+			c.finishReading()
 		}
 	}
 }
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -521,6 +521,7 @@
 func (in *Ingress) unhalt(c *client) {
 	c.halted, c.parked, c.passing = false, false, false
 	c.stop = make(chan struct{})
+	c.finish.Store(false)
 	if c.conn.SetReadDeadline(time.Time{}); c.timed {
 		c.await(in)
 	}
--- a/internal/ingress/moment_test.go
+++ b/internal/ingress/moment_test.go
@@ -50,6 +50,45 @@
 	return args
 }
 
+// Guards requests that were read together with the last one of a connection: each has its answer before the end, however late in a drain they came,
+// and though more of them are there than may be open at once.
+func TestRequestsReadWithTheLastOne(t *testing.T) {
+	for name, x := range map[string]struct {
+		since float64 // of the drain
+		many  int
+		want  string
+	}{
+		"served":           {1.75, 3, "$1"},
+		"refused":          {2.5, 3, "-BUSY"},
+		"more than may be": {1.75, pipelineMost + 3, "$1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := listen(t)
+			go serveBackend(conns)
+			r := start(t, testConfig(addr), sendTo(300))
+			r.drainSince(x.since)
+			c := r.client()
+			var all strings.Builder
+			for i := range x.many {
+				all.WriteString(command(look(fmt.Sprint(i))...))
+			}
+			io.WriteString(c, all.String())
+			for i := range x.many {
+				line := c.line()
+				if !strings.HasPrefix(line, x.want) {
+					t.Fatalf("answer %d of %d: %q", i, x.many, line)
+				}
+				if strings.HasPrefix(line, "$") {
+					c.line()
+				}
+			}
+			if line := c.line(); line != "" {
+				t.Errorf("behind the last one: %q", line)
+			}
+		})
+	}
+}
+
 // Guards connections on their way to a new process: a drain that is asked for at that moment closes none of them.
 func TestDrainOfAProcessThatIsReplaced(t *testing.T) {
 	r := start(t, withDoor(t, "127.0.0.1:1"), nil)
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -78,6 +78,9 @@
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
 	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
 	s.dial = func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, timeout) }
+	if cfg.Dial != nil {
+		s.dial = func(addr string) (net.Conn, error) { return cfg.Dial(addr, timeout) }
+	}
 }
 
 // ready tells whether a request could be sent anywhere.
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -71,7 +71,7 @@
 		in.counts.refused[refuseDraining]++
 		c.spoke, c.asked = true, true
 		in.answerAtOnce(c, in.busy(retryInS), false)
-		c.halt()
+		c.finishReading()
 		return
 	}
 	taken = true
@@ -91,7 +91,7 @@
 	})
 	q.Request.DeadlineS = r.deadline
 	if in.drain.LastRequest(in.now, c.acceptedAt) {
-		c.halt()
+		c.finishReading()
 	}
 	handed := false
 	defer func() { // a panic in the module must not leave a request that nothing was sent for hanging
@@ -179,7 +179,7 @@
 	in.logRemaining()
 	in.failOwed()
 	for c := range in.clients.all {
-		if c.idle() {
+		if c.quiet() { // else a command that was read is on its way here, and is refused
 			in.closeGracefully(c, closeShutdownEnd)
 		}
 	}
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -32,10 +32,12 @@
 	Views    = "views equal the truth"
 	Shed     = "overload shed as one" // by what is stated of a fleet that does
 	Gone     = "nothing sent for who left"
+	DrainEnd = "a drained ingress lets go of its clients"
+	OwnCount = "no broken rule counted by an ingress"
 )
 
 // RuleNames are all rules, in the order of a report.
-var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Used, Caps, Ceilings, Stale, Views, Held, Replaced, Shed, Gone}
+var RuleNames = []string{Lost, Answer, Order, Out, Limit, Twice, Drains, Cold, Quotas, Used, Caps, Ceilings, Stale, Views, Held, Replaced, Shed, Gone, DrainEnd, OwnCount}
 
 // Rules are the figures by which an Audit judges.
 type Rules struct {
@@ -195,7 +197,14 @@
 		tries[t.key()] = t
 	}
 	rep.Tries, rep.Attempts = len(h.Tries), len(h.Attempts)
+	for key, list := range byID {
+		if tries[key] == nil {
+			rep.Void = fmt.Sprintf("%s came to %s, which no client here has sent", list[0].ID, list[0].Node)
+		}
+	}
 	rep.answers(h, rules, classes, byID)
+	rep.emptied(h)
+	rep.counted(h)
 	for _, key := range slices.Sorted(maps.Keys(byID)) {
 		rep.attempts(h, rules, classes[byID[key][0].Class], byID[key], tries[key])
 	}
--- a/internal/lab/audit/history.go
+++ b/internal/lab/audit/history.go
@@ -115,6 +115,8 @@
 	Ended     time.Duration              // when recording ended, 0: it goes on
 	Levels    []Levels                   // of overload
 	Slows     []Slowed                   // of all nodes
+	Emptied   []Emptied                  // drains of ingresses by operators
+	Counted   []Count                    // by ingresses, of rules that they broke
 	Late      time.Duration              // the worst lateness of the laboratory itself
 }
 
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -71,7 +71,7 @@
 // has just started.
 func (w *NodeNet) Start(id, addr string, cfg node.Config, cold bool, seed uint64) (*Node, error) {
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = ownAddr(0)
 	}
 	var l net.Listener
 	var err error
--- a/internal/lab/operators.go
+++ b/internal/lab/operators.go
@@ -68,7 +68,10 @@
 		}
 		c.Env = append(c.Env, "TMPDIR="+tmp)
 		if kind == "ingress" && f.cfg.Operator != "" {
-			c.Env = append(c.Env, "EDGE_OPERATOR="+filepath.Join(f.cfg.Dir, p.Name+".toml"))
+			c.Env = append(c.Env, envOperator+"="+filepath.Join(f.cfg.Dir, p.Name+".toml"))
+		}
+		if kind == "ingress" && f.cfg.LateDials > 0 {
+			c.Env = append(c.Env, fmt.Sprintf("%s=%g", envDialLate, f.cfg.LateDials))
 		}
 		return c
 	}
--- /dev/null
+++ b/internal/lab/soak.go
@@ -0,0 +1,92 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"eiderspread/internal/lab/audit"
+	"eiderspread/policy"
+)
+
+// The soak: ten to forty processes under faults that overlap in time, all of it drawn from one number, judged by the rules that must never break.
+const (
+	soakLeast, soakMost       = 10, 40 // ingresses
+	soakNodesLeast, soakNodes = 6, 8   // nodes, and as many more at most, less one
+	soakStallS                = 0.2    // that a process which is held up may be late: the most that it stands still, and some
+	soakIngresses             = 6      // for which there are 33 accounts
+	soakEveryLeastMS          = 120.0  // between two faults in the mean, each of which lasts 0.5 to 3 s and some longer
+	soakEveryMostMS           = 400.0
+	soakWeather               = 0.06
+	soakLateDials             = 0.3 // of the connections to nodes, in every second run
+	soakKeysLeastS            = 0.5 // for which nodes remember keys: less than a request may last
+	soakKeysMostS             = 2.0
+	soakDeadlines             = 3  // times as long as usual, at most
+	soakSeed                  = 53 // of what is drawn here, beside the faults' own draws
+)
+
+// soakKinds are the faults of a soak of one level, the more often a kind stands here the more often it is drawn.
+var soakKinds = []string{"drained", "drained deaf", "drained deaf", "held up", "held up", "reloaded", "replaced", "held", "restart", "roll", "forwarder", "blink",
+	"peers", "fog", "lost client", "drain", "drain", "crash", "replace", "node pause", "slow", "sick", "node cut", "node half cut", "one way",
+	"refused", "far", "node reset", "late roster", "silent roster", "broken roster", "shift", "flood"}
+
+// Soak draws a run by its number, for a length of time. What stands in base (how programs are started, where files go) is kept.
+func Soak(number uint64, length time.Duration, base FleetConfig) (Scenario, error) {
+	rng := rand.New(rand.NewPCG(number, soakSeed))
+	sc := Scenario{Length: length, FleetConfig: base}
+	sc.Seed = number
+	if sc.Forwarders == 0 {
+		sc.Forwarders = soakLeast + rng.IntN(soakMost-soakLeast+1)
+	}
+	sc.Nodes = soakNodesLeast + rng.IntN(soakNodes)
+	sc.Classes, sc.Plans, sc.Node = soakClasses(rng), LabPlans, LabNode
+	for _, c := range sc.Classes {
+		if c.Effect == policy.Keyed {
+			sc.Node.KeyedS = c.KeyTTLS
+		}
+	}
+	if number%2 == 0 {
+		sc.LateDials = soakLateDials
+	}
+	sc.StallS = soakStallS
+	k := max(1, sc.Forwarders/soakIngresses)
+	sc.Accounts = Accounts(20*k, 10*k, 3*k, sc.Forwarders, min(4, sc.Forwarders), number)
+	every := time.Duration((soakEveryLeastMS + rng.Float64()*(soakEveryMostMS-soakEveryLeastMS)) * float64(time.Millisecond))
+	if err := Make("soak", &sc, nil, every); err != nil {
+		return sc, err
+	}
+	return sc, nil
+}
+
+// soakClasses are the laboratory's classes with deadlines and windows of their own.
+func soakClasses(rng *rand.Rand) []policy.Class {
+	longer := 1 + rng.Float64()*(soakDeadlines-1)
+	list := append([]policy.Class(nil), LabClasses...)
+	for i := range list {
+		c := &list[i]
+		c.AimS *= longer
+		c.DeadlineS *= longer
+		if c.Effect == policy.Keyed {
+			c.KeyTTLS = soakKeysLeastS + rng.Float64()*(soakKeysMostS-soakKeysLeastS)
+		}
+	}
+	return list
+}
+
+func init() {
+	scenarios["soak"] = scenario{what: "operators drain, reload, replace and hold, processes stand still and die, nodes, ways and the roster fail, all at once; eiderfleet soak draws it",
+		kinds: soakKinds, every: 400 * time.Millisecond, weather: soakWeather, hangUps: 0.05, batches: 0.2, rude: 2, quota: -1,
+		floors: map[string]int{audit.Lost: 50, audit.Answer: 20, audit.Out: 20, audit.Twice: 10, audit.Drains: 2, audit.DrainEnd: 1, audit.OwnCount: 1, audit.Gone: 1}}
+}
+
+// String tells what was drawn, in a line.
+func (sc Scenario) String() string {
+	keyed := 0.0
+	for _, c := range sc.Classes {
+		if c.Effect == policy.Keyed {
+			keyed = c.KeyTTLS
+		}
+	}
+	return fmt.Sprintf("seed %d: %d ingresses, %d nodes, %d accounts, deadline %.1f s, keys %.1f s, late dials %.0f%%, %d faults", sc.Seed, sc.Forwarders, sc.Nodes,
+		len(sc.Accounts), sc.Classes[0].DeadlineS, keyed, 100*sc.LateDials, len(sc.Faults))
+}
