--- a/cmd/eiderfleet/runs.go
+++ b/cmd/eiderfleet/runs.go
@@ -33,7 +33,12 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	out, err := os.Create(path + ".history")
+	return writeHistory(path+".history", sc, f)
+}
+
+// writeHistory keeps what nodes and clients saw of a run, and the rules that it is judged by.
+func writeHistory(path string, sc lab.Scenario, f *lab.Fleet) error {
+	out, err := os.Create(path)
 	if err != nil {
 		return err
 	}
--- a/cmd/eiderfleet/soak.go
+++ b/cmd/eiderfleet/soak.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-// playSoak plays one run. Its report and faults go into its folder.
+// playSoak plays one run. Its report goes into its folder, and the history of one that breaks a rule, for eiderfleet judge.
 func playSoak(sc lab.Scenario, folder string) (verdict, err error) {
 	report, err := os.Create(filepath.Join(folder, "report.txt"))
 	if err != nil {
@@ -78,7 +78,10 @@
 		fmt.Fprintf(report, "did %8.3f %s\n", x.At.Seconds(), x.What)
 	}
 	rep.Print(report)
-	return rep.Verdict(), nil
+	if verdict = rep.Verdict(); verdict != nil {
+		return verdict, writeHistory(filepath.Join(folder, "run.json.history"), sc, fleet)
+	}
+	return nil, nil
 }
 
 // soakSpawner starts this program as an ingress, with the laboratory's faults in it.
