--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -335,3 +335,33 @@
 		t.Errorf("%+v, %d seen", rep.Breaches, rep.Seen[Held])
 	}
 }
+
+// Guards an attempt that was given up, and whose bytes came behind those of the next one: on open connections there was one at a time. One that is
+// given up later than the next one came is a breach.
+func TestAttemptThatWasOvertaken(t *testing.T) {
+	for name, x := range map[string]struct {
+		endedAt  time.Duration // the overtaken one's connection
+		breaches int
+	}{"given up before": {ms(90), 0}, "given up behind it": {ms(105), 1}} {
+		h := NewAt(func() time.Duration { return 0 })
+		first := &Attempt{ID: "a", Account: "x", Class: "zone-check", Plan: "comptoir", Units: 1, Node: "z1", Conn: "c1", At: ms(110), End: ms(110), How: "gone", Began: true}
+		next := &Attempt{ID: "a", Account: "x", Class: "zone-check", Plan: "comptoir", Units: 1, Node: "z2", Conn: "c2", At: ms(100), End: ms(500), Answered: ms(500), How: "served", Began: true}
+		h.Attempts = []*Attempt{next, first}
+		h.Lives = []Life{{Node: "z1", Started: -1, Capacity: 9}}
+		h.Tries = []*Try{{ID: "a", First: "a", Account: "x", Class: "zone-check", Plan: "comptoir", Units: 1, Deadline: 2 * time.Second, Answered: ms(501), Answers: 1, Result: Served}}
+		h.ConnEnds["c1"] = []time.Duration{x.endedAt}
+		rep := Audit(h, testRules())
+		if rep.Counts[Out] != x.breaches {
+			t.Errorf("%s: %v", name, rep.Breaches)
+		}
+	}
+}
+
+// Guards the slack of a cold node's budget by the operators' page.
+func TestChance(t *testing.T) {
+	for _, x := range []struct{ budget, mean, want float64 }{{100, 1, 122}, {25, 1, 43}, {10, 0.1, 12.2}} {
+		if got := chance(x.budget, x.mean); got < x.want-0.01 || got > x.want+0.01 {
+			t.Errorf("%+v: %v", x, got)
+		}
+	}
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -191,9 +191,11 @@
 		f.lateness(ctx)
 	}()
 	faults := make(chan struct{})
+	faulty, mend := context.WithCancel(context.Background()) // until the last answers: what is mended all at once would meet requests under way
+	defer mend()
 	go func() {
 		defer close(faults)
-		f.play(ctx, sc.Faults, log)
+		f.play(ctx, faulty, sc.Faults, log)
 	}()
 	upgraded := make(chan struct{})
 	go func() {
@@ -222,6 +224,7 @@
 		}
 	}()
 	f.clients.Run(ctx)
+	mend()
 	<-looked
 	<-levels
 	<-faults
