Half a request is no idle connection when an ingress drains or its process ends

Change: its reader says that a part has come; a drain leaves it until 3.5 s, a shutdown until the request is whole or its 2 s are over.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -55,7 +55,9 @@
 	permits chan struct{} // bounds the open commands; taken by the reader
 	quit    chan struct{} // closed with the connection
 	stop    chan struct{} // closed by halt: nothing more is to be read
-	finish  atomic.Bool   // with it: what has been read is to be passed on first, for the connection ends here
+	// a part of a command has come: its client may be writing on. Set by the reader
+	receiving atomic.Bool
+	finish    atomic.Bool // with it: what has been read is to be passed on first, for the connection ends here
 
 	// Its reader's, and the loop's once it is parked.
 	buf    buffer
@@ -142,7 +144,7 @@
 // closeIdle ends each connection that waits for no answer, but for those whose first command is on its way.
 func (s *clientSet) closeIdle(in *Ingress) {
 	for c := range s.all {
-		if c.quiet() && !c.passing && !c.young(in) && silent(c.raw) {
+		if c.quiet() && !c.passing && !c.young(in) && !c.receiving.Load() && silent(c.raw) {
 			in.closeGracefully(c, closeShutdown)
 		}
 	}
@@ -366,6 +368,7 @@
 			return
 		}
 		unfinished := used < len(c.buf.b)
+		c.receiving.Store(unfinished)
 		c.buf.drop(used)
 		switch {
 		case c.stopped() && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)):
@@ -572,7 +575,7 @@
 		in.closeClient(c, in.drainReason())
 	case c.parked && len(c.slots) == 0:
 		in.settle(c)
-	case in.leaving && in.heirs.stage == none && c.quiet() && (in.stopped || silent(c.raw)): // else what waits there is served before
+	case in.leaving && in.heirs.stage == none && c.quiet() && (in.stopped || !c.receiving.Load() && silent(c.raw)): // else what waits there is served before
 		in.closeGracefully(c, closeShutdown)
 	default:
 		in.lend(c)
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -63,7 +63,7 @@
 	in.drain.looked(in.now)
 	for c := range in.clients.all {
 		switch {
-		case c.quiet() && !c.ending && in.drain.CloseIdle(in.now, c.usedAt) && silent(c.raw):
+		case c.quiet() && !c.ending && in.drain.CloseIdle(in.now, c.usedAt, c.receiving.Load()) && silent(c.raw):
 			in.closeGracefully(c, closeDrained)
 		case c.asked && in.drain.LastRequest(in.now, c.acceptedAt):
 			c.finishReading()
--- a/internal/ingress/moment_test.go
+++ b/internal/ingress/moment_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"eiderspread/policy"
 )
@@ -105,6 +106,48 @@
 	})
 }
 
+// Guards clients that write slowly: a connection on which a part of a request has come is no idle one, when operators drain the ingress and when its
+// process ends; the request is served when it is whole.
+func TestHalfARequestIsNoIdleConnection(t *testing.T) {
+	for _, how := range []string{"drained", "ends"} {
+		t.Run(how, func(t *testing.T) {
+			addr, conns := listen(t)
+			go serveBackend(conns)
+			r := start(t, testConfig(addr), func(r *rig) {
+				sendTo(300)(r)
+				r.in.acceptFor = time.Hour // until the test says so
+			})
+			c := r.client()
+			text := command(look("slow")...)
+			io.WriteString(c, text[:20])
+			r.until("a part is read", func() bool {
+				for client := range r.in.clients.all {
+					return client.receiving.Load()
+				}
+				return false
+			})
+			r.do(func() {
+				for client := range r.in.clients.all {
+					client.usedAt -= 1
+				}
+				if how == "drained" {
+					r.in.drain.Begin(r.in.now - 1.75)
+					r.in.sweepDrained()
+					return
+				}
+				r.in.clients.closeIdle(r.in)
+			})
+			io.WriteString(c, text[20:])
+			if line := c.line(); line != "$1" {
+				t.Errorf("got %q", line)
+			}
+			if how == "drained" && (c.line() != "v" || c.line() != "") {
+				t.Error("its connection stays")
+			}
+		})
+	}
+}
+
 // Guards the time of a request that lay unread while too many others of its connection were open: it runs from when it may have come, so that
 // no backend is told more of it than the client has left.
 func TestTimeOfWhatLayUnread(t *testing.T) {
--- a/internal/lab/mutants/list.go
+++ b/internal/lab/mutants/list.go
@@ -212,7 +212,7 @@
 		Edits: edit(in+"clients.go", "\tn, bytes := 0, len(c.pending)\n", "\tn, bytes := 0, len(c.pending)\n\tfor i, s := range c.slots {\n\t\tif s.answer != nil && c.slots[0].answer == nil {\n\t\t\tc.slots[0], c.slots[i] = s, c.slots[0]\n\t\t}\n\t}\n"),
 		Runs:  []string{labOne + "rude"}},
 	{Name: "a planned restart answers what was taken", Rule: "no request lost", Unit: "./internal/ingress",
-		Edits: edit(in+"clients.go", "\t\tif c.quiet() && !c.passing && !c.young(in) && silent(c.raw) {\n\t\t\tin.closeGracefully(c, closeShutdown)", "\t\tif true {\n\t\t\tin.closeClient(c, closeShutdown)"),
+		Edits: edit(in+"clients.go", "\t\tif c.quiet() && !c.passing && !c.young(in) && !c.receiving.Load() && silent(c.raw) {\n\t\t\tin.closeGracefully(c, closeShutdown)", "\t\tif true {\n\t\t\tin.closeClient(c, closeShutdown)"),
 		Runs:  []string{"lab -forwarders 4 -planners 0 -nodes 6 -for 30s -scenario playoff -kinds roll,snow,snow -every 600ms"}}, // requests that last longer than the time in which new connections are taken
 	{Name: "a client's hang-up ends its own requests alone", Rule: "no request lost",
 		Edits: edit(in+"clients.go", "\t\tif s.req != nil && !s.req.over {\n\t\t\tin.end(s.req)\n\t\t\tin.gate.Gone(in.now, s.req.ID)\n\t\t}\n", "\t\tif s.req != nil && !s.req.over {\n\t\t\tfor _, r := range in.requests {\n\t\t\t\tif !r.over {\n\t\t\t\t\tin.end(r)\n\t\t\t\t\tin.gate.Gone(in.now, r.ID)\n\t\t\t\t}\n\t\t\t}\n\t\t}\n"),
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -18,6 +18,7 @@
 	drainNoticeS   = 0.5  // new connections go on coming for so long after the front was told, and some more
 	drainRestS     = 0.15 // a connection has been unused for so long before it is closed: its client has read its answer
 	drainLastS     = 1.7  // from then on each connection ends with its next answer
+	drainPartS     = 3.5  // a connection on which a part of a request has come is left until then
 	drainRefuseS   = 1.9  // from then on a request would be too young at the end
 	drainRecentS   = 2.0  // a request that is younger may not be open at the end
 	drainEndS      = 4.0  // the time that operators allow
@@ -54,9 +55,14 @@
 // EndsIn is how many seconds are left of the time that operators allow.
 func (d *Drain) EndsIn(now float64) float64 { return max(0, drainEndS-d.Elapsed(now)) }
 
-// CloseIdle tells that a connection on which nothing is open and that was last used at usedAt is to be closed.
-func (d *Drain) CloseIdle(now, usedAt float64) bool {
-	return d.on && now-d.since >= drainNoticeS && now-usedAt > drainRestS
+// CloseIdle tells that a connection on which nothing is open and that was last used at usedAt is to be closed. With receiving a part of a request
+// has come on it: its client writes slowly, and may be answered in time.
+func (d *Drain) CloseIdle(now, usedAt float64, receiving bool) bool {
+	from := drainNoticeS
+	if receiving {
+		from = drainPartS
+	}
+	return d.on && now-d.since >= from && now-usedAt > drainRestS
 }
 
 // LastRequest tells that a request that is taken now is the last on its connection, which was accepted at acceptedAt.
--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -22,10 +22,13 @@
 		d.Begin(call)
 		d.Begin(now) // a second call changes nothing
 		_, refuse := d.Refuse(now)
-		if got := d.CloseIdle(now, now-0.2); got != x.idle {
+		if got := d.CloseIdle(now, now-0.2, false); got != x.idle {
 			t.Errorf("after %v: an idle connection is closed: %v", x.after, got)
 		}
-		if d.CloseIdle(now, now-0.1) {
+		if got := d.CloseIdle(now, now-0.2, true); got != (x.after > 3.5) {
+			t.Errorf("after %v: a connection with half a request is closed: %v", x.after, got)
+		}
+		if d.CloseIdle(now, now-0.1, false) {
 			t.Errorf("after %v: a connection used just now is closed", x.after)
 		}
 		if got := d.LastRequest(now, call-10); got != x.last {
@@ -37,7 +40,7 @@
 		if refuse != x.bad {
 			t.Errorf("after %v: refused: %v", x.after, refuse)
 		}
-		if d.End(); d.On() || d.CloseIdle(now, call) || d.LastRequest(now, now) || d.Elapsed(now) != 0 {
+		if d.End(); d.On() || d.CloseIdle(now, call, false) || d.LastRequest(now, now) || d.Elapsed(now) != 0 {
 			t.Errorf("after %v: a drain that has ended goes on", x.after)
 		}
 	}
