--- a/cmd/eiderspread/drain_test.go
+++ b/cmd/eiderspread/drain_test.go
@@ -202,3 +202,91 @@
 		t.Errorf("%d requests were lost", n)
 	}
 }
+
+const (
+	pipelineAhead  = 4                     // commands that a pipelining client has open
+	pipelineFlight = 50 * time.Millisecond // a command sent so long before the end was at the ingress when that ended the connection
+)
+
+// pipeliningClient keeps several commands open on each connection, and opens another when one has ended. It counts commands that lay at the ingress
+// when that ended their connection, and got no answer.
+func pipeliningClient(listen string, stop <-chan struct{}, ids, answered, lost *atomic.Int64) error {
+	for {
+		conn, err := net.Dial("tcp", listen)
+		if err != nil {
+			return err
+		}
+		conn.SetDeadline(time.Now().Add(patience))
+		reader := bufio.NewReader(conn)
+		var open []time.Time // when each was sent
+		send := func() {
+			id, fields := fmt.Sprintf("q-%d", ids.Add(1)), "c=look,t=basic,d=2000,units=1,spread=1,first=0"
+			open = append(open, time.Now())
+			fmt.Fprintf(conn, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n00000000b4d65521\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(fields), fields)
+		}
+		for range pipelineAhead {
+			send()
+		}
+		for len(open) > 0 {
+			line, err := reader.ReadString('\n')
+			if err == nil && line[0] == '$' {
+				_, err = reader.ReadString('\n')
+			}
+			if err != nil {
+				for _, at := range open {
+					if time.Since(at) > pipelineFlight {
+						lost.Add(1)
+					}
+				}
+				break
+			}
+			answered.Add(1)
+			open = open[1:]
+			select {
+			case <-stop: // the rest is answered
+			case <-time.After(drainPause):
+				send()
+			}
+		}
+		conn.Close()
+		select {
+		case <-stop:
+			return nil
+		default:
+		}
+	}
+}
+
+// Guards pipelined commands as an ingress is drained (found by the sweep after the incident of 2026-12-02): a connection ends when all that has come
+// on it is answered, however many commands its client keeps open.
+func TestDrainedIngressAnswersPipelinedCommands(t *testing.T) {
+	console := freeAddress(t)
+	listen, _ := startProgram(t, programOptions{deadline: "2", console: console, answerAfter: 300 * time.Millisecond})
+	stop := make(chan struct{})
+	var ids, answered, lost atomic.Int64
+	var all sync.WaitGroup
+	for range drainClients {
+		all.Go(func() {
+			if err := pipeliningClient(listen, stop, &ids, &answered, &lost); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for end := time.Now().Add(patience); answered.Load() < drainClients && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	before := answered.Load()
+	resp, err := http.Post("http://"+console+"/v1/ingress/drain", "", strings.NewReader(""))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatal(resp, err)
+	}
+	resp.Body.Close()
+	time.Sleep(drainTime)
+	close(stop)
+	all.Wait()
+	if before == 0 || answered.Load() < before+int64(drainClients) {
+		t.Errorf("%d answers before the call, %d in all: no occasion", before, answered.Load())
+	}
+	if n := lost.Load(); n > 0 {
+		t.Errorf("%d commands lay at the ingress when it ended their connection, and got no answer", n)
+	}
+}
