A drained connection ends when all that has come on it is answered (pipelined commands)

Change: such a connection is marked, read on, and ended at the first moment in which all that has come is answered and nothing lies unread; from 3.6 s on, what young requests wait behind in line is ended with the mildest true answer (policy/drain.go Cut, MayRefuse). A parked connection that nobody takes over any more is read on, too.

--- a/cmd/eiderspread/drain_test.go
+++ b/cmd/eiderspread/drain_test.go
@@ -204,8 +204,10 @@
 }
 
 const (
-	pipelineAhead  = 4                     // commands that a pipelining client has open
-	pipelineFlight = 50 * time.Millisecond // a command sent so long before the end was at the ingress when that ended the connection
+	pipelineAhead = 4 // commands that a pipelining client has open
+	// A command sent so long before its client saw the end was at the ingress when that ended the connection: the client pauses behind each answer,
+	// and may have several to read ahead of the end.
+	pipelineFlight = (pipelineAhead + 4) * drainPause
 )
 
 // pipeliningClient keeps several commands open on each connection, and opens another when one has ended. It counts commands that lay at the ingress
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -57,7 +57,6 @@
 	stop    chan struct{} // closed by halt: nothing more is to be read
 	// a part of a command has come: its client may be writing on. Set by the reader
 	receiving atomic.Bool
-	finish    atomic.Bool // with it: what has been read is to be passed on first, for the connection ends here
 
 	// Its reader's, and the loop's once it is parked.
 	buf    buffer
@@ -68,6 +67,7 @@
 	acceptedAt    float64
 	requestCount  int         // requests taken on it
 	lastRequestAt float64     // when the last of them came
+	askedAt       float64     // when a request came last, taken or refused
 	closeReason   closeReason // of its end, from the decision on
 
 	slots    []*slot // no more than permits, and one
@@ -80,6 +80,7 @@
 	lingered bool // for long enough
 	surplus  bool // beyond the bound: what it asks is refused while that holds
 	asked    bool // a call has come
+	retiring bool // it ends as soon as all that has come on it is answered
 	halted   bool // its reader was told to stop
 	parked   bool // and has
 	passing  bool // on its way to the process that replaces this one
@@ -95,6 +96,10 @@
 // its way to the loop, which may be behind by some.
 func (c *client) quiet() bool { return c.idle() && (c.ending || len(c.permits) == 0) }
 
+// answered tells that all that has come on the connection is answered, and that its client is not in the middle of a request: a connection that
+// ends then owes nothing, but for what comes in that very moment.
+func (c *client) answered() bool { return c.quiet() && !c.receiving.Load() && silent(c.raw) }
+
 // clientSet bounds the connections of clients. Those on which something is open may be as many as descriptors allow; those that idle are
 // kept up to a bound well below the third of the descriptors that clients have for requests: a crowd that connects and asks nothing would
 // else hold the room of those who ask, and their requests would not even get here.
@@ -144,7 +149,7 @@
 // closeIdle ends each connection that waits for no answer, but for those whose first command is on its way.
 func (s *clientSet) closeIdle(in *Ingress) {
 	for c := range s.all {
-		if c.quiet() && !c.passing && !c.young(in) && !c.receiving.Load() && silent(c.raw) {
+		if c.answered() && !c.passing && !c.young(in) {
 			in.closeGracefully(c, closeShutdown)
 		}
 	}
@@ -332,13 +337,6 @@
 	emptyAt := in.clock.Now()
 	for {
 		if c.stopped() {
-			if c.finish.Load() {
-				used, ok := c.commands(in, emptyAt)
-				if !ok {
-					return
-				}
-				c.buf.drop(used)
-			}
 			parked = true
 			in.post(in.clock.Now(), func() { in.park(c) })
 			return
@@ -393,7 +391,7 @@
 // connection has ended or is about to.
 func (c *client) commands(in *Ingress, at float64) (used int, ok bool) {
 	var space [8][]byte
-	for used < len(c.buf.b) && (!c.stopped() || c.finish.Load()) {
+	for used < len(c.buf.b) && !c.stopped() {
 		args, size, bad := parseCommand(c.buf.b[used:], space[:0])
 		if bad != nil {
 			c.refuse(in, at, fmt.Errorf("Protocol error: %w", bad))
@@ -402,13 +400,9 @@
 		if size == 0 {
 			break
 		}
-		stop := c.stop
-		if c.finish.Load() {
-			stop = nil
-		}
 		select {
 		case c.permits <- struct{}{}:
-		case <-stop:
+		case <-c.stop:
 			return used, true
 		case <-c.quit:
 			return 0, false
@@ -575,22 +569,15 @@
 		in.closeClient(c, in.drainReason())
 	case c.parked && len(c.slots) == 0:
 		in.settle(c)
-	case in.leaving && in.heirs.stage == none && c.quiet() && (in.stopped || !c.receiving.Load() && silent(c.raw)): // else what waits there is served before
+	case c.retiring && c.answered():
+		in.closeGracefully(c, closeDrained)
+	case in.leaving && in.heirs.stage == none && c.answered(): // else what waits there is served before
 		in.closeGracefully(c, closeShutdown)
 	default:
 		in.lend(c)
 	}
 }
 
-// finishReading has the connection's reader stop behind the whole commands that it has read: a request that was read is owed an answer. What
-// waits in the socket is not read any more; its client hears the end and sends it again.
-func (c *client) finishReading() {
-	if !c.halted {
-		c.finish.Store(true)
-		c.halt()
-	}
-}
-
 // halt has the connection's reader stop between two commands. What it has read and not used, and what waits in the
 // socket, is left for whoever settles the connection.
 func (c *client) halt() {
@@ -622,12 +609,16 @@
 	} // else once its answers are written
 }
 
-// settle ends a parked connection on which nothing is open. Its client hears the end first, and what still comes is read and dropped for a
+// settle passes on or ends a parked connection on which nothing is open. Its client hears the end first, and what still comes is read and dropped for a
 // while: a close over bytes that nobody has read would reset the connection, and might take the last answer with it.
 func (in *Ingress) settle(c *client) {
 	if c.passing || in.pass(c) {
 		return
 	}
+	if in.heirs.stage != handed && !c.ending { // nobody takes it over any more: what lies unread is owed an answer here
+		in.unhalt(c)
+		return
+	}
 	c.decideClose(in.drainReason())
 	c.ending, c.lingered = true, true
 	c.conn.CloseWrite()
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -1,6 +1,10 @@
 package ingress
 
 import (
+	"slices"
+
+	"github.com/tidwall/redcon"
+
 	"eiderspread/policy"
 )
 
@@ -54,23 +58,52 @@
 	in.stopTimer(in.drain.look)
 	in.stopTimer(in.drain.over)
 	in.drain = drainState{}
+	for c := range in.clients.all {
+		c.retiring = false
+	}
 }
 
-// sweepDrained closes what idles, and stops the readers of connections that are to end with their next answer. New connections and requests are not
-// its business: they are decided on as they come, see take.
+// sweepDrained closes what idles, and marks connections that are to end once all that has come on them is answered. New connections and requests are
+// not its business: they are decided on as they come, see take.
 func (in *Ingress) sweepDrained() {
 	in.drain.look = in.after(in.drain.NextLook(in.now), in.sweepDrained)
 	in.drain.looked(in.now)
 	for c := range in.clients.all {
+		if c.askedAt > 0 && in.drain.Cut(in.now, c.askedAt) {
+			in.endOpen(c)
+		}
 		switch {
 		case c.quiet() && !c.ending && in.drain.CloseIdle(in.now, c.usedAt, c.receiving.Load()) && silent(c.raw):
 			in.closeGracefully(c, closeDrained)
 		case c.asked && in.drain.LastRequest(in.now, c.acceptedAt):
-			c.finishReading()
+			if c.retiring = true; !c.ending && c.answered() {
+				in.closeGracefully(c, closeDrained)
+			}
+		}
+	}
+}
+
+// endOpen gives what is open on a connection its final answer now: refused where that is true, else failed.
+func (in *Ingress) endOpen(c *client) {
+	for _, s := range slices.Clone(c.slots) {
+		if s == nil || s.req == nil || s.req.over {
+			continue
 		}
+		answer := redcon.AppendError(nil, "ERR failed")
+		if policy.MayRefuse(s.req.class, s.req.mayHaveRun()) {
+			answer = in.busy(0)
+		}
+		in.counts.cut++
+		in.answer(s.req, answer)
+		in.gate.Gone(in.now, s.req.ID)
 	}
 }
 
+// mayHaveRun tells that an attempt of the request may have run.
+func (r *request) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun() })
+}
+
 // looked notes a look at all connections.
 func (d *drainState) looked(now float64) {
 	if d.looks++; d.looks > 1 {
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -503,16 +503,16 @@
 	if in.signalled && was == handed {
 		in.after(in.killAfter()-stopAhead, in.stop)
 	}
-	if in.signalled { // to end: it takes nothing again, and what was to be passed on ends with its drain
-		return
-	}
-	in.leaving = false
-	in.listener.SetDeadline(time.Time{})
 	for c := range in.clients.all {
 		if c.parked && !c.ending {
 			in.unhalt(c)
 		}
 	}
+	if in.signalled { // to end: it takes no new connections again, and what was to be passed on ends with its drain
+		return
+	}
+	in.leaving = false
+	in.listener.SetDeadline(time.Time{})
 	in.taking.Store(true)
 	go in.accept(in.listener, in.heirs.pause)
 }
@@ -521,7 +521,6 @@
 func (in *Ingress) unhalt(c *client) {
 	c.halted, c.parked, c.passing = false, false, false
 	c.stop = make(chan struct{})
-	c.finish.Store(false)
 	if c.conn.SetReadDeadline(time.Time{}); c.timed {
 		c.await(in)
 	}
--- a/internal/ingress/moment_test.go
+++ b/internal/ingress/moment_test.go
@@ -106,6 +106,53 @@
 	})
 }
 
+// Guards the end of a drain against answers that wait in order behind a slow one: what is ahead of young requests is ended with the mildest answer
+// that is true. What waits alone is left.
+func TestEndOfADrainWithRequestsInLine(t *testing.T) {
+	for class, want := range map[string]string{"look": "-BUSY", "hold": "-BUSY", "bill": "-ERR failed"} {
+		t.Run(class, func(t *testing.T) {
+			addr, conns := listen(t)
+			r := start(t, testConfig(addr), sendTo(300))
+			ask := func(c *wire, id string) {
+				if class == "look" {
+					c.send(look(id)...)
+					return
+				}
+				c.send("CALL.POST", customer, id, "c="+class+",t=basic,k=1,d=300000,units=1,spread=1,first=0", "body")
+			}
+			inLine, alone := r.client(), r.client()
+			ask(inLine, "slow")
+			get(t, conns).command()
+			ask(alone, "alone")
+			get(t, conns).command()
+			r.drainSince(2.5)
+			ask(inLine, "young")
+			r.until("the young one has come", func() bool { return len(r.in.requests["slow"].client.slots) == 2 })
+			r.drainSince(3.7)
+			r.do(func() {
+				r.in.requests["alone"].client.askedAt -= 3 // it came long before
+				r.in.sweepDrained()
+			})
+			for i, want := range []string{want, "-BUSY"} {
+				if line := inLine.line(); !strings.HasPrefix(line, want) {
+					t.Errorf("answer %d: %q, want %q", i, line, want)
+				}
+			}
+			if line := inLine.line(); line != "" {
+				t.Errorf("behind them: %q", line)
+			}
+			if q := get(t, r.mod.gone); q != "slow" {
+				t.Errorf("the module was told that %q is over", q)
+			}
+			r.do(func() {
+				if r.in.requests["alone"] == nil || r.in.requests["alone"].over {
+					t.Error("what nothing waits behind was ended")
+				}
+			})
+		})
+	}
+}
+
 // Guards clients that write slowly: a connection on which a part of a request has come is no idle one, when operators drain the ingress and when its
 // process ends; the request is served when it is whole.
 func TestHalfARequestIsNoIdleConnection(t *testing.T) {
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -67,11 +67,11 @@
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
 	}
+	c.askedAt = at
 	if retryInS, refuse := in.refuses(); refuse {
 		in.counts.refused[refuseDraining]++
-		c.spoke, c.asked = true, true
+		c.spoke, c.asked, c.retiring = true, true, true
 		in.answerAtOnce(c, in.busy(retryInS), false)
-		c.finishReading()
 		return
 	}
 	taken = true
@@ -91,7 +91,7 @@
 	})
 	q.Request.DeadlineS = r.deadline
 	if in.drain.LastRequest(in.now, c.acceptedAt) {
-		c.finishReading()
+		c.retiring = true
 	}
 	handed := false
 	defer func() { // a panic in the module must not leave a request that nothing was sent for hanging
@@ -179,7 +179,7 @@
 	in.logRemaining()
 	in.failOwed()
 	for c := range in.clients.all {
-		if c.quiet() { // else a command that was read is on its way here, and is refused
+		if c.answered() { // else what has come is refused, and then it ends
 			in.closeGracefully(c, closeShutdownEnd)
 		}
 	}
--- a/internal/ingress/telemetry.go
+++ b/internal/ingress/telemetry.go
@@ -72,6 +72,7 @@
 	taken    int // requests
 	attempts int // that were asked for
 	retries  int // of these: further ones of a request
+	cut      int // requests that were ended at the end of a drain, for others that waited behind them
 	closed   [closeReasonsCount]int
 	refused  [refuseReasonsCount]int
 	unsent   [unsentReasonsCount]int
@@ -83,13 +84,14 @@
 	Taken    int            `json:"taken"`             // requests
 	Attempts int            `json:"attempts"`          // that the decision module asked for
 	Retries  int            `json:"retries"`           // of these: further ones of a request
+	Cut      int            `json:"cut,omitempty"`     // requests that were ended at the end of a drain, for others that waited behind them
 	Closed   map[string]int `json:"closed,omitempty"`  // connections of clients, by reason
 	Refused  map[string]int `json:"refused,omitempty"` // requests that the decision module never had, by reason
 	Unsent   map[string]int `json:"unsent,omitempty"`  // attempts that were not written, by reason
 }
 
 func (n *counters) status() CounterStatus {
-	return CounterStatus{n.accepted, n.taken, n.attempts, n.retries, byName(n.closed[:], closeReasonNames[:]),
+	return CounterStatus{n.accepted, n.taken, n.attempts, n.retries, n.cut, byName(n.closed[:], closeReasonNames[:]),
 		byName(n.refused[:], refuseReasonNames[:]), byName(n.unsent[:], unsentReasonNames[:])}
 }
 
@@ -130,7 +132,7 @@
 	in.log.Warn("drain time is over", "connections", in.clients.open(), "requests", len(in.requests), "looks", in.drain.looks,
 		"longest_gap", seconds(in.drain.longestGap), "pings", in.drain.pings, "pings_behind_answers", in.drain.pingsBehind)
 	for c := range in.clients.all {
-		in.logConnection("connection outlived the drain", c, "reader_stopped", c.halted, "parked", c.parked, "ending", c.ending,
+		in.logConnection("connection outlived the drain", c, "retiring", c.retiring, "reader_stopped", c.halted, "parked", c.parked, "ending", c.ending,
 			"writing", c.writing, "unread_bytes", unreadBytes(c))
 	}
 }
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -9,6 +9,7 @@
 //	0.5  to 1.7  connections that idle are closed, new ones carry one request each
 //	1.7  to 1.9  every connection ends with its next answer
 //	1.9  on      requests are refused, with a promise of no effect
+//	3.6  on      what others wait behind on their connection is ended, where these are too young to wait on
 type Drain struct {
 	on    bool
 	since float64
@@ -20,6 +21,7 @@
 	drainLastS     = 1.7  // from then on each connection ends with its next answer
 	drainPartS     = 3.5  // a connection on which a part of a request has come is left until then
 	drainRefuseS   = 1.9  // from then on a request would be too young at the end
+	drainCutS      = 3.6  // from then on no request may wait behind another one
 	drainRecentS   = 2.0  // a request that is younger may not be open at the end
 	drainEndS      = 4.0  // the time that operators allow
 	drainRetryInS  = 0.2  // a refused client's wait before it asks another ingress
@@ -82,6 +84,17 @@
 	return now-lastRequestAt < drainRecentS
 }
 
+// Cut tells that a connection on which something is open, and whose client last asked at askedAt, would break the operators' rule at the end: answers
+// go in order, so that what it refused at once still waits behind an earlier one, and its client goes on.
+func (d *Drain) Cut(now, askedAt float64) bool {
+	return d.on && now-d.since >= drainCutS && askedAt-d.since > drainEndS-drainRecentS-heldUpS
+}
+
+// MayRefuse tells that a request may be refused, which promises that trying again is harmless, though an attempt of it may have run.
+func MayRefuse(class Class, mayHaveRun bool) bool {
+	return !mayHaveRun || class.Effect == Safe || class.Effect == Keyed && class.KeyScope == ScopeAll
+}
+
 // Refuse tells that a request that comes now is to be refused, and in how many seconds its client may try elsewhere.
 func (d *Drain) Refuse(now float64) (retryInS float64, refuse bool) {
 	if d.on && now-d.since >= drainRefuseS {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -260,8 +260,7 @@
 	if r.cust != nil {
 		r.cust.turnedAt = g.now
 	}
-	may := r.ran != nil || r.out > 0
-	if may && (r.cls.Effect == Unsafe || r.cls.Effect == Keyed && r.cls.KeyScope != ScopeAll) {
+	if may := r.ran != nil || r.out > 0; !MayRefuse(r.cls.Class, may) {
 		g.trace(why.Fail, because, r, -1)
 		g.act.Fail(r.ID)
 	} else {
