A drain ends connections as rarely as can be: those in use at the very end alone

Change: from 1.9 s on requests are refused on the connection that they come on; connections end when they idle, and from 3.7 s on as soon as all on them is answered.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -80,7 +80,6 @@
 	lingered bool // for long enough
 	surplus  bool // beyond the bound: what it asks is refused while that holds
 	asked    bool // a call has come
-	retiring bool // it ends as soon as all that has come on it is answered
 	halted   bool // its reader was told to stop
 	parked   bool // and has
 	passing  bool // on its way to the process that replaces this one
@@ -569,7 +568,7 @@
 		in.closeClient(c, in.drainReason())
 	case c.parked && len(c.slots) == 0:
 		in.settle(c)
-	case c.retiring && c.answered():
+	case c.asked && in.drain.Retire(in.now) && c.answered():
 		in.closeGracefully(c, closeDrained)
 	case in.leaving && in.heirs.stage == none && c.answered(): // else what waits there is served before
 		in.closeGracefully(c, closeShutdown)
@@ -698,7 +697,7 @@
 	c.decideClose(reason)
 	in.counts.closed[c.closeReason]++
 	in.checkClose(c)
-	if c.requestCount > 0 { // else a front's PING, of which there are many
+	if c.askedAt > 0 { // else a front's PING, of which there are many
 		in.logConnection("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.ending)
 	}
 	c.closed = true
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -58,13 +58,10 @@
 	in.stopTimer(in.drain.look)
 	in.stopTimer(in.drain.over)
 	in.drain = drainState{}
-	for c := range in.clients.all {
-		c.retiring = false
-	}
 }
 
-// sweepDrained closes what idles, and marks connections that are to end once all that has come on them is answered. New connections and requests are
-// not its business: they are decided on as they come, see take.
+// sweepDrained closes what idles, and at the end of the time what is in use. Requests are decided on as they come, see take, and connections with
+// their answers, see written.
 func (in *Ingress) sweepDrained() {
 	in.drain.look = in.after(in.drain.NextLook(in.now), in.sweepDrained)
 	in.drain.looked(in.now)
@@ -72,13 +69,9 @@
 		if c.askedAt > 0 && in.drain.Cut(in.now, c.askedAt) {
 			in.endOpen(c)
 		}
-		switch {
-		case c.quiet() && !c.ending && in.drain.CloseIdle(in.now, c.usedAt, c.receiving.Load()) && silent(c.raw):
+		idle := c.quiet() && in.drain.CloseIdle(in.now, c.usedAt, c.receiving.Load()) && silent(c.raw)
+		if !c.ending && (idle || c.asked && in.drain.Retire(in.now) && c.answered()) {
 			in.closeGracefully(c, closeDrained)
-		case c.asked && in.drain.LastRequest(in.now, c.acceptedAt):
-			if c.retiring = true; !c.ending && c.answered() {
-				in.closeGracefully(c, closeDrained)
-			}
 		}
 	}
 }
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -70,7 +70,7 @@
 	c.askedAt = at
 	if retryInS, refuse := in.refuses(); refuse {
 		in.counts.refused[refuseDraining]++
-		c.spoke, c.asked, c.retiring = true, true, true
+		c.spoke, c.asked = true, true
 		in.answerAtOnce(c, in.busy(retryInS), false)
 		return
 	}
@@ -90,9 +90,6 @@
 		in.gate.Gone(in.now, r.ID)
 	})
 	q.Request.DeadlineS = r.deadline
-	if in.drain.LastRequest(in.now, c.acceptedAt) {
-		c.retiring = true
-	}
 	handed := false
 	defer func() { // a panic in the module must not leave a request that nothing was sent for hanging
 		if !handed && len(r.attempts) == 0 {
--- a/internal/ingress/telemetry.go
+++ b/internal/ingress/telemetry.go
@@ -121,8 +121,8 @@
 	}
 	in.drainLines++
 	fields := []any{"conn", c.id, "age", seconds(in.now - c.acceptedAt), "requests", c.requestCount, "open", len(c.slots)}
-	if c.requestCount > 0 {
-		fields = append(fields, "last_request_ago", seconds(in.now-c.lastRequestAt))
+	if c.askedAt > 0 {
+		fields = append(fields, "last_asked_ago", seconds(in.now-c.askedAt))
 	}
 	in.log.Info(event, append(fields, more...)...)
 }
@@ -132,7 +132,7 @@
 	in.log.Warn("drain time is over", "connections", in.clients.open(), "requests", len(in.requests), "looks", in.drain.looks,
 		"longest_gap", seconds(in.drain.longestGap), "pings", in.drain.pings, "pings_behind_answers", in.drain.pingsBehind)
 	for c := range in.clients.all {
-		in.logConnection("connection outlived the drain", c, "retiring", c.retiring, "reader_stopped", c.halted, "parked", c.parked, "ending", c.ending,
+		in.logConnection("connection outlived the drain", c, "reader_stopped", c.halted, "parked", c.parked, "ending", c.ending,
 			"writing", c.writing, "unread_bytes", unreadBytes(c))
 	}
 }
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -3,13 +3,14 @@
 // Drain is the schedule by which an ingress lets go of its clients after operators have told it to. Its front is told at once, by a refused PING,
 // but clients may go on coming for as long as they like: each of them is decided on when it comes, not when somebody looks.
 //
-// The operators' page allows 4 s; by then no connection may be idle or carry a request from the last 2 s. Times are in seconds, from the call on:
+// The operators' page allows 4 s; by then no connection may be idle or carry a request from the last 2 s. An end that crosses a command on its way has
+// its client send that again, once: so connections end as rarely as can be, those in use at the very end alone. Times are in seconds, from the call on:
 //
 //	0    to 0.5  all is served as usual: new connections are on their way
-//	0.5  to 1.7  connections that idle are closed, new ones carry one request each
-//	1.7  to 1.9  every connection ends with its next answer
+//	0.5  on      connections that idle are closed
 //	1.9  on      requests are refused, with a promise of no effect
 //	3.6  on      what others wait behind on their connection is ended, where these are too young to wait on
+//	3.7  on      every connection ends as soon as all that has come on it is answered
 type Drain struct {
 	on    bool
 	since float64
@@ -18,10 +19,10 @@
 const (
 	drainNoticeS   = 0.5  // new connections go on coming for so long after the front was told, and some more
 	drainRestS     = 0.15 // a connection has been unused for so long before it is closed: its client has read its answer
-	drainLastS     = 1.7  // from then on each connection ends with its next answer
 	drainPartS     = 3.5  // a connection on which a part of a request has come is left until then
 	drainRefuseS   = 1.9  // from then on a request would be too young at the end
 	drainCutS      = 3.6  // from then on no request may wait behind another one
+	drainRetireS   = 3.7  // from then on connections in use end
 	drainRecentS   = 2.0  // a request that is younger may not be open at the end
 	drainEndS      = 4.0  // the time that operators allow
 	drainRetryInS  = 0.2  // a refused client's wait before it asks another ingress
@@ -67,10 +68,8 @@
 	return d.on && now-d.since >= from && now-usedAt > drainRestS
 }
 
-// LastRequest tells that a request that is taken now is the last on its connection, which was accepted at acceptedAt.
-func (d *Drain) LastRequest(now, acceptedAt float64) bool {
-	return d.on && (now-d.since >= drainLastS || acceptedAt-d.since >= drainNoticeS)
-}
+// Retire tells that a connection ends as soon as all that has come on it is answered.
+func (d *Drain) Retire(now float64) bool { return d.on && now-d.since >= drainRetireS }
 
 // Holds tells that, with the time that operators allow over, a connection breaks their rule: it idles, but for one that was opened or used just now,
 // or its last request is too young.
