--- a/cmd/eiderfleet/soak.go
+++ b/cmd/eiderfleet/soak.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	lab.Host = lab.OwnHost()
 	bad := 0
 	for number := *from; number < *from+uint64(*runs); number++ {
 		folder := filepath.Join(*dir, fmt.Sprint(number))
--- a/internal/lab/host.go
+++ b/internal/lab/host.go
@@ -7,9 +7,13 @@
 	"strconv"
 )
 
-// Host is this laboratory's own address on loopback, by its process. Two laboratories that run at the same time on one machine must not meet: a port
-// that a crashed node of the one has left could be taken by the other, whose requests look alike.
-var Host = hostOf(os.Getpid())
+// Host is the loopback address of the laboratory's stand-ins and programs. Laboratories that run at the same time on one machine are to have one each, by
+// OwnHost: a port that a crashed node of the one has left could be taken by the other, whose requests look alike. Fleets with their membership from
+// etcd want the usual one.
+var Host = "127.0.0.1"
+
+// OwnHost is an address on loopback by the laboratory's process.
+func OwnHost() string { return hostOf(os.Getpid()) }
 
 func hostOf(pid int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>16)%254, (pid>>8)%256, 1+pid%254)
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -1,10 +1,12 @@
 package policy
 
-// Drain is the schedule by which an ingress lets go of its clients after operators have told it to. Its front is told at once, by a refused PING,
-// but clients may go on coming for as long as they like: each of them is decided on when it comes, not when somebody looks.
+// Drain is the schedule by which an ingress lets go of its clients after operators have told it to. Its
+// front is told at once, by a refused PING, but clients may go on coming for as long as they like: each of
+// them is decided on when it comes, not when somebody looks.
 //
-// The operators' page allows 4 s; by then no connection may be idle or carry a request from the last 2 s. An end that crosses a command on its way has
-// its client send that again, once: so connections end as rarely as can be, those in use at the very end alone. Times are in seconds, from the call on:
+// The operators' page allows 4 s; by then no connection may be idle or carry a request from the last 2 s.
+// An end that crosses a command on its way has its client send that again, once: so connections end as
+// rarely as can be, those in use at the very end alone. Times are in seconds, from the call on:
 //
 //	0    to 0.5  all is served as usual: new connections are on their way
 //	0.5  on      connections that idle are closed
@@ -18,7 +20,7 @@
 
 const (
 	drainNoticeS   = 0.5  // new connections go on coming for so long after the front was told, and some more
-	drainRestS     = 0.15 // a connection has been unused for so long before it is closed: its client has read its answer
+	drainRestS     = 0.15 // a connection rests for so long before it is closed: its answer was read
 	drainPartS     = 3.5  // a connection on which a part of a request has come is left until then
 	drainRefuseS   = 1.9  // from then on a request would be too young at the end
 	drainCutS      = 3.6  // from then on no request may wait behind another one
@@ -58,8 +60,9 @@
 // EndsIn is how many seconds are left of the time that operators allow.
 func (d *Drain) EndsIn(now float64) float64 { return max(0, drainEndS-d.Elapsed(now)) }
 
-// CloseIdle tells that a connection on which nothing is open and that was last used at usedAt is to be closed. With receiving a part of a request
-// has come on it: its client writes slowly, and may be answered in time.
+// CloseIdle tells that a connection on which nothing is open and that was last used at usedAt is to be
+// closed. With receiving a part of a request has come on it: its client writes slowly, and may be answered
+// in time.
 func (d *Drain) CloseIdle(now, usedAt float64, receiving bool) bool {
 	from := drainNoticeS
 	if receiving {
@@ -71,8 +74,8 @@
 // Retire tells that a connection ends as soon as all that has come on it is answered.
 func (d *Drain) Retire(now float64) bool { return d.on && now-d.since >= drainRetireS }
 
-// Holds tells that, with the time that operators allow over, a connection breaks their rule: it idles, but for one that was opened or used just now,
-// or its last request is too young.
+// Holds tells that, with the time that operators allow over, a connection breaks their rule: it idles, but
+// for one that was opened or used just now, or its last request is too young.
 func (d *Drain) Holds(now, acceptedAt, usedAt, lastRequestAt float64, idle bool) bool {
 	switch {
 	case !d.on || now-d.since < drainEndS:
@@ -83,18 +86,21 @@
 	return now-lastRequestAt < drainRecentS
 }
 
-// Cut tells that a connection on which something is open, and whose client last asked at askedAt, would break the operators' rule at the end: answers
-// go in order, so that what it refused at once still waits behind an earlier one, and its client goes on.
+// Cut tells that a connection on which something is open, and whose client last asked at askedAt, would
+// break the operators' rule at the end: answers go in order, so that what it refused at once still waits
+// behind an earlier one, and its client goes on.
 func (d *Drain) Cut(now, askedAt float64) bool {
 	return d.on && now-d.since >= drainCutS && askedAt-d.since > drainEndS-drainRecentS-heldUpS
 }
 
-// MayRefuse tells that a request may be refused, which promises that trying again is harmless, though an attempt of it may have run.
+// MayRefuse tells that a request may be refused, which promises that trying again is harmless, though an
+// attempt of it may have run.
 func MayRefuse(class Class, mayHaveRun bool) bool {
 	return !mayHaveRun || class.Effect == Safe || class.Effect == Keyed && class.KeyScope == ScopeAll
 }
 
-// Refuse tells that a request that comes now is to be refused, and in how many seconds its client may try elsewhere.
+// Refuse tells that a request that comes now is to be refused, and in how many seconds its client may try
+// elsewhere.
 func (d *Drain) Refuse(now float64) (retryInS float64, refuse bool) {
 	if d.on && now-d.since >= drainRefuseS {
 		return drainRetryInS, true
--- a/policy/guard.go
+++ b/policy/guard.go
@@ -2,8 +2,9 @@
 
 import "math"
 
-// What must hold at the moment in which an attempt is written to a server. The module decides earlier: between its decision and the write lie the
-// queue of the loop, a dial and the scheduler. Whoever writes asks here again, directly before the first byte and before the last.
+// What must hold at the moment in which an attempt is written to a server. The module decides earlier:
+// between its decision and the write lie the queue of the loop, a dial and the scheduler. Whoever writes
+// asks here again, directly before the first byte and before the last.
 
 // Violation is a rule that an act would break, or has broken.
 type Violation uint8
@@ -21,8 +22,8 @@
 
 	// Repeating.
 	RepeatUnsafe     // an earlier attempt of an unsafe request may have run
-	RepeatLate       // an earlier attempt of a keyed request may have run, and its servers may have forgotten the key
-	RepeatOutOfGroup // an earlier attempt of a keyed request may have run, at a server that shares no keys with this one
+	RepeatLate       // keyed, an earlier attempt may have run, and its key may be forgotten
+	RepeatOutOfGroup // keyed, an earlier attempt may have run where this one's keys are unknown
 
 	// Starting.
 	StartStale // the server is cold, and its budget was looked at too long ago
@@ -34,8 +35,10 @@
 	Violations int = iota
 )
 
-var violationNames = [Violations]string{"none", "send_to_drained", "send_after_deadline", "send_for_gone", "send_while_out", "send_beyond_limit",
-	"repeat_unsafe", "repeat_late", "repeat_out_of_group", "start_stale", "close_owed", "hold_after_drain"}
+var violationNames = [Violations]string{
+	"none", "send_to_drained", "send_after_deadline", "send_for_gone", "send_while_out", "send_beyond_limit",
+	"repeat_unsafe", "repeat_late", "repeat_out_of_group", "start_stale", "close_owed", "hold_after_drain",
+}
 
 func (v Violation) String() string { return violationNames[v] }
 
@@ -65,8 +68,9 @@
 	ColdS     float64
 }
 
-// LastMoment is up to when the attempt may be written, in Unix seconds, with the time for which a process may stand still taken off where a
-// rule counts to that moment; and the rule that ends it. What may not be written at all has the moment 0.
+// LastMoment is up to when the attempt may be written, in Unix seconds, with the time for which a process
+// may stand still taken off where a rule counts to that moment; and the rule that ends it. What may not be
+// written at all has the moment 0.
 func (a *Attempt) LastMoment() (at float64, rule Violation) {
 	if a.Server.State != Up {
 		return neverMoment, SendToDrained
@@ -107,8 +111,8 @@
 	return a.Server.SinceS > 0 && a.DecidedAt-a.Server.SinceS < a.ColdS
 }
 
-// Passed tells which rule an act broke that was over at a time, given its last moment: the time for which the process may have stood still
-// is the rule's own there.
+// Passed tells which rule an act broke that was over at a time, given its last moment: the time for which
+// the process may have stood still is the rule's own there.
 func Passed(at, lastMoment float64, rule Violation) Violation {
 	grace := heldUpS
 	if rule == SendAfterDeadline || lastMoment == neverMoment {
