--- a/cmd/eiderspread/term_test.go
+++ b/cmd/eiderspread/term_test.go
@@ -177,3 +177,34 @@
 		t.Errorf("the program ended with %v", err)
 	}
 }
+
+// Guards against a killed process whose connections end like those that it closes between two requests: a client would send a request again
+// that may have run. A killed process resets its connections, a process that is told to end closes them.
+func TestExit_OnlyKilledProcessResetsConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		signal syscall.Signal
+		want   error
+	}{"killed": {syscall.SIGKILL, syscall.ECONNRESET}, "terminated": {syscall.SIGTERM, io.EOF}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listen, cmd := startProgram(t, programOptions{deadline: "0.4"})
+			conn, err := net.Dial("tcp", listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(testTimeout)) // the next read reports an error
+			reader := bufio.NewReader(conn)
+			fmt.Fprint(conn, "*1\r\n$4\r\nPING\r\n")
+			if line, err := reader.ReadString('\n'); err != nil || line != "+PONG\r\n" {
+				t.Fatalf("answer to PING: got %q, error %v", line, err)
+			}
+			if err := cmd.Process.Signal(c.signal); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := reader.ReadByte(); !errors.Is(err, c.want) {
+				t.Errorf("the idle connection ended with %v, want %v", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -2,12 +2,23 @@
 
 import (
 	"io"
+	"net"
 	"time"
 )
 
 // halfCloseTimeoutS is how many seconds a half-closed connection waits for the client to close its side.
 const halfCloseTimeoutS = 0.3
 
+// resetOnProcessExit has the kernel reset the connection when the last process that holds it ends without closing it. By default the kernel
+// would end the connection as an orderly close does, and the client of a request that may have run would send the request again.
+func resetOnProcessExit(conn *net.TCPConn) error { return conn.SetLinger(0) }
+
+// closeOrderly closes a connection without a reset, unless bytes are unread. It fails only if the connection has already ended.
+func closeOrderly(conn *net.TCPConn) {
+	_ = conn.SetLinger(-1) // the kernel's default
+	_ = conn.Close()
+}
+
 // halfClose closes the sending side of a connection. It fails only if the connection has already ended, which the reader reports.
 func (in *Ingress) halfClose(c *clientConn) { _ = c.conn.CloseWrite() }
 
@@ -94,7 +105,11 @@
 	if c.reader >= readerStopped {
 		c.input.Release()
 	}
-	c.conn.Close()
+	if reason == closeHandedOver { // the successor has the socket too: it must still be reset if the successor dies
+		c.conn.Close()
+	} else {
+		closeOrderly(c.conn)
+	}
 	delete(in.clients.conns, c)
 	<-in.clients.connPermits
 }
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -95,6 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := resetOnProcessExit(conn); err != nil {
+		return nil, err
+	}
 	return &clientConn{connID: lastClientConnID.Add(1), conn: conn, rawConn: raw, pipelinePermits: make(chan struct{}, maxPipelinedCommands),
 		done: make(chan struct{}), stopReading: make(chan struct{}), input: inputbuffer.New(&in.inputBudget)}, nil
 }
--- a/internal/dataplane/ingress/client_table.go
+++ b/internal/dataplane/ingress/client_table.go
@@ -47,6 +47,16 @@
 
 func (t *clientTable) open() int { return len(t.conns) }
 
+// inTransfer returns the number of connections that are queued for a successor, or sent to it and not confirmed yet.
+func (t *clientTable) inTransfer() (n int) {
+	for c := range t.conns {
+		if c.reader == readerTransferring {
+			n++
+		}
+	}
+	return n
+}
+
 // addClient adds a new connection to the table. A connection beyond all limits gets a rejection as its only answer, whatever it sends.
 func (in *Ingress) addClient(c *clientConn) {
 	c.lastUsedAt, c.acceptedAt = in.now, in.now
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -234,7 +234,8 @@
 	if s.link != link || s.stage == handoverNone {
 		return
 	}
-	in.log.Error("link to the new process lost: this process continues to serve", "transferred", s.transferred)
+	in.log.Error("link to the new process lost: this process continues to serve", "transferred", s.transferred,
+		"transfers_unconfirmed", in.clients.inTransfer(), "requests_taken_back", len(in.requests))
 	stageBefore := s.stage
 	in.stopTimer(s.endTimer)
 	if _, migrated := in.decider.(*eventRelay); migrated {
--- a/internal/testbed/clients.go
+++ b/internal/testbed/clients.go
@@ -378,8 +378,9 @@
 	return oracle.ForeignReply, 0
 }
 
-// sendRequest sends one request, waits for its answer, and returns the result and the retry-after hint. If a reused connection
-// turns out to be closed by a forwarder whose process still runs, the request is sent once more on a new connection.
+// sendRequest sends one request, waits for its answer, and returns the result and the retry-after hint. If the forwarder closes a reused
+// connection in an orderly way, it has not read the request, which is then sent once more on a new connection. It may have read a request
+// whose connection is reset.
 func (c *Clients) sendRequest(a Account, class policy.Class, f int, id, first, key string, left time.Duration) (oracle.Result, time.Duration) {
 	command := c.encodeCommand(a, class, id, key, left)
 	t := &oracle.Request{ID: id, OriginalID: first, Account: a.Name, Class: class.Name, Plan: a.Plan, Forwarder: f,
@@ -401,7 +402,9 @@
 			timer := time.AfterFunc(disconnectAfter, func() { disconnected.Store(true); k.Close() })
 			defer timer.Stop()
 		}
-		sentAt := time.Now()
+		if again > 0 {
+			c.hist.RequestResent(t)
+		}
 		answer, err := k.roundTrip(command)
 		if err == nil {
 			r, hint := classifyReply(answer, id)
@@ -418,7 +421,7 @@
 			t.NotAccepted = true
 			break
 		}
-		if !k.used || !c.front.SameIncarnation(f, k.incarnation, sentAt) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if !k.used || !errors.Is(err, io.EOF) {
 			break
 		}
 	}
@@ -464,7 +467,8 @@
 	}
 }
 
-// roundTrip sends a command and returns the value of its reply, or the line of an error reply.
+// roundTrip sends a command and returns the value of its reply, or the line of an error reply. The error is io.EOF only if the connection
+// was closed in an orderly way before the first byte of the reply.
 func (k *clientConn) roundTrip(command string) (string, error) {
 	k.setAwaiting(true)
 	if _, err := io.WriteString(k, command); err != nil {
@@ -473,9 +477,13 @@
 	return k.readReply()
 }
 
-// readReply reads one reply and returns its value, or the line of a reply that is not a bulk string.
+// readReply reads one reply and returns its value, or the line of a reply that is not a bulk string. The error is io.EOF only if the
+// connection ended before the first byte.
 func (k *clientConn) readReply() (string, error) {
 	line, err := k.reader.ReadString('\n')
+	if line != "" && errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil || !strings.HasPrefix(line, "$") {
 		return strings.TrimRight(line, "\r\n"), err
 	}
@@ -484,7 +492,9 @@
 		return "", err
 	}
 	value := make([]byte, n+2)
-	if _, err := io.ReadFull(k.reader, value); err != nil {
+	if _, err := io.ReadFull(k.reader, value); errors.Is(err, io.EOF) {
+		return "", io.ErrUnexpectedEOF
+	} else if err != nil {
 		return "", err
 	}
 	return string(value[:n]), nil
--- a/internal/testbed/fleet_layout.go
+++ b/internal/testbed/fleet_layout.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"time"
 
 	"eiderspread/policy"
 )
@@ -230,9 +229,6 @@
 	}
 	front = NewFront(f.Hist, addrs, func(i int) int { return f.Forwarders[i].Incarnation() }, f.cfg.Seed)
 	front.leaves = func(i int) bool { return f.Forwarders[i].TerminatingFor() > leaveAfter }
-	if !f.cfg.Direct {
-		front.cut = func(i int, since time.Time) bool { return f.FrontLinks[i].CutSince(since) }
-	}
 	f.Front = front
 	return nil
 }
--- a/internal/testbed/front.go
+++ b/internal/testbed/front.go
@@ -13,9 +13,8 @@
 type Front struct {
 	hist        *oracle.History
 	addrs       []string
-	incarnation func(f int) int                   // of a forwarder's program; changes with each start, below 0 while it is down
-	leaves      func(f int) bool                  // whether a forwarder was asked to terminate longer than leaveAfter ago; nil: never
-	cut         func(f int, since time.Time) bool // whether the link to a forwarder was cut at some time since then; nil: never
+	incarnation func(f int) int  // of a forwarder's program; changes with each start, below 0 while it is down
+	leaves      func(f int) bool // whether a forwarder was asked to terminate longer than leaveAfter ago; nil: never
 
 	mu             sync.Mutex
 	rng            *rand.Rand
@@ -39,12 +38,6 @@
 // Incarnation identifies one run of a forwarder's program; it is below 0 while the program is down.
 func (f *Front) Incarnation(i int) int { return f.incarnation(i) }
 
-// SameIncarnation reports whether a forwarder's program is still in the given incarnation and the link to it was not cut since.
-// If so, a connection that was closed since then was closed by that program.
-func (f *Front) SameIncarnation(i, incarnation int, since time.Time) bool {
-	return f.incarnation(i) == incarnation && (f.cut == nil || !f.cut(i, since))
-}
-
 // IsLeaving reports whether a forwarder was asked to terminate or drain longer than leaveAfter ago. The front opens no new connections
 // to it.
 func (f *Front) IsLeaving(i int) bool {
--- a/internal/testbed/lab_test.go
+++ b/internal/testbed/lab_test.go
@@ -180,6 +180,28 @@
 	}
 }
 
+// Guards against a request that runs twice when the successor of a forwarder is killed (KNOWN-RED LabStormSuccessorDies): its client can't
+// tell the killed process from one that closed the connection between requests, and sends the request again to the predecessor.
+func TestSuccessorDies(t *testing.T) {
+	if !topology.FencingEnabled {
+		t.Skip("needs a build with fencing")
+	}
+	sc := Scenario{FleetConfig: testFleetConfig(t, 3), Accounts: Accounts(20, 10, 3, 3, 3, 1), Length: 10 * time.Second}
+	if err := ApplyScenario("successors-die", &sc, nil, 0); err != nil {
+		t.Fatal(err)
+	}
+	sc.MinOccasions = map[string]int{oracle.RuleNoDuplicateEffect: 10}
+	var log strings.Builder
+	f, rep, err := Run(sc, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	requireRulesHold(t, rep, &log)
+	if len(f.Hist.Outages) < 3 || rep.Results[oracle.ConnectionLost] == 0 {
+		t.Errorf("%d successors died and clients lost %d connections, want at least 3 and 1", len(f.Hist.Outages), rep.Results[oracle.ConnectionLost])
+	}
+}
+
 // sendRequestTo sends one request to forwarder i and returns the first line of the reply.
 func sendRequestTo(t *testing.T, f *Fleet, i int, id string) string {
 	t.Helper()
--- a/internal/testbed/links.go
+++ b/internal/testbed/links.go
@@ -1,11 +1,17 @@
 package testbed
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// nearEndTimeout bounds the wait for the near end to close a connection that the far end has closed.
+const nearEndTimeout = time.Second
+
 // LinkState is the state of a link.
 type LinkState struct {
 	Cut    bool          // drop all bytes; open connections stay open, new ones are accepted and carry nothing
@@ -25,19 +31,11 @@
 	listener net.Listener
 	hooks    Hooks
 
-	mu       sync.Mutex
-	target   string // address of the far end
-	way      LinkState
-	conns    map[net.Conn]bool // open connections of both ends
-	healed   chan struct{}     // closed and replaced when a cut ends
-	healedAt time.Time         // when the last cut ended
-}
-
-// CutSince tells whether the link was cut at any time after t.
-func (k *Link) CutSince(t time.Time) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.way.Cut || k.healedAt.After(t)
+	mu     sync.Mutex
+	target string // address of the far end
+	way    LinkState
+	conns  map[net.Conn]bool // open connections of both ends
+	healed chan struct{}     // closed and replaced when a cut ends
 }
 
 // NewLink opens a link to an address.
@@ -83,7 +81,6 @@
 	if !endsCut {
 		return
 	}
-	k.healedAt = time.Now()
 	for c := range k.conns {
 		reset(c)
 	}
@@ -139,21 +136,70 @@
 	defer far.Close()
 	k.track(far, true)
 	defer k.track(far, false)
-	done := make(chan struct{}, 2)
+	toFar := linkWriter{conn: far}
+	farEnd := make(chan error, 1)
+	nearEnd := make(chan struct{})
 	go func() {
-		k.pump(far, near, false)
+		_ = k.pump(&toFar, near, false) // both ends are closed, however the near end has ended
 		if k.hooks.NearEnd != nil {
 			k.hooks.NearEnd(far.LocalAddr().String())
 		}
-		done <- struct{}{}
+		close(nearEnd)
 	}()
-	go func() { k.pump(near, far, true); done <- struct{}{} }()
-	<-done
-	if way, healed := k.state(); way.Cut { // a cut also hides from one end that the other has closed
+	go func() { farEnd <- k.pump(near, far, true) }()
+	select {
+	case <-nearEnd:
+		k.awaitHeal() // a cut also hides from one end that the other has closed
+	case err := <-farEnd:
+		k.awaitHeal()
+		passEnd(near, errors.Is(err, syscall.ECONNRESET) || toFar.wasReset())
+		<-nearEnd
+	}
+}
+
+// awaitHeal returns when the link is not cut.
+func (k *Link) awaitHeal() {
+	if way, healed := k.state(); way.Cut {
 		<-healed
 	}
 }
 
+// linkWriter writes to one end of a link. The kernel reports a reset once, to a read or to a write: linkWriter records that a write got it.
+type linkWriter struct {
+	conn  net.Conn
+	mu    sync.Mutex // held while a write is under way
+	reset bool
+}
+
+// Write implements io.Writer.
+func (w *linkWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.conn.Write(b)
+	w.reset = w.reset || errors.Is(err, syscall.ECONNRESET)
+	return n, err
+}
+
+// wasReset reports whether a write found the connection reset.
+func (w *linkWriter) wasReset() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reset
+}
+
+// passEnd ends the near side of a connection in the same way as its far end did: with a reset, or orderly. After an orderly end the near end
+// has nearEndTimeout to close, because a close over its unread bytes would reset the connection.
+func passEnd(near net.Conn, wasReset bool) {
+	if wasReset {
+		reset(near)
+		return
+	}
+	if t, ok := near.(*net.TCPConn); ok {
+		_ = t.CloseWrite() // fails if the near end has closed, too
+	}
+	_ = near.SetReadDeadline(time.Now().Add(nearEndTimeout)) // fails only then
+}
+
 // rejectUnreached resets a connection that does not reach the far end.
 func (k *Link) rejectUnreached(near net.Conn) {
 	if k.hooks.Unreached != nil {
@@ -162,10 +208,12 @@
 	reset(near)
 }
 
-// pump copies bytes in one direction until the source ends. Once it has read during a cut, it drops all that follows on the connection.
-func (k *Link) pump(to, from net.Conn, reverse bool) {
+// pump copies bytes in one direction until the source ends, and returns the error of its last read, io.EOF for an orderly end. Bytes that
+// can't be written are dropped. Once pump has read during a cut, it drops all that follows on the connection.
+func (k *Link) pump(to io.Writer, from net.Conn, reverse bool) error {
 	buf := make([]byte, 32<<10)
 	lost := false
+	var writeErr error
 	for {
 		n, err := from.Read(buf)
 		way, _ := k.state()
@@ -173,13 +221,11 @@
 		if way.Delay > 0 {
 			time.Sleep(way.Delay)
 		}
-		if n > 0 && !lost {
-			if _, werr := to.Write(buf[:n]); werr != nil {
-				return
-			}
+		if n > 0 && !lost && writeErr == nil {
+			_, writeErr = to.Write(buf[:n])
 		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -290,6 +290,9 @@
 		Reason: "only the soak has connections that open late, and it detects late writes by the ingresses' own check; the unit test has one such connection",
 		Edits:  edit(ingressDir+"send_guard.go", "case now > a.latestStart:", "case false:"),
 		Runs:   []string{labOne + "keys"}},
+	{Name: "a killed process resets its clients' connections", Rule: "no effect twice", Unit: "./cmd/eiderspread",
+		Edits: edit(ingressDir+"client_close.go", "return conn.SetLinger(0)", "return nil"),
+		Runs:  []string{labTwo + "successors-die"}},
 	// ---- Forwarders ----
 	{Name: "only the promised leader is followed", Rule: "one attempt out", Unit: "./internal/controlplane/forwarder", // checked by epoch and promise, and by the handle of the submitted request
 		Edits: []Edit{{"internal/controlplane/forwarder/promises.go", "return cell.hasLeader && cell.holder == planner && cell.epoch == epoch && (!cell.expired(c.now) || !topology.FencingEnabled)", "return cell != nil"},
--- a/internal/testbed/net_test.go
+++ b/internal/testbed/net_test.go
@@ -69,8 +69,8 @@
 	if n, err := b.Read(buf); err == nil {
 		t.Errorf("the far end read %q through a cut link, want an error", buf[:n])
 	}
-	if _, err := a.Read(buf); err == nil {
-		t.Error("the near end can still read after a cut was healed, want a reset connection")
+	if _, err := a.Read(buf); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("after a cut was healed the near end reads with error %v, want a reset: an orderly end would have a client send its request again", err)
 	}
 	c := dial()
 	defer c.Close()
@@ -150,9 +150,6 @@
 	if n, err := b.Read(buf); err == nil {
 		t.Errorf("the far end read %q after the cut was healed, want an error", buf[:n])
 	}
-	if !k.CutSince(time.Now().Add(-testTimeout)) || k.CutSince(time.Now()) {
-		t.Error("CutSince must be true for a time before the cut and false for now")
-	}
 	for _, refuse := range []bool{true, false} { // false: nobody listens at the target
 		k.Set(LinkState{Refuse: refuse})
 		if !refuse {
@@ -178,6 +175,48 @@
 	}
 }
 
+// Guards clients against a link that hides how a forwarder ended a connection: they send a request again after an orderly end, and not after
+// a reset.
+func TestLinkPassesTheKindOfEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	k, err := NewLink(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	for name, c := range map[string]struct {
+		end  func(far net.Conn)
+		want error
+	}{
+		"orderly": {func(far net.Conn) { far.Close() }, io.EOF},
+		"reset":   {reset, syscall.ECONNRESET},
+	} {
+		for written := range 2 { // bytes that the far end has not read, and that the near end writes after its end
+			near, err := net.Dial("tcp", k.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = near.SetDeadline(time.Now().Add(testTimeout)) // the next read reports an error
+			far, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.end(far)
+			if written > 0 {
+				_, _ = io.WriteString(near, "command") // may fail, as the connection may have ended
+			}
+			if _, err := near.Read(make([]byte, 1)); !errors.Is(err, c.want) {
+				t.Errorf("%s end, %d commands written after it: the near end reads with error %v, want %v", name, written, err, c.want)
+			}
+			near.Close()
+		}
+	}
+}
+
 // Guards the stand-in discovery: delayed changes, full lists after its watches break, and that the history records what an observer
 // was told before the observer can act on it.
 func TestDiscoveryDelaysAndBrokenWatches(t *testing.T) {
--- a/internal/testbed/oracle/answers.go
+++ b/internal/testbed/oracle/answers.go
@@ -44,7 +44,7 @@
 		if i := slices.IndexFunc(attempts, (*Attempt).MayHaveRun); i >= 0 {
 			r.occasion(RuleNoDuplicateEffect, "final answers to non-idempotent requests that may have run, not served")
 			if request.Result == Rejected {
-				r.violation(RuleNoDuplicateEffect, request.AnsweredAt, "%s was rejected although it may have run: outcome %s at %s", request.ID, attempts[i].Outcome, attempts[i].Node)
+				r.violation(RuleNoDuplicateEffect, request.AnsweredAt, "%s was rejected although it may have run: outcome %s at %s%s", request.ID, attempts[i].Outcome, attempts[i].Node, request.resent())
 			}
 		}
 	}
--- a/internal/testbed/oracle/attempts.go
+++ b/internal/testbed/oracle/attempts.go
@@ -58,10 +58,10 @@
 		}
 	}
 	if class.Idempotency == policy.NonIdempotent && started > 1 {
-		r.violation(RuleNoDuplicateEffect, first, "%s is not idempotent and ran %d times", id, started)
+		r.violation(RuleNoDuplicateEffect, first, "%s is not idempotent and ran %d times%s", id, started, request.resent())
 	}
 	if class.Idempotency == policy.KeyedIdempotent && effects > 1 {
-		r.violation(RuleNoDuplicateEffect, first, "%s had %d effects under one idempotency key", id, effects)
+		r.violation(RuleNoDuplicateEffect, first, "%s had %d effects under one idempotency key%s", id, effects, request.resent())
 	}
 }
 
@@ -74,7 +74,7 @@
 		r.violation(RuleOneOpenAttempt, attempt.At, "%s reached %s while its attempt at %s was open (%s, from %.3f to %.3f s)", attempt.ID, attempt.Node, before.Node, before.Outcome, before.At.Seconds(), end.Seconds())
 	}
 	if class.Idempotency == policy.NonIdempotent && before.MayHaveRun() {
-		r.violation(RuleNoDuplicateEffect, attempt.At, "%s reached %s although it may have run: outcome %s at %s", attempt.ID, attempt.Node, before.Outcome, before.Node)
+		r.violation(RuleNoDuplicateEffect, attempt.At, "%s reached %s although it may have run: outcome %s at %s%s", attempt.ID, attempt.Node, before.Outcome, before.Node, request.resent())
 	}
 	if request != nil && request.AnsweredAt > 0 && request.Result != Disconnected && attempt.At > request.AnsweredAt+overlap {
 		r.violation(RuleOneAnswer, attempt.At, "%s reached %s %v after its final answer", attempt.ID, attempt.Node, attempt.At-request.AnsweredAt)
--- a/internal/testbed/oracle/history.go
+++ b/internal/testbed/oracle/history.go
@@ -145,6 +145,11 @@
 	})
 }
 
+// RequestResent records that a client sends a request once more on a new connection.
+func (h *History) RequestResent(request *Request) {
+	h.locked(func() { request.resentAt = h.Now() })
+}
+
 // HasResult reports whether a request has the given result by now.
 func (h *History) HasResult(request *Request, result Result) (has bool) {
 	h.locked(func() { has = request.Result == result })
--- a/internal/testbed/oracle/records.go
+++ b/internal/testbed/oracle/records.go
@@ -54,10 +54,21 @@
 	NotAccepted              bool          `json:"Untaken"` // no forwarder accepted the connection
 	Queued                   bool          // admitted, then queued for a backend, where the testbed knows it
 	Reason                   int           `json:"Why"` // reason.Reason of a rejection, where the testbed knows it
+
+	resentAt time.Duration // the client sent it once more on a new connection; 0: it did not, or the history was read from a file
 }
 
 func (r *Request) key() string { return r.ID + "/" + r.Account }
 
+// resent describes for a violation that the client sent the request once more; "" if it did not. A second attempt of such a request can be
+// the forwarder's or the client's.
+func (r *Request) resent() string {
+	if r == nil || r.resentAt == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", resent by its client at %.3f s", r.resentAt.Seconds())
+}
+
 // original reports whether the request is not a client's retry.
 func (r *Request) original() bool { return r.ID == r.OriginalID }
 
--- a/internal/testbed/scenarios.go
+++ b/internal/testbed/scenarios.go
@@ -127,6 +127,8 @@
 	"upgrades": {what: "hot restarts of forwarders of two levels, in which either process may die, while planners are killed, drained and cut off",
 		kinds: []string{"fleet replaced", "fleet replaced", "fleet replaced", "successor dies", "successor dies", "predecessor dies", "torn succession", "torn succession", "all replaced", "torn", "away", "kill", "pause", "cut", "split", "odd", "lone", "forwarder"},
 		every: 250 * time.Millisecond, faultyFraction: 0.08, exact: true, floors: map[string]int{oracle.RuleHotRestart: 100, oracle.RuleNoRequestLost: 50, oracle.RuleNoDuplicateEffect: 20}},
+	"successors-die": {what: "hot restarts of forwarders of two levels, whose successors are killed", kinds: []string{"successor dies"}, every: 500 * time.Millisecond,
+		faultyFraction: 0.06, floors: map[string]int{oracle.RuleNoDuplicateEffect: 50, oracle.RuleNoRequestLost: 50}},
 	"handed": {what: "hot restarts of all forwarders of two levels, at times all successors and a leader die, while accounts are far above their quotas",
 		kinds: []string{"all replaced", "all successors die", "flood", "flood", "kill"}, every: 700 * time.Millisecond, exact: true,
 		floors: map[string]int{oracle.RuleQuota: 300, oracle.RuleHotRestart: 100}},
