--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -61,6 +61,7 @@
 	done             chan struct{} // closed when the connection is closed
 	stopReading      chan struct{} // closed to stop the reader; the loop creates a new channel for the next reader
 	receivingCommand atomic.Bool   // part of a command has arrived and the client may be sending the rest; set by the reader
+	sentToSuccessor  atomic.Bool   // the successor may have the connection; set by sendToSuccessor
 
 	// Owned by the reader, and by the loop once the reader has stopped.
 	input       inputbuffer.Buffer
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -209,12 +209,18 @@
 	return nil
 }
 
-// send sends the client connection and, with a value, its backend connection to the successor.
-func (t transfer) send(link *hotrestart.Link) error {
+// send sends the client connection and, with a value, its backend connection to the successor. After an error the successor has neither.
+func (t transfer) send(link *hotrestart.Link) (err error) {
+	t.client.sentToSuccessor.Store(true) // before the send, as the successor may use the connection at once
 	if t.value != nil {
-		return link.Send(hotrestart.LargeValue, t.body, linkTimeout, t.client.conn, t.value.stream.backendConn.conn)
+		err = link.Send(hotrestart.LargeValue, t.body, linkTimeout, t.client.conn, t.value.stream.backendConn.conn)
+	} else {
+		err = link.Send(hotrestart.Client, t.body, linkTimeout, t.client.conn)
+	}
+	if err != nil {
+		t.client.sentToSuccessor.Store(false)
 	}
-	return link.Send(hotrestart.Client, t.body, linkTimeout, t.client.conn)
+	return err
 }
 
 // handleTransferred releases a connection that was sent to the successor.
@@ -227,6 +233,21 @@
 	in.closeClient(t.client, closeHandedOver)
 }
 
+// releaseUnconfirmedTransfers releases the connections that the successor may have got before it died, although their confirmation has not
+// arrived. The successor may have read a request from such a connection, or written a part of a value to it, so this process can't serve it.
+func (in *Ingress) releaseUnconfirmedTransfers() {
+	for v := range in.largeValues {
+		if v.client.reader == readerTransferring && v.client.sentToSuccessor.Load() {
+			in.handleValueMigrated(v)
+		}
+	}
+	for c := range in.clients.conns {
+		if c.reader == readerTransferring && c.sentToSuccessor.Load() {
+			in.closeClient(c, closeHandedOver)
+		}
+	}
+}
+
 // handleSuccessorLost handles the end of the link to a successor while this process still runs: this process takes its state back and
 // serves again.
 func (in *Ingress) handleSuccessorLost(link *hotrestart.Link) {
@@ -244,6 +265,7 @@
 		in.restoreSnapshot(snapshot.Reclaimed(s.snapshot))
 	}
 	in.successor = successorState{listener: s.listener, pauseAccept: make(chan struct{})}
+	in.releaseUnconfirmedTransfers()
 	in.resumeMigratingValues()
 	if stageBefore == handoverActive {
 		in.restoreFullLimits()
--- a/internal/dataplane/ingress/hot_restart_test.go
+++ b/internal/dataplane/ingress/hot_restart_test.go
@@ -225,6 +225,38 @@
 	}
 }
 
+// Guards against two readers of one connection (postmortem of 2026-12-03): a successor that dies before the old process knows that a connection
+// has reached it may have read a request from it. The old process closes such a connection, and serves one that it has not sent.
+func TestHotRestart_SuccessorDiesWithUnconfirmedTransfer(t *testing.T) {
+	for name, sent := range map[string]bool{"sent": true, "queued": false} {
+		t.Run(name, func(t *testing.T) {
+			r := startIngress(t, adminConfig(t, "127.0.0.1:1"), nil)
+			open := r.client() // its request keeps the old process running
+			open.send(lookCommand("open")...)
+			receive(t, r.decider.requests)
+			path, err := hotrestart.SocketPath(os.TempDir(), r.ingress.cfg.Name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			link := dialAsSuccessor(t, path)
+			completeHandover(t, link)
+			r.waitForReadersStopped()
+			r.onLoop(func() { // as if the successor had died between the send and its confirmation
+				for c := range r.ingress.clients.conns {
+					c.reader = readerTransferring
+					c.sentToSuccessor.Store(sent)
+				}
+			})
+			link.Close()
+			r.waitFor("the death is handled", func() bool { return r.ingress.successor.stage == handoverNone })
+			r.onLoop(func() { r.ingress.Fail("open") })
+			if got := open.line(); got == "-ERR failed" && sent || got != "-ERR failed" && !sent {
+				t.Errorf("connection %s to the successor: the client read %q", name, got)
+			}
+		})
+	}
+}
+
 // Guards the running process against a hand-over to a process with another listen address, which must not start.
 func TestHotRestart_OtherListenAddressRejected(t *testing.T) {
 	cfg := adminConfig(t, "127.0.0.1:1")
--- a/internal/dataplane/ingress/large_value_migration.go
+++ b/internal/dataplane/ingress/large_value_migration.go
@@ -116,8 +116,12 @@
 	}
 }
 
-// handleValueMigrated releases a value that has been transferred to the successor, and closes its client's connection in this process.
+// handleValueMigrated releases a value that has been transferred to the successor, and closes its client's connection in this process. Only
+// the first call for a value has an effect.
 func (in *Ingress) handleValueMigrated(v *largeValue) {
+	if _, open := in.largeValues[v]; !open {
+		return
+	}
 	v.stream.migrated <- true
 	in.finishLargeValue(v, callprotocol.Result{Status: policy.OK})
 	in.closeClient(v.client, closeHandedOver)
