--- a/cmd/eiderspread/main_test.go
+++ b/cmd/eiderspread/main_test.go
@@ -133,12 +133,7 @@
 		defer close(end)
 		agents = append(agents, strings.TrimPrefix(srv.URL, "http://"))
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := free.Addr().String()
-	free.Close()
+	listen := freeAddress(t)
 
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func(discovery string) {
--- a/cmd/eiderspread/term_test.go
+++ b/cmd/eiderspread/term_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"eiderspread/internal/testbed"
 )
 
 // runAsProgramEnv is an environment variable. If it is set, the test binary runs the program instead of the tests.
@@ -24,6 +26,7 @@
 		main()
 		return
 	}
+	testbed.Host = testbed.OwnHost() // test processes that run at the same time don't take each other's ports
 	os.Exit(m.Run())
 }
 
@@ -66,6 +69,12 @@
 	}
 	cmd = exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), runAsProgramEnv+"=1", "EDGE_CONFIG="+path, "TMPDIR="+folder)
+	log, err := os.Create(filepath.Join(folder, "stderr"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close() // the program has a descriptor of its own
+	cmd.Stderr = log
 	if testing.Verbose() {
 		cmd.Stderr = os.Stderr
 	}
@@ -78,20 +87,21 @@
 			c.Close()
 			return listen, cmd
 		} else if time.Now().After(end) {
-			t.Fatalf("the program does not listen at %s after %v", listen, testTimeout)
+			text, _ := os.ReadFile(log.Name())
+			t.Fatalf("the program does not listen at %s after %v; its log: %s", listen, testTimeout, text)
 		}
 	}
 }
 
-// freeAddress returns a loopback address at which nothing listens.
+// freeAddress returns a loopback address at which nothing listens. Its port is none that the system gives to other sockets: one of those can be
+// taken before the program binds it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := testbed.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer free.Close()
-	return free.Addr().String()
+	return addr
 }
 
 // serveRequests answers the requests of one connection in order until the connection ends, each with its id without the prefix q-.
