--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"time"
+
+	"eiderspread/internal/dataplane/resp"
 )
 
-// halfCloseTimeoutS is how many seconds a half-closed connection waits for the client to close its side.
-const halfCloseTimeoutS = 0.3
+// halfCloseTimeout is how long a half-closed connection waits for the client to close its side.
+const halfCloseTimeout = 300 * time.Millisecond
 
 // resetOnProcessExit has the kernel reset the connection when the last process that holds it ends without closing it. By default the kernel
 // would end the connection as an orderly close does, and the client of a request that may have run would send the request again.
@@ -22,44 +24,78 @@
 // halfClose closes the sending side of a connection. It fails only if the connection has already ended, which the reader reports.
 func (in *Ingress) halfClose(c *clientConn) { _ = c.conn.CloseWrite() }
 
-// closeGracefully closes a connection on which nothing is open, the sending side first. A command may arrive after the check that the
-// connection is silent. Closing a socket with unread bytes resets the connection, and the reset can destroy the previous answer in
-// transit. After a half close the client reads that answer and sends the command again.
+// closeGracefully closes a connection on which nothing is open, the sending side first, unless a command arrives before that. It stops the
+// reader first: a command that the reader has read and not posted yet is known neither to the loop nor to the kernel.
 func (in *Ingress) closeGracefully(c *clientConn, reason closeReason) {
-	if c.state != connOpen {
+	if c.state != connOpen || c.closeWhenStopped != closeUnset {
+		return
+	}
+	c.closeWhenStopped = reason
+	if c.reader == readerStopped {
+		in.finishGracefulClose(c)
+		return
+	}
+	c.stopReader() // handleReaderStopped continues
+}
+
+// finishGracefulClose closes a connection whose reader has stopped, or has it read on if the close is no longer due.
+func (in *Ingress) finishGracefulClose(c *clientConn) {
+	reason := c.closeWhenStopped
+	c.closeWhenStopped = closeUnset
+	if in.mustReadOn(c, reason) {
+		in.restartReader(c)
 		return
 	}
 	c.setCloseReason(reason)
 	c.state, c.discardDone = connClosing, true
-	if err := c.conn.CloseWrite(); err != nil {
-		in.handleDisconnect(c, reason)
-		return
+	in.halfClose(c)
+	in.discardInputAndClose(c, halfCloseTimeout)
+}
+
+// mustReadOn reports whether a connection whose reader has stopped must not be closed: a command has arrived, or the drain is cancelled. A
+// part of a command does not count late in a drain.
+func (in *Ingress) mustReadOn(c *clientConn, reason closeReason) bool {
+	switch {
+	case !c.idle() || !c.silent() || reason == closeDrained && !in.drain.Active():
+		return true
+	case c.input.Len() == 0:
+		return false
 	}
-	in.after(halfCloseTimeoutS, func() { in.closeClient(c, reason) })
+	_, size, err := resp.ParseCommand(c.input.Bytes(), nil)
+	return size > 0 || err != nil || !in.drain.CloseIdle(in.now, c.lastUsedAt, true)
 }
 
 // halfCloseIfSilent closes the sending side of a connection that is to be closed at once, and reports whether no bytes have arrived
-// meanwhile. If some have, they are read and dropped, and the connection is closed after halfCloseTimeoutS.
+// meanwhile. If some have, they are read and dropped, and the connection is closed after halfCloseTimeout.
 func (in *Ingress) halfCloseIfSilent(c *clientConn) bool {
 	c.setCloseReason(closeNoCapacity)
 	if err := c.conn.CloseWrite(); err != nil || c.silent() {
 		return true
 	}
 	c.state, c.discardDone = connClosing, true
-	in.after(halfCloseTimeoutS, func() { in.closeClient(c, closeNoCapacity) })
+	in.after(halfCloseTimeout.Seconds(), func() { in.closeClient(c, closeNoCapacity) })
 	return false
 }
 
-// endStoppedClient closes a connection whose reader has stopped, the sending side first. Further input is read and dropped, for
-// discardTimeout/2 and maxDiscardBytes at most, so that the close does not reset the connection.
+// endStoppedClient closes a connection whose reader has stopped, the sending side first.
 func (in *Ingress) endStoppedClient(c *clientConn) {
 	c.setCloseReason(in.drainCloseReason())
 	c.state, c.discardDone = connClosing, true
 	in.halfClose(c)
+	in.discardInputAndClose(c, discardTimeout/2)
+}
+
+// discardInputAndClose closes a half-closed connection without a reader once the client has closed its side, or after timeout. Until then
+// input of up to maxDiscardBytes is read and dropped: closing a socket with unread bytes would reset the connection, and the reset could
+// destroy the previous answer in transit. The client reads that answer and sends the command again.
+func (in *Ingress) discardInputAndClose(c *clientConn, timeout time.Duration) {
 	go func() {
-		setReadDeadline(c.conn, time.Now().Add(discardTimeout/2))
-		_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, maxDiscardBytes)) // the connection is closed whatever the result
-		in.post(in.clock.Now(), func() { in.closeClient(c, c.closeReason) })
+		setReadDeadline(c.conn, time.Now().Add(timeout))
+		n, _ := io.Copy(io.Discard, io.LimitReader(c.conn, maxDiscardBytes)) // the connection is closed whatever the error
+		in.post(in.clock.Now(), func() {
+			c.discardedBytes = n
+			in.closeClient(c, c.closeReason)
+		})
 	}()
 }
 
@@ -96,7 +132,8 @@
 	in.counters.closed[c.closeReason]++
 	in.checkClientClose(c)
 	if c.lastCallAt > 0 { // else it was a load balancer's PING, and there are too many of these to log
-		in.logClientConn("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.state == connClosing)
+		in.logClientConn("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.state == connClosing,
+			"discarded_bytes", c.discardedBytes)
 	}
 	c.state = connClosed
 	in.inputBudget.Release(c.reservedBytes)
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -73,6 +73,9 @@
 	reader      readerState
 	closeReason closeReason // set when the close is decided
 
+	closeWhenStopped closeReason // the reader is being stopped for this close; closeUnset: for none
+	discardedBytes   int64       // of input that arrived after the half close
+
 	answerSlots   []*answerSlot // in the order of the commands; at most maxPipelinedCommands + 1
 	pendingOutput []byte        // answers that are not passed to the socket yet
 	reservedBytes int           // of the input budget, for output that is pending or being written
--- a/internal/dataplane/ingress/client_conn_test.go
+++ b/internal/dataplane/ingress/client_conn_test.go
@@ -132,6 +132,48 @@
 	}
 }
 
+// Guards against a command that is read and dropped because its connection closes in that moment (KNOWN-RED TestDrain_AnswersPipelinedCommands):
+// the reader has read it, so that no byte waits in the socket, and has not posted it to the loop.
+func TestClient_CommandHeldByReaderIsAnswered(t *testing.T) {
+	for name, closeIdle := range map[string]func(in *Ingress){
+		"drain":        func(in *Ingress) { in.drain.Begin(in.now - 3.8); in.sweepDraining() },
+		"shutdown":     func(in *Ingress) { in.shutdown.closingClients = true; in.clients.closeIdle(in) },
+		"idle timeout": func(in *Ingress) { in.now += clientIdleTimeoutS + 1; in.clients.sweep(in) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := startIngress(t, testConfig("127.0.0.1:1"), func(r *testIngress) {
+				r.decider.onRequest = func(q policy.Request) { r.ingress.Reject(q.ID, 0) }
+			})
+			client, accepted := tcpPair(t)
+			var c *clientConn
+			r.onLoop(func() {
+				var err error
+				if c, err = r.ingress.newClientConn(accepted); err != nil {
+					t.Fatal(err)
+				}
+				r.ingress.clients.connPermits <- struct{}{}
+				r.ingress.addClient(c)
+				c.commandReceived, c.callReceived = true, true
+				c.lastUsedAt -= 1
+			})
+			text := command(lookCommand("held")...)
+			write(client, text)
+			for c.input.Len() < len(text) { // as the reader does
+				n, err := c.conn.Read(c.input.Space())
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.input.Advance(n)
+			}
+			r.onLoop(func() { closeIdle(r.ingress) })
+			go c.readLoop(r.ingress) // the reader goes on
+			if line := client.line(); !strings.HasPrefix(line, "-BUSY") {
+				t.Errorf("got %q, want -BUSY", line)
+			}
+		})
+	}
+}
+
 // The decider must be notified when a client disconnects; otherwise it goes on working on the request. The outcome of the attempt in flight
 // then reports the request as completed.
 func TestClient_DisconnectReachesDecider(t *testing.T) {
--- a/internal/dataplane/ingress/client_reader.go
+++ b/internal/dataplane/ingress/client_reader.go
@@ -219,7 +219,13 @@
 		c.input.Release()
 		return
 	}
-	if c.reader = readerStopped; c.idle() {
+	c.reader = readerStopped
+	if c.closeWhenStopped != closeUnset && in.successor.stage == handoverNone { // else a hand-over began, and the connection is transferred
+		in.finishGracefulClose(c)
+		return
+	}
+	c.closeWhenStopped = closeUnset
+	if c.idle() {
 		in.releaseStoppedClient(c)
 	} // else afterAnswersWritten does it, once the answers are written
 }
--- a/internal/dataplane/ingress/drain.go
+++ b/internal/dataplane/ingress/drain.go
@@ -87,13 +87,14 @@
 
 // drainable reports whether a drain may close the connection now.
 func (in *Ingress) drainable(c *clientConn) bool {
-	if c.state != connOpen {
+	if c.state != connOpen || !c.quiescent() || !c.silent() {
 		return false
 	}
-	if c.quiescent() && in.drain.CloseIdle(in.now, c.lastUsedAt, c.receivingCommand.Load()) && c.silent() {
+	receiving := c.receivingCommand.Load()
+	if in.drain.CloseIdle(in.now, c.lastUsedAt, receiving) {
 		return true
 	}
-	return c.callReceived && in.drain.CloseAfterResponse(in.now) && c.fullyAnswered()
+	return c.callReceived && !receiving && in.drain.CloseAfterResponse(in.now)
 }
 
 // answerOpenRequests gives each open request of a connection its final answer now: a rejection if a retry by the client is harmless,
