--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -24,32 +24,41 @@
 // halfClose closes the sending side of a connection. It fails only if the connection has already ended, which the reader reports.
 func (in *Ingress) halfClose(c *clientConn) { _ = c.conn.CloseWrite() }
 
-// closeGracefully closes a connection on which nothing is open, the sending side first, unless a command arrives before that. It stops the
-// reader first: a command that the reader has read and not posted yet is known neither to the loop nor to the kernel.
+// closeGracefully closes a connection on which nothing is open and no byte is unread, the sending side first. If the reader does not wait
+// for input, it may hold a command that it has read and not posted yet, which neither the loop nor the kernel knows of. It is stopped first
+// then, and the connection stays open if there is such a command.
 func (in *Ingress) closeGracefully(c *clientConn, reason closeReason) {
 	if c.state != connOpen || c.closeWhenStopped != closeUnset {
 		return
 	}
-	c.closeWhenStopped = reason
-	if c.reader == readerStopped {
-		in.finishGracefulClose(c)
+	if c.reader == readerRunning && (!c.socket.Waiting() || len(c.pipelinePermits) > 0) {
+		c.closeWhenStopped = reason
+		c.stopReader() // handleReaderStopped continues
 		return
 	}
-	c.stopReader() // handleReaderStopped continues
+	in.closeSendingSide(c, reason)
 }
 
-// finishGracefulClose closes a connection whose reader has stopped, or has it read on if the close is no longer due.
+// finishGracefulClose closes a connection whose reader has stopped, unless the close is no longer due. In either case the reader reads on.
 func (in *Ingress) finishGracefulClose(c *clientConn) {
 	reason := c.closeWhenStopped
 	c.closeWhenStopped = closeUnset
-	if in.mustReadOn(c, reason) {
+	if !in.mustReadOn(c, reason) {
+		in.closeSendingSide(c, reason)
+	}
+	if c.state != connClosed {
 		in.restartReader(c)
-		return
 	}
+}
+
+// closeSendingSide half-closes a connection and closes it after halfCloseTimeout. Commands that arrive meanwhile are read and dropped: closing
+// a socket with unread bytes would reset the connection, and the reset could destroy the previous answer in transit. After a half close the
+// client reads that answer and sends the command again.
+func (in *Ingress) closeSendingSide(c *clientConn, reason closeReason) {
 	c.setCloseReason(reason)
 	c.state, c.discardDone = connClosing, true
 	in.halfClose(c)
-	in.discardInputAndClose(c, halfCloseTimeout)
+	in.after(halfCloseTimeout.Seconds(), func() { in.closeClient(c, reason) })
 }
 
 // mustReadOn reports whether a connection whose reader has stopped must not be closed: a command has arrived, or the drain is cancelled. A
@@ -77,25 +86,16 @@
 	return false
 }
 
-// endStoppedClient closes a connection whose reader has stopped, the sending side first.
+// endStoppedClient closes a connection whose reader has stopped, the sending side first. Further input is read and dropped, for
+// discardTimeout/2 and maxDiscardBytes at most, so that the close does not reset the connection.
 func (in *Ingress) endStoppedClient(c *clientConn) {
 	c.setCloseReason(in.drainCloseReason())
 	c.state, c.discardDone = connClosing, true
 	in.halfClose(c)
-	in.discardInputAndClose(c, discardTimeout/2)
-}
-
-// discardInputAndClose closes a half-closed connection without a reader once the client has closed its side, or after timeout. Until then
-// input of up to maxDiscardBytes is read and dropped: closing a socket with unread bytes would reset the connection, and the reset could
-// destroy the previous answer in transit. The client reads that answer and sends the command again.
-func (in *Ingress) discardInputAndClose(c *clientConn, timeout time.Duration) {
 	go func() {
-		setReadDeadline(c.conn, time.Now().Add(timeout))
-		n, _ := io.Copy(io.Discard, io.LimitReader(c.conn, maxDiscardBytes)) // the connection is closed whatever the error
-		in.post(in.clock.Now(), func() {
-			c.discardedBytes = n
-			in.closeClient(c, c.closeReason)
-		})
+		setReadDeadline(c.conn, time.Now().Add(discardTimeout/2))
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, maxDiscardBytes)) // the connection is closed whatever the result
+		in.post(in.clock.Now(), func() { in.closeClient(c, c.closeReason) })
 	}()
 }
 
@@ -132,8 +132,7 @@
 	in.counters.closed[c.closeReason]++
 	in.checkClientClose(c)
 	if c.lastCallAt > 0 { // else it was a load balancer's PING, and there are too many of these to log
-		in.logClientConn("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.state == connClosing,
-			"discarded_bytes", c.discardedBytes)
+		in.logClientClose(c)
 	}
 	c.state = connClosed
 	in.inputBudget.Release(c.reservedBytes)
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -57,11 +57,12 @@
 	connID           uint64 // unique within this process, for the log
 	conn             *net.TCPConn
 	rawConn          syscall.RawConn
-	pipelinePermits  chan struct{} // one for each unanswered command; acquired by the reader, released by the loop
-	done             chan struct{} // closed when the connection is closed
-	stopReading      chan struct{} // closed to stop the reader; the loop creates a new channel for the next reader
-	receivingCommand atomic.Bool   // part of a command has arrived and the client may be sending the rest; set by the reader
-	sentToSuccessor  atomic.Bool   // the successor may have the connection; set by sendToSuccessor
+	socket           *sockets.Reader // reads from conn for the reader; the loop asks whether it waits
+	pipelinePermits  chan struct{}   // one for each unanswered command; acquired by the reader, released by the loop
+	done             chan struct{}   // closed when the connection is closed
+	stopReading      chan struct{}   // closed to stop the reader; the loop creates a new channel for the next reader
+	receivingCommand atomic.Bool     // part of a command has arrived and the client may be sending the rest; set by the reader
+	sentToSuccessor  atomic.Bool     // the successor may have the connection; set by sendToSuccessor
 
 	// Owned by the reader, and by the loop once the reader has stopped.
 	input       inputbuffer.Buffer
@@ -74,7 +75,7 @@
 	closeReason closeReason // set when the close is decided
 
 	closeWhenStopped closeReason // the reader is being stopped for this close; closeUnset: for none
-	discardedBytes   int64       // of input that arrived after the half close
+	droppedCalls     int         // calls that were read after the half close
 
 	answerSlots   []*answerSlot // in the order of the commands; at most maxPipelinedCommands + 1
 	pendingOutput []byte        // answers that are not passed to the socket yet
@@ -102,7 +103,7 @@
 	if err := resetOnProcessExit(conn); err != nil {
 		return nil, err
 	}
-	return &clientConn{connID: lastClientConnID.Add(1), conn: conn, rawConn: raw, pipelinePermits: make(chan struct{}, maxPipelinedCommands),
+	return &clientConn{connID: lastClientConnID.Add(1), conn: conn, rawConn: raw, socket: sockets.NewReader(raw), pipelinePermits: make(chan struct{}, maxPipelinedCommands),
 		done: make(chan struct{}), stopReading: make(chan struct{}), input: inputbuffer.New(&in.inputBudget)}, nil
 }
 
--- a/internal/dataplane/ingress/client_reader.go
+++ b/internal/dataplane/ingress/client_reader.go
@@ -61,7 +61,7 @@
 			}
 			var n int
 			began := in.clock.Now()
-			n, err = c.conn.Read(space)
+			n, err = c.socket.Read(space)
 			c.input.Advance(n)
 			if at = in.clock.Now(); at-began > immediateReadS { // the read waited, so its bytes have just arrived
 				emptyAt = at
--- a/internal/dataplane/ingress/drain_log.go
+++ b/internal/dataplane/ingress/drain_log.go
@@ -2,19 +2,24 @@
 
 import "eiderspread/internal/dataplane/sockets"
 
-// maxDrainLogLines limits the log lines about single connections in one drain or shutdown.
+// maxDrainLogLines limits the log lines about closed connections in one drain or shutdown, and those about connections that are left.
 const maxDrainLogLines = 60
 
 // draining reports whether clients' connections are being closed or transferred, in a drain by operators, a hot restart or a shutdown.
 func (in *Ingress) draining() bool { return in.drain.Active() || in.shutdown.closingClients }
 
-// logClientConn logs an event of one client connection. It logs only while the ingress is draining, at most maxDrainLogLines lines
-// in one drain.
-func (in *Ingress) logClientConn(message string, c *clientConn, more ...any) {
+// logClientClose logs the close of one client connection. It logs only while the ingress is draining, at most maxDrainLogLines lines in
+// one drain.
+func (in *Ingress) logClientClose(c *clientConn) {
 	if !in.draining() || in.drainLogLines >= maxDrainLogLines {
 		return
 	}
 	in.drainLogLines++
+	in.logClientConn("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.state == connClosing, "dropped_calls", c.droppedCalls)
+}
+
+// logClientConn logs an event of one client connection.
+func (in *Ingress) logClientConn(message string, c *clientConn, more ...any) {
 	attrs := []any{"conn", c.connID, "age", roundToMillis(in.now - c.acceptedAt), "requests", c.requestCount, "open", len(c.answerSlots)}
 	if c.lastCallAt > 0 {
 		attrs = append(attrs, "last_asked_ago", roundToMillis(in.now-c.lastCallAt))
@@ -26,8 +31,12 @@
 func (in *Ingress) logOpenConns() {
 	in.log.Warn("drain time is over", "connections", in.clients.open(), "requests", len(in.requests), "looks", in.drain.sweeps,
 		"longest_gap", roundToMillis(in.drain.longestSweepGapS), "pings", in.drain.rejectedPings, "pings_behind_answers", in.drain.rejectedPingsQueued)
+	lines := 0
 	for c := range in.clients.conns {
-		in.logClientConn("connection still open after drain", c, "reader_stopped", c.reader != readerRunning, "loop_owns_input", c.reader >= readerStopped,
+		if lines++; lines > maxDrainLogLines {
+			break
+		}
+		in.logClientConn("connection still open after drain", c, "command_received", c.commandReceived, "idle", roundToMillis(in.now-c.lastUsedAt), "reader_stopped", c.reader != readerRunning, "loop_owns_input", c.reader >= readerStopped,
 			"ending", c.state == connClosing, "writing", c.writing, "unread_bytes", sockets.UnreadBytes(c.rawConn))
 	}
 }
--- a/internal/dataplane/ingress/harness_test.go
+++ b/internal/dataplane/ingress/harness_test.go
@@ -206,6 +206,19 @@
 	})
 }
 
+// waitForReadersWaiting waits until the readers of all clients have posted what they have read and wait for input.
+func (r *testIngress) waitForReadersWaiting() {
+	r.t.Helper()
+	r.waitFor("all client readers wait for input", func() bool {
+		for c := range r.ingress.clients.conns {
+			if !c.socket.Waiting() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // fillPipeline fills the pipeline of a client with requests that the decider has received and not sent, and leaves more of them unread: the
 // client's reader waits for a permit. It returns the ids of all requests.
 func (r *testIngress) fillPipeline(c *testConn) (ids []string) {
--- a/internal/dataplane/ingress/request.go
+++ b/internal/dataplane/ingress/request.go
@@ -67,6 +67,7 @@
 // rejectOnArrival rejects a request that must not reach the decider, and reports whether it did.
 func (in *Ingress) rejectOnArrival(c *clientConn, call *callprotocol.Call, at float64) bool {
 	if c.state != connOpen { // no answer: the client sees the close, and retries elsewhere
+		c.droppedCalls++
 		return true
 	}
 	var reason rejectReason
