--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -56,11 +56,27 @@
 // client reads that answer and sends the command again.
 func (in *Ingress) closeSendingSide(c *clientConn, reason closeReason) {
 	c.setCloseReason(reason)
-	c.state, c.discardDone = connClosing, true
-	in.halfClose(c)
+	if c.commandReceived && !c.receivingCommand.Load() {
+		c.state = connClosing
+		in.halfClose(c)
+	} else {
+		in.rejectUnsentCommand(c)
+	}
+	if c.state == connClosed { // the client has gone
+		return
+	}
+	c.discardDone = true
 	in.after(halfCloseTimeout.Seconds(), func() { in.closeClient(c, reason) })
 }
 
+// rejectUnsentCommand writes a rejection to a client that is about to send its first command or the rest of one, and half-closes the
+// connection. The client takes the rejection for the answer to that command, which no one reads.
+func (in *Ingress) rejectUnsentCommand(c *clientConn) {
+	retryInS, _ := in.rejectsRequests()
+	in.counters.rejected[rejectDraining]++
+	in.answerImmediately(c, in.busyReply(retryInS), true)
+}
+
 // mustReadOn reports whether a connection whose reader has stopped must not be closed: a command has arrived, or the drain is cancelled. A
 // part of a command does not count late in a drain.
 func (in *Ingress) mustReadOn(c *clientConn, reason closeReason) bool {
--- a/internal/dataplane/ingress/drain.go
+++ b/internal/dataplane/ingress/drain.go
@@ -91,6 +91,9 @@
 		return false
 	}
 	receiving := c.receivingCommand.Load()
+	if !c.commandReceived && !receiving {
+		return in.drain.CloseUnused(in.now, c.acceptedAt)
+	}
 	if in.drain.CloseIdle(in.now, c.lastUsedAt, receiving) {
 		return true
 	}
--- a/internal/dataplane/ingress/drain_test.go
+++ b/internal/dataplane/ingress/drain_test.go
@@ -230,6 +230,54 @@
 	}
 }
 
+// Guards against a first command that is lost because its connection ends before the command arrives (KNOWN-RED
+// TestDrain_ReleasesPersistentClients): the client must read a rejection, also when it sends the command only after the end. The same goes for
+// the rest of a command late in a drain.
+func TestDrain_UnsentCommandIsRejected(t *testing.T) {
+	closeAt := func(since float64) func(in *Ingress) {
+		return func(in *Ingress) { in.drain.Begin(in.now - since); in.sweepDraining() }
+	}
+	shutDown := func(in *Ingress) { in.shutdown.closingClients = true; in.clients.closeIdle(in) }
+	for name, tc := range map[string]struct {
+		sent, rest string // before and after the connection is to be closed
+		close      func(in *Ingress)
+		want       string
+	}{
+		"first command":           {"", command(lookCommand("a")...), closeAt(3.75), "-BUSY"},
+		"first command, half way": {"", command(lookCommand("a")...), closeAt(1), "$1"},
+		"rest of a command":       {"*4\r\n$8\r\nCALL", ".GET\r\n", closeAt(3.75), "-BUSY"},
+		"at a shutdown":           {"", command(lookCommand("a")...), shutDown, "-BUSY"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := listenBackend(t)
+			go serveBackend(conns)
+			r := startIngress(t, testConfig(addr), sendTo(300))
+			c := r.client()
+			write(c, tc.sent)
+			r.waitFor("the connection is accepted and read", func() bool {
+				for client := range r.ingress.clients.conns {
+					return client.receivingCommand.Load() == (tc.sent != "")
+				}
+				return false
+			})
+			var client *clientConn
+			r.onLoop(func() {
+				for client = range r.ingress.clients.conns {
+					client.acceptedAt, client.lastUsedAt = client.acceptedAt-1, client.lastUsedAt-1
+				}
+				tc.close(r.ingress)
+			})
+			if tc.want == "-BUSY" {
+				r.waitFor("the connection is half-closed", func() bool { return client.state != connOpen })
+			}
+			write(c, tc.rest)
+			if line := c.line(); !strings.HasPrefix(line, tc.want) {
+				t.Errorf("got %q, want %s", line, tc.want)
+			}
+		})
+	}
+}
+
 // Guards what a drain logs and counts: the end of each connection with its reason, and the connections that are still open at the
 // end of the drain.
 func TestDrain_LoggedAndCounted(t *testing.T) {
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -12,6 +12,7 @@
 //	0    to 0.5  all requests are served, because new connections still arrive
 //	0.5  on      idle connections are closed
 //	1.9  on      requests are rejected
+//	3.4  on      connections that have sent nothing are closed with a rejection
 //	3.6  on      a request is ended if younger ones wait behind it on its connection
 //	3.7  on      a connection is closed as soon as all of its requests are answered
 //
@@ -26,6 +27,7 @@
 	drainNoticeS = 0.5 // until then new connections are expected
 	// From then on requests are rejected, because they could be less than drainRecentS old at the end.
 	drainRejectS         = 1.9
+	drainCloseUnusedS    = 3.4 // until then connections that have sent nothing stay open
 	drainPartialRequestS = 3.5 // until then connections with a partly received request stay open
 	// From then on no request that could be less than drainRecentS old at the end may wait behind another one.
 	drainCloseBlockedS       = 3.6
@@ -77,6 +79,13 @@
 	return d.active && now-d.startedAt >= from && now-usedAt > drainIdleGraceS
 }
 
+// CloseUnused reports whether to close a connection, accepted at acceptedAt, on which no part of a request has arrived yet. Its client
+// may be about to send its first request, and must read a rejection before the end: a connection that ends before its first answer may
+// have lost that request.
+func (d *Drain) CloseUnused(now, acceptedAt float64) bool {
+	return d.active && now-d.startedAt >= drainCloseUnusedS && now-acceptedAt > drainIdleGraceS
+}
+
 // CloseAfterResponse reports whether to close a connection once all of its requests are answered.
 func (d *Drain) CloseAfterResponse(now float64) bool {
 	return d.active && now-d.startedAt >= drainCloseAfterResponseS
--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -85,3 +85,28 @@
 		}
 	}
 }
+
+// A connection that has sent nothing must have ended by the end of the drain, and must not end while its first request may still be served
+// or rejected in the usual way.
+func TestDrain_CloseUnused(t *testing.T) {
+	d := Drain{}
+	if d.CloseUnused(3.9, 0) {
+		t.Error("without a drain: CloseUnused is true")
+	}
+	d.Begin(0)
+	for name, tc := range map[string]struct {
+		now, accepted float64
+		want          bool
+	}{
+		"early":                    {3.3, 2, false},
+		"late":                     {3.5, 2, true},
+		"opened just now":          {3.95, 3.9, false},
+		"opened a moment ago":      {3.95, 3.7, true},
+		"after the end, just now":  {4.6, 4.5, false},
+		"after the end, long open": {4.6, 2, true},
+	} {
+		if got := d.CloseUnused(tc.now, tc.accepted); got != tc.want {
+			t.Errorf("%s: CloseUnused is %v, want %v", name, got, tc.want)
+		}
+	}
+}
