--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -135,6 +135,12 @@
 	return c.state == connClosed || sockets.PeerClosed(c.rawConn)
 }
 
+// inputProcessed reports whether every byte that has arrived is known to the loop: none waits in the socket, the reader has none in hand, and
+// no command is queued. The order matters, as input moves on from one of these places to the next.
+func (c *clientConn) inputProcessed() bool {
+	return c.silent() && c.socket.Waiting() && len(c.pipelinePermits) == 0
+}
+
 // setCloseReason records why the connection is to be closed. The first reason is kept.
 func (c *clientConn) setCloseReason(reason closeReason) {
 	if c.closeReason == closeUnset {
--- a/internal/dataplane/ingress/client_conn_test.go
+++ b/internal/dataplane/ingress/client_conn_test.go
@@ -139,6 +139,7 @@
 		"drain":        func(in *Ingress) { in.drain.Begin(in.now - 3.8); in.sweepDraining() },
 		"shutdown":     func(in *Ingress) { in.shutdown.closingClients = true; in.clients.closeIdle(in) },
 		"idle timeout": func(in *Ingress) { in.now += clientIdleTimeoutS + 1; in.clients.sweep(in) },
+		"no capacity":  func(in *Ingress) { in.clients.evictIdleFrom = 1; in.clients.atCapacity(in, nil) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := startIngress(t, testConfig("127.0.0.1:1"), func(r *testIngress) {
--- a/internal/dataplane/ingress/client_table.go
+++ b/internal/dataplane/ingress/client_table.go
@@ -108,7 +108,7 @@
 		if candidate == nil {
 			return others >= t.maxOpen
 		}
-		if candidate.state != connClosing && (!candidate.silent() || !in.halfCloseIfSilent(candidate)) {
+		if candidate.state != connClosing && (!candidate.inputProcessed() || !in.halfCloseIfSilent(candidate)) {
 			if excluded == nil {
 				excluded = map[*clientConn]bool{}
 			}
