--- a/cmd/eiderspread/drain_test.go
+++ b/cmd/eiderspread/drain_test.go
@@ -29,6 +29,7 @@
 // persistentConn is a connection that a client keeps open between requests, until the ingress closes it.
 type persistentConn struct {
 	net.Conn
+	openedAt       time.Time
 	reader         *bufio.Reader
 	mutex          sync.Mutex
 	requests       int
@@ -106,7 +107,7 @@
 			t.Error(err)
 			return
 		}
-		k := &persistentConn{Conn: conn, reader: bufio.NewReader(conn)}
+		k := &persistentConn{Conn: conn, openedAt: time.Now(), reader: bufio.NewReader(conn)}
 		_ = conn.SetDeadline(time.Now().Add(testTimeout)) // the next read reports an error
 		if f.sinceDrainCall() > drainNoticeTime {
 			f.openedLate.Add(1)
@@ -226,7 +227,7 @@
 	still := front.violations(time.Now().Add(-drainSlack))
 	for k, why := range held {
 		if still[k] != "" {
-			t.Errorf("%v after the drain call a connection with %d requests is still open: %s", drainTime, k.requestCount(), why)
+			t.Errorf("%v after the drain call a connection with %d requests, opened %v after the call, is still open: %s", drainTime, k.requestCount(), k.openedAt.Sub(called), why)
 		}
 	}
 	close(front.stop)
--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -100,9 +100,10 @@
 	}{
 		"early":                    {3.3, 2, false},
 		"late":                     {3.5, 2, true},
-		"opened just now":          {3.95, 3.9, false},
-		"opened a moment ago":      {3.95, 3.7, true},
-		"after the end, just now":  {4.6, 4.5, false},
+		"opened just now":          {3.6, 3.55, false},
+		"opened a moment ago":      {3.6, 3.4, true},
+		"just now, near the end":   {3.95, 3.9, true},
+		"after the end, just now":  {4.6, 4.55, true},
 		"after the end, long open": {4.6, 2, true},
 	} {
 		if got := d.CloseUnused(tc.now, tc.accepted); got != tc.want {
