--- a/policy/drain.go
+++ b/policy/drain.go
@@ -79,9 +79,10 @@
 	return d.active && now-d.startedAt >= from && now-usedAt > drainIdleGraceS
 }
 
-// CloseUnused reports whether to close a connection, accepted at acceptedAt, on which no part of a request has arrived yet. Its client
-// may be about to send its first request, and must read a rejection before the end: a connection that ends before its first answer may
-// have lost that request. From drainCloseAfterResponseS on even the newest connection is closed, because it would otherwise stay beyond
+// CloseUnused reports whether to close a connection, accepted at acceptedAt, on which no part of a request
+// has arrived yet. Its client may be about to send its first request, and must read a rejection before the
+// end: a connection that ends before its first answer may have lost that request. From
+// drainCloseAfterResponseS on even the newest connection is closed, because it would otherwise stay beyond
 // the end of the drain.
 func (d *Drain) CloseUnused(now, acceptedAt float64) bool {
 	elapsed := now - d.startedAt
