--- a/internal/testbed/operators.go
+++ b/internal/testbed/operators.go
@@ -127,21 +127,33 @@
 	}
 	select {
 	case <-exited: // the predecessor had handed over everything and ended: the kill ended the program
-		return p.start(true)
+		return p.startAndWait()
 	default:
 	}
 	p.mu.Lock()
 	p.running, p.exited, p.paused, p.replacements = old, exited, paused, replacements
 	p.mu.Unlock()
 	if err == nil && !p.waitReady(replaceTimeout/2) {
+		if !p.Up() { // it had handed over everything, and was still ending when its successor was killed
+			return p.startAndWait()
+		}
 		err = fmt.Errorf("%s: the predecessor is not ready %v after its successor was killed", p.Name, replaceTimeout/2)
 	}
 	return err
 }
 
-// waitReady waits until the program's admin interface reports it as ready. It returns false if that does not happen within timeout.
+// startAndWait starts a new incarnation and waits until it serves.
+func (p *Proc) startAndWait() error {
+	if err := p.start(true); err != nil {
+		return err
+	}
+	return p.Ready(replaceTimeout)
+}
+
+// waitReady waits until the program's admin interface reports it as ready. It returns false if that does not happen within timeout, or if
+// the program ends.
 func (p *Proc) waitReady(timeout time.Duration) bool {
-	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(callRetry / 10) {
+	for end := time.Now().Add(timeout); p.Up() && time.Now().Before(end); time.Sleep(callRetry / 10) {
 		if status, err := p.Call(context.Background(), http.MethodGet, "/v1/readyz"); err == nil && status == http.StatusOK {
 			return true
 		}
