--- a/internal/dataplane/ingress/client_conn_test.go
+++ b/internal/dataplane/ingress/client_conn_test.go
@@ -148,12 +148,7 @@
 			client, accepted := tcpPair(t)
 			var c *clientConn
 			r.onLoop(func() {
-				var err error
-				if c, err = r.ingress.newClientConn(accepted); err != nil {
-					t.Fatal(err)
-				}
-				r.ingress.clients.connPermits <- struct{}{}
-				r.ingress.addClient(c)
+				c = r.addClientWithoutReader(accepted)
 				c.commandReceived, c.callReceived = true, true
 				c.lastUsedAt -= 1
 			})
--- a/internal/dataplane/ingress/harness_test.go
+++ b/internal/dataplane/ingress/harness_test.go
@@ -193,6 +193,17 @@
 	})
 }
 
+// addClientWithoutReader adds the ingress's end of a connection as a client's. The test starts its reader, or acts as one. Loop only.
+func (r *testIngress) addClientWithoutReader(conn *net.TCPConn) *clientConn {
+	c, err := r.ingress.newClientConn(conn)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.ingress.clients.connPermits <- struct{}{}
+	r.ingress.addClient(c)
+	return c
+}
+
 // waitForReadersStopped waits until the hand-over is active and the readers of all clients have stopped.
 func (r *testIngress) waitForReadersStopped() {
 	r.t.Helper()
--- a/internal/dataplane/ingress/shutdown_test.go
+++ b/internal/dataplane/ingress/shutdown_test.go
@@ -56,12 +56,7 @@
 	client, accepted := tcpPair(t)
 	var c *clientConn
 	r.onLoop(func() {
-		var err error
-		if c, err = r.ingress.newClientConn(accepted); err != nil {
-			t.Fatal(err)
-		}
-		r.ingress.clients.connPermits <- struct{}{}
-		r.ingress.addClient(c)
+		c = r.addClientWithoutReader(accepted)
 		c.answerSlots = append(c.answerSlots, &answerSlot{})
 		c.pipelinePermits <- struct{}{}
 	})
@@ -130,12 +125,7 @@
 	client, accepted := tcpPair(t)
 	r.onLoop(func() { // the loop learns of the connection only after stopAccepting
 		r.ingress.stopAccepting()
-		c, err := r.ingress.newClientConn(accepted)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.ingress.clients.connPermits <- struct{}{}
-		r.ingress.addClient(c)
+		c := r.addClientWithoutReader(accepted)
 		c.lastUsedAt = r.ingress.now + 3600
 		go c.readLoop(r.ingress)
 	})
--- a/internal/testbed/lab_test.go
+++ b/internal/testbed/lab_test.go
@@ -183,9 +183,6 @@
 // Guards against a request that runs twice when the successor of a forwarder is killed (KNOWN-RED LabStormSuccessorDies): its client can't
 // tell the killed process from one that closed the connection between requests, and sends the request again to the predecessor.
 func TestSuccessorDies(t *testing.T) {
-	if !topology.FencingEnabled {
-		t.Skip("needs a build with fencing")
-	}
 	sc := Scenario{FleetConfig: testFleetConfig(t, 3), Accounts: Accounts(20, 10, 3, 3, 3, 1), Length: 10 * time.Second}
 	if err := ApplyScenario("successors-die", &sc, nil, 0); err != nil {
 		t.Fatal(err)
