Free a client's connection at the end of a large value, not at the end of the reply

Cause: the goroutine that streams the value reported to the loop only after it had read the elements behind it, with 10 s for each read. Until then the connection counted as being written: no later answer went out, the command's permit, a drain, a shutdown and a hand-over waited too.

Change: handleValueWritten frees the client's connection when the last byte of the value is written. The reader then waits 0.25 s at most for the end of the reply, and handleReplyEnd decides, once, what that end does. The attempt has succeeded in any case; it counts as in flight until the end or for 0.25 s, as the backend may be busy with it, and its units stay taken. Missing usage figures and a missing load report count as null. The connection is pooled after a proper end alone, so that late bytes are not taken for another reply. The loop also clears the write deadline that a migration may have set in that moment.

This works because nothing that the client's connection waits for depends on the backend once the value is whole.

--- a/internal/dataplane/ingress/backend_pool.go
+++ b/internal/dataplane/ingress/backend_pool.go
@@ -17,6 +17,9 @@
 	// reuseDelayS is how many seconds after a reply a connection is not reused while another one is idle. A duplicate of the reply follows it
 	// closely, and is detected in this time, before the next command is written.
 	reuseDelayS = 0.005
+	// replyEndTimeout is how long a reply may take to end once its large value is written to the client. The attempt counts as in flight until
+	// then, as the backend may still be busy with it.
+	replyEndTimeout = 250 * time.Millisecond
 )
 
 // backend is a backend of the endpoint list, with its connections. The event loop owns it.
@@ -42,6 +45,7 @@
 	// These never change once the loop runs.
 	idleTimeoutS     float64
 	duplicateWindowS float64
+	replyEndTimeout  time.Duration
 	dial             func(addr string) (net.Conn, error)
 	onLastByte       func() // for tests; called by writeRest between the write of the last byte and its record as writeComplete
 }
@@ -51,6 +55,7 @@
 	p.maxConnsAlone = max(8, freeDescriptors(cfg)*3/8)
 	p.maxConns = p.maxConnsAlone
 	p.duplicateWindowS = duplicateWindowS
+	p.replyEndTimeout = replyEndTimeout
 	p.onLastByte = func() {}
 	p.idleTimeoutS = cfg.Settings.ConnIdleS * idleRetireFraction
 	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
--- a/internal/dataplane/ingress/large_value.go
+++ b/internal/dataplane/ingress/large_value.go
@@ -17,7 +17,7 @@
 	maxLargeValue   = 4 << 20          // bytes of a value, at most
 	minLargePrefix  = 2 << 10          // bytes of the value that must arrive before it is streamed: a wrong length is mostly followed by fewer
 	streamChunkSize = 16 << 10         // bytes, reserved from the input budget; inputbuffer.ReadSize is used if the budget is exhausted
-	stallTimeout    = 10 * time.Second // longest time without progress on either side
+	stallTimeout    = 10 * time.Second // longest time without progress on either side, until the value is complete
 )
 
 var (
@@ -36,8 +36,9 @@
 	stream   *valueStream
 }
 
-// streamLargeValue streams a large value to its client, reads the rest of the reply, and posts the result to the loop. It reports whether
-// reading from the connection may continue. It runs on the reader goroutine of the backend's connection.
+// streamLargeValue streams a large value to its client and then reads the end of the reply. It posts the result of each to the loop, as the
+// client's connection must not wait for the end of the reply. It reports whether reading from the connection may continue. It runs on the
+// reader goroutine of the backend's connection.
 func (c *backendConn) streamLargeValue(in *Ingress, input *inputbuffer.Buffer, large resp.LargeReply, at float64) bool {
 	arrived := min(input.Len(), large.ValueAt+large.ValueSize) // bytes of the reply, up to the end of the value
 	v := c.announceLargeValue(in, newValueStream(c, large.ValueSize, input.Bytes()[large.ValueAt:arrived]), at)
@@ -47,32 +48,23 @@
 	select {
 	case <-v.mayWrite:
 	case <-v.client.done:
-		in.post(in.clock.Now(), func() {
-			in.handleLargeValueEnd(v, callprotocol.Result{Status: policy.Cancelled}, errClientDisconnected)
-		})
+		in.post(in.clock.Now(), func() { in.handleValueFailed(v, errClientDisconnected) })
 		return false
 	case <-in.done:
 		return false
 	}
 	input.Discard(arrived)
-	err := v.streamToEnd(in, input)
-	if errors.Is(err, errMigrating) {
+	if err := v.streamToEnd(in, input); err != nil {
+		if !errors.Is(err, errMigrating) {
+			in.post(in.clock.Now(), func() { in.handleValueFailed(v, err) })
+		}
 		return false
 	}
-	setWriteDeadline(v.client.conn, time.Time{})
-	res := callprotocol.Result{Status: policy.OK}
-	switch {
-	case errors.Is(err, errClientDisconnected):
-		res.Status = policy.Cancelled
-	case err != nil:
-		res.Status = policy.Reset
-	default:
-		res.Load = c.readTrailer(input, large.Elements-1)
-		setReadDeadline(c.conn, time.Time{})
-		c.replyExpected.Store(false)
-	}
-	in.post(in.clock.Now(), func() { in.handleLargeValueEnd(v, res, err) })
-	return err == nil && !c.unusable.Load()
+	in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
+	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
+	c.replyExpected.Store(false)
+	in.post(in.clock.Now(), func() { in.handleReplyEnd(v.attempt, load, err) })
+	return err == nil
 }
 
 // announceLargeValue has the loop put the value into the answer slot of its request. It returns nil if no client waits for the value, or
@@ -125,34 +117,15 @@
 	}
 }
 
-// handleLargeValueEnd handles the end of a large value's stream. If cause is not nil, the value is incomplete, and the client's connection
-// is closed to show that.
-func (in *Ingress) handleLargeValueEnd(v *largeValue, res callprotocol.Result, cause error) {
+// handleValueWritten continues with a client's connection once a large value is written to it. The value is the whole answer: whatever the
+// backend has still to send, the next answers are written now.
+func (in *Ingress) handleValueWritten(v *largeValue) {
+	in.releaseLargeValue(v)
 	c := v.client
-	if v.started {
-		c.writing = false
-	}
-	if cause != nil && !errors.Is(cause, errClientDisconnected) {
-		id := ""
-		if v.attempt != nil {
-			id = v.attempt.request.ID
-		}
-		in.logFault("large value aborted", "id", id, "why", cause)
-	}
-	if v.attempt != nil && v.attempt.conn != nil && cause == nil {
-		if conn := v.attempt.conn; !conn.unusable.Load() && conn.written.load() == writeComplete {
-			v.attempt.conn = nil
-			in.poolConn(conn, reuseDelayS)
-		}
-	}
-	in.finishLargeValue(v, res)
 	if c.state == connClosed {
 		return
 	}
-	if cause != nil {
-		in.handleDisconnect(c, closeValueFailed)
-		return
-	}
+	setWriteDeadline(c.conn, time.Time{})
 	c.dropAnswerSlots(1)
 	c.lastUsedAt = in.now
 	c.releasePipelinePermit()
@@ -162,12 +135,45 @@
 	}
 }
 
-// finishLargeValue ends the attempt of a large value. A value from the predecessor has none, so its backend's connection is closed instead.
-func (in *Ingress) finishLargeValue(v *largeValue, res callprotocol.Result) {
+// handleReplyEnd ends the attempt of a large value that its client has received. The attempt has succeeded, whatever follows the value. An
+// element that is missing or can't be read counts as null. The connection is pooled after a complete reply and closed after any other.
+func (in *Ingress) handleReplyEnd(a *attempt, load *policy.Load, err error) {
+	conn := a.conn
+	if err != nil {
+		in.logFault("reply incomplete behind its large value", "backend", conn.backend.ID, "id", a.request.ID, "why", err)
+	} else if !conn.unusable.Load() && conn.written.load() == writeComplete {
+		a.conn = nil
+		in.poolConn(conn, reuseDelayS)
+	}
+	in.finishAttempt(a, callprotocol.Result{Status: policy.OK, Load: load}, in.now) // closes the connection, unless it was pooled
+}
+
+// handleValueFailed ends a large value that can't be completed, and closes its client's connection to show that.
+func (in *Ingress) handleValueFailed(v *largeValue, cause error) {
+	status := policy.Cancelled
+	if !errors.Is(cause, errClientDisconnected) {
+		status = policy.Reset
+		id := ""
+		if v.attempt != nil {
+			id = v.attempt.request.ID
+		}
+		in.logFault("large value aborted", "id", id, "why", cause)
+	}
+	in.releaseLargeValue(v)
+	if v.attempt != nil {
+		in.finishAttempt(v.attempt, callprotocol.Result{Status: status}, in.now) // closes the backend's connection
+	}
+	in.handleDisconnect(v.client, closeValueFailed)
+}
+
+// releaseLargeValue ends the use of the client's connection by a large value. A value from the predecessor has no attempt: the connection
+// to its backend is closed.
+func (in *Ingress) releaseLargeValue(v *largeValue) {
 	delete(in.largeValues, v)
+	if v.started {
+		v.client.writing = false
+	}
 	if v.stream.resumed {
 		in.closeBackendConn(v.stream.backendConn)
-		return
 	}
-	in.finishAttempt(v.attempt, res, in.now) // closes the backend's connection, unless it was pooled
 }
--- a/internal/dataplane/ingress/large_value_migration.go
+++ b/internal/dataplane/ingress/large_value_migration.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net"
-	"time"
 
 	"eiderspread/internal/dataplane/callprotocol"
 	"eiderspread/internal/dataplane/hotrestart"
@@ -123,7 +122,10 @@
 		return
 	}
 	v.stream.migrated <- true
-	in.finishLargeValue(v, callprotocol.Result{Status: policy.OK})
+	in.releaseLargeValue(v)
+	if v.attempt != nil {
+		in.finishAttempt(v.attempt, callprotocol.Result{Status: policy.OK}, in.now) // closes the backend's connection in this process
+	}
 	in.closeClient(v.client, closeHandedOver)
 }
 
@@ -160,9 +162,11 @@
 		input := inputbuffer.NewUncounted(&in.inputBudget, t.BackendInput)
 		err := v.streamToEnd(in, &input)
 		input.Release()
-		setWriteDeadline(client, time.Time{})
-		if !errors.Is(err, errMigrating) {
-			in.post(in.clock.Now(), func() { in.handleLargeValueEnd(v, callprotocol.Result{}, err) })
+		switch {
+		case err == nil:
+			in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
+		case !errors.Is(err, errMigrating):
+			in.post(in.clock.Now(), func() { in.handleValueFailed(v, err) })
 		}
 	}()
 	return nil
--- a/internal/dataplane/ingress/large_value_stream.go
+++ b/internal/dataplane/ingress/large_value_stream.go
@@ -22,7 +22,10 @@
 // endOfValue terminates the header line and the bytes of a RESP bulk string.
 const endOfValue = "\r\n"
 
-var errMigrating = errors.New("stream stopped: the large value migrates to the new process")
+var (
+	errMigrating        = errors.New("stream stopped: the large value migrates to the new process")
+	errBytesBehindReply = errors.New("bytes behind the end of the reply")
+)
 
 // valueStream is the progress of streaming a large value. The goroutine that streams the value owns it, except where a comment says
 // otherwise.
@@ -81,6 +84,7 @@
 	if err := s.copyValue(in, c, to); err != nil {
 		return err
 	}
+	setReadDeadline(c.conn, time.Now().Add(stallTimeout))
 	if err := c.readAtLeast(input, len(endOfValue)); err != nil {
 		if s.interrupted(err) {
 			return errMigrating
@@ -168,14 +172,13 @@
 	return nil
 }
 
-// readAtLeast reads from the backend until input holds at least n bytes.
+// readAtLeast reads from the backend until input holds at least n bytes. The connection's read deadline applies.
 func (c *backendConn) readAtLeast(input *inputbuffer.Buffer, n int) error {
 	for input.Len() < n {
 		space := input.Space()
 		if space == nil {
 			return errInputBudget
 		}
-		setReadDeadline(c.conn, time.Now().Add(stallTimeout))
 		m, err := c.conn.Read(space)
 		input.Advance(m)
 		if err != nil && input.Len() < n {
@@ -185,19 +188,20 @@
 	return nil
 }
 
-// readTrailer reads the reply's elements behind the value, which are usage figures and the load report, and returns the load report. The
-// value is valid whatever these elements contain. A connection on which they can't be read is marked unusable.
-func (c *backendConn) readTrailer(input *inputbuffer.Buffer, elements int) (load *policy.Load) {
-	for i := range elements {
-		n, err := resp.ReplyLen(input.Bytes())
-		for err == nil && n == 0 && input.Len() <= resp.MaxFrameBytes {
-			if err = c.readAtLeast(input, input.Len()+1); err == nil {
-				n, err = resp.ReplyLen(input.Bytes())
-			}
-		}
-		if err != nil || n == 0 {
+// readReplyEnd reads the elements of a reply behind its large value, which are usage figures and the load report, and returns the load
+// report. They must arrive within timeout. After an error the connection is unusable.
+func (c *backendConn) readReplyEnd(input *inputbuffer.Buffer, elements int, timeout time.Duration) (load *policy.Load, err error) {
+	setReadDeadline(c.conn, time.Now().Add(timeout))
+	defer setReadDeadline(c.conn, time.Time{})
+	defer func() {
+		if err != nil {
 			c.unusable.Store(true)
-			return load
+		}
+	}()
+	for i := range elements {
+		n, err := c.readElement(input)
+		if err != nil {
+			return load, err
 		}
 		if element := input.Bytes()[:n]; i == 1 && element[0] == '$' {
 			if h, err := resp.ParseHeader(element); err == nil && !h.Null {
@@ -206,8 +210,24 @@
 		}
 		input.Discard(n)
 	}
-	if input.Len() > 0 { // bytes behind the end of the reply
-		c.unusable.Store(true)
+	if input.Len() > 0 {
+		return load, errBytesBehindReply
+	}
+	return load, nil
+}
+
+// readElement reads until input starts with a complete element, and returns its length in bytes.
+func (c *backendConn) readElement(input *inputbuffer.Buffer) (int, error) {
+	for {
+		n, err := resp.ReplyLen(input.Bytes())
+		switch {
+		case err != nil || n > 0:
+			return n, err
+		case input.Len() > resp.MaxFrameBytes:
+			return 0, resp.ErrOversized
+		}
+		if err := c.readAtLeast(input, input.Len()+1); err != nil {
+			return 0, err
+		}
 	}
-	return load
 }
--- a/internal/dataplane/ingress/large_value_test.go
+++ b/internal/dataplane/ingress/large_value_test.go
@@ -170,6 +170,90 @@
 	}
 }
 
+// Guards against a client that waits for its next answers until a backend has finished the reply behind a large value (review/2): the client
+// has its whole answer, so its connection is free for other answers, a drain or a hand-over while the attempt is still in flight.
+func TestLargeValue_NextAnswerDoesNotWaitForReplyEnd(t *testing.T) {
+	addr, conns := listenBackend(t)
+	r := startIngress(t, testConfig(addr), func(r *testIngress) {
+		sendTo(0)(r)
+		r.ingress.backends.replyEndTimeout = testTimeout
+	})
+	const endOfReply = "$-1\r\n$12\r\ncpu_share=.5\r\n"
+	w, b, value, rest := startLargeValue(t, r, conns, "large", 100_000)
+	go write(b, strings.TrimSuffix(string(rest), endOfReply))
+	if got := w.bulk(); !bytes.Equal(got, value) {
+		t.Fatalf("got %d bytes, want the value of %d bytes", len(got), len(value))
+	}
+	if got := w.line(); got != "+PONG" {
+		t.Fatalf("answer behind the value: got %q, want +PONG", got)
+	}
+	if len(r.decider.outcomes) != 0 {
+		t.Error("the answer behind the value came only after the end of the attempt")
+	}
+	r.onLoop(func() {
+		if c := r.ingress.requests["large"].client; !c.fullyAnswered() {
+			t.Error("the client's connection counts as in use although all of its answers are written")
+		}
+	})
+	w.send(lookCommand("next")...)
+	other := receive(t, conns)
+	other.command()
+	write(other, servedReply)
+	w.expectValue("next request of the client")
+	if o := receive(t, r.decider.outcomes); o.ID != "next" {
+		t.Fatalf("got outcome %+v, want that of the next request first", o)
+	}
+	write(b, endOfReply)
+	if o := receive(t, r.decider.outcomes); o.ID != "large" || o.Status != policy.OK || o.Load == nil || !o.Completed {
+		t.Errorf("got outcome %+v, want a completed one with status OK and a load report", o)
+	}
+	r.waitFor("both backend connections are idle", func() bool { return len(r.ingress.backends.byID["s0"].idleConns) == 2 })
+}
+
+// Guards against an attempt, a request and a backend connection that are held by a reply that does not end properly behind its large value
+// (review/2): the attempt has succeeded, without a load report, and the connection is closed.
+func TestLargeValue_IncompleteReplyEnd(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end   string
+		close bool
+	}{
+		"nothing":            {},
+		"a part":             {end: "$-1\r\n$12\r\ncpu_sh"},
+		"malformed":          {end: "$-1\r\n?"},
+		"more than expected": {end: "$-1\r\n$-1\r\n+more\r\n"},
+		"end of connection":  {end: "$-1\r\n", close: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := listenBackend(t)
+			r := startIngress(t, testConfig(addr), func(r *testIngress) {
+				sendTo(0)(r)
+				r.ingress.backends.replyEndTimeout = 10 * time.Millisecond
+			})
+			w := r.client()
+			w.send(lookCommand("x")...)
+			b := receive(t, conns)
+			b.command()
+			value, _ := randomLargeValue(100_000, 3)
+			write(b, fmt.Sprintf("*3\r\n$%d\r\n%s\r\n%s", len(value), value, tc.end))
+			if tc.close {
+				b.Close()
+			}
+			if got := w.bulk(); !bytes.Equal(got, value) {
+				t.Fatalf("got %d bytes, want the value of %d bytes", len(got), len(value))
+			}
+			if o := receive(t, r.decider.outcomes); o.Status != policy.OK || o.Load != nil || !o.Completed {
+				t.Errorf("got outcome %+v, want a completed one with status OK and no load report", o)
+			}
+			r.waitFor("no request and no backend connection is open", func() bool {
+				return len(r.ingress.requests) == 0 && len(r.ingress.largeValues) == 0 && r.ingress.backends.openConns == 0
+			})
+			if w.send("PING"); w.line() != "+PONG" {
+				t.Error("PING after the value was not answered with +PONG")
+			}
+		})
+	}
+}
+
 // Guards against backend connections and requests that stay open after a client has disconnected, in the middle of a large value or while
 // the value still waits behind another answer.
 func TestLargeValue_ClientDisconnects(t *testing.T) {
