Notice a stop for a migration before waiting for the last two bytes of a large value

A large value whose backend stops just before the value's last two bytes, in the moment in which a hot restart wants to migrate it, keeps its client's connection in the old process for up to 10 s, beyond the end of the hand-over, which then closes it.

Cause: the loop requests a stop and then sets an expired read deadline. The read of the terminator set a new deadline without asking for a stop afterwards, as readChunk and writeUnwritten do, so that a request which fell between the last write and that read was lost.

Change: readEndOfValue sets the deadline first and asks then, in the same order as readChunk. Either the check or the read now notices the stop.

TestLargeValue_StopBeforeEndOfValue failed before ("the stream stopped after 10.000165827s, want at once") and passes now.

--- a/internal/dataplane/ingress/large_value_stream.go
+++ b/internal/dataplane/ingress/large_value_stream.go
@@ -84,15 +84,8 @@
 	if err := s.copyValue(in, c, to); err != nil {
 		return err
 	}
-	setReadDeadline(c.conn, time.Now().Add(stallTimeout))
-	if err := c.readAtLeast(input, len(endOfValue)); err != nil {
-		if s.interrupted(err) {
-			return errMigrating
-		}
-		return errTruncated
-	}
-	if !bytes.HasPrefix(input.Bytes(), []byte(endOfValue)) {
-		return resp.ErrLengthMismatch
+	if err := s.readEndOfValue(c, input); err != nil {
+		return err
 	}
 	input.Discard(len(endOfValue))
 	s.unwritten = []byte(endOfValue)
@@ -104,6 +97,24 @@
 	}
 }
 
+// readEndOfValue reads until input starts with the terminator of the value.
+func (s *valueStream) readEndOfValue(c *backendConn, input *inputbuffer.Buffer) error {
+	setReadDeadline(c.conn, time.Now().Add(stallTimeout)) // before stopRequested is checked, as in readChunk
+	if input.Len() < len(endOfValue) && s.interrupted(nil) {
+		return errMigrating
+	}
+	if err := c.readAtLeast(input, len(endOfValue)); err != nil {
+		if s.interrupted(err) {
+			return errMigrating
+		}
+		return errTruncated
+	}
+	if !bytes.HasPrefix(input.Bytes(), []byte(endOfValue)) {
+		return resp.ErrLengthMismatch
+	}
+	return nil
+}
+
 // copyValue writes the unwritten bytes, and then reads and writes the rest of the value in chunks.
 func (s *valueStream) copyValue(in *Ingress, c *backendConn, to net.Conn) error {
 	var chunk []byte
--- a/internal/dataplane/ingress/large_value_test.go
+++ b/internal/dataplane/ingress/large_value_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -359,6 +360,24 @@
 	}
 }
 
+// Guards against a hand-over that waits for a backend which stops just before the last two bytes of a value: a stop that is requested between
+// the last write to the client and that read must be noticed before the read.
+func TestLargeValue_StopBeforeEndOfValue(t *testing.T) {
+	r := startIngress(t, testConfig("127.0.0.1:1"), nil)
+	_, backendSide := pair(t) // sends nothing
+	_, clientSide := pair(t)
+	stream := &valueStream{backendConn: &backendConn{conn: backendSide}} // all bytes of the value are read and written
+	stream.stopRequested.Store(true)
+	input := inputbuffer.New(&r.ingress.inputBudget)
+	began := time.Now()
+	if err := stream.run(r.ingress, stream.backendConn, &input, clientSide); !errors.Is(err, errMigrating) {
+		t.Errorf("got %v, want %v", err, errMigrating)
+	}
+	if took := time.Since(began); took >= stallTimeout {
+		t.Errorf("the stream stopped after %v, want at once", took)
+	}
+}
+
 // Guards against a large value that is lost because the new process dies before it has received it: the old process resumes the stream.
 func TestLargeValue_ResumesWhenSuccessorDies(t *testing.T) {
 	addr, conns := listenBackend(t)
