Hold a command's permit until its answer is written: no end for a client that reads

Cause: the permit of a command (32 a connection) was released when its answer was final and not when it was written. All commands were read as fast as backends answered, and the only bound on the unread answers, 1 MiB behind a blocked write, ended the connection of a client that read.

Evidence: a trial logged the state at each of seven ends: 1.08 to 1.26 MB of answers behind a blocked write, 115 to 120 of 120 commands accepted, 38 MB of the shared budget left (so it was not the memory of all), 3.7 MB in the kernel, 1 to 2 s after the commands (so it was not the time-out of 5 s).

Change: a permit is held until the socket has accepted the answer, so that further commands stay unread while the client does not read, and TCP holds them back. Final answers wait in their slots and are written in batches of 16 KiB, a longer one by itself without a copy. The limit of 1 MiB is gone: a connection's unread answers are those of 32 commands, 2 MiB at most, where 1 MiB being written, 1 MiB behind it and 2 MiB in slots were possible before. A client that stops reading is ended after 5 s as before.

The mutation that reorders answers is applied at the new place.

--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -152,7 +152,7 @@
 	}
 	c.state = connClosed
 	in.inputBudget.Release(c.reservedBytes)
-	c.answerSlots, c.pendingOutput, c.reservedBytes = nil, nil, 0
+	c.answerSlots, c.batchBuffer, c.reservedBytes = nil, nil, 0
 	close(c.done)
 	if c.reader >= readerStopped {
 		c.input.Release()
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -10,7 +10,8 @@
 	"eiderspread/internal/dataplane/sockets"
 )
 
-// maxPipelinedCommands bounds the unanswered commands of one connection.
+// maxPipelinedCommands bounds the commands of one connection that are unanswered, or whose answers the socket has not accepted yet. It bounds
+// the unread answers too: further commands are not read while the client does not read.
 const maxPipelinedCommands = 32
 
 // recentlyOpenedS is for how many seconds the first command of a new connection is assumed to be in transit.
@@ -50,6 +51,7 @@
 	answer     []byte      // nil until it is final
 	value      *largeValue // streamed in place of answer
 	closeAfter bool        // the connection closes after this answer
+	reserved   bool        // the bytes of answer are reserved from the input budget
 }
 
 // clientConn is the state of one client connection.
@@ -58,7 +60,7 @@
 	conn             *net.TCPConn
 	rawConn          syscall.RawConn
 	socket           *sockets.Reader // reads from conn for the reader; the loop asks whether it waits
-	pipelinePermits  chan struct{}   // one for each unanswered command; acquired by the reader, released by the loop
+	pipelinePermits  chan struct{}   // one for each command until its answer is written; acquired by the reader, released by the loop
 	done             chan struct{}   // closed when the connection is closed
 	stopReading      chan struct{}   // closed to stop the reader; the loop creates a new channel for the next reader
 	receivingCommand atomic.Bool     // part of a command has arrived and the client may be sending the rest; set by the reader
@@ -78,9 +80,9 @@
 	droppedCalls     int         // calls that were read after the half close
 
 	answerSlots   []*answerSlot // in the order of the commands; at most maxPipelinedCommands + 1
-	pendingOutput []byte        // answers that are not passed to the socket yet
-	reservedBytes int           // of the input budget, for output that is pending or being written
-	writing       bool          // a goroutine writes the rest of the output, or a large value is streamed
+	batchBuffer   []byte        // reused for the answers that are written together; in use while writing is set
+	reservedBytes int           // of the input budget, for answers that are being written or wait for that
+	writing       bool          // a goroutine writes answers, or a large value is streamed
 
 	acceptedAt    float64
 	lastUsedAt    float64 // when a request was accepted or an answer became final; initially acceptedAt
@@ -109,7 +111,7 @@
 
 // idle reports whether the client waits for no answer. Commands that have not reached the loop yet do not count.
 func (c *clientConn) idle() bool {
-	return len(c.answerSlots) == 0 && len(c.pendingOutput) == 0 && !c.writing
+	return len(c.answerSlots) == 0 && !c.writing
 }
 
 // quiescent reports whether the client waits for no answer, and no command is queued between the reader and the loop, which may be behind.
--- a/internal/dataplane/ingress/client_conn_test.go
+++ b/internal/dataplane/ingress/client_conn_test.go
@@ -242,6 +242,53 @@
 	}
 }
 
+// Guards against a client that is disconnected while it reads, because more answers become final than it has read (review/3): it pipelines
+// more commands than its connection may have in flight, with values that fill the socket's buffers. Further commands must stay unread until
+// it has read answers, so that the unread ones take bounded memory.
+func TestClient_PipelinesMoreThanItHasRead(t *testing.T) {
+	const commands = 2 * maxPipelinedCommands // as many as the fake decider takes without a reader
+	addr, conns := listenBackend(t)
+	r := startIngress(t, testConfig(addr), sendTo(0))
+	_, availableBefore := r.openResources()
+	w := r.client()
+	r.shrinkClientBuffers(w)
+	value := strings.Repeat("v", resp.MaxValueBytes)
+	go serveBackendWith(conns, fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", resp.MaxValueBytes, value))
+	for i := range commands {
+		w.send(lookCommand(fmt.Sprint("a", i))...)
+	}
+	r.waitFor("the client has to read before another command is accepted, or is disconnected", func() bool {
+		for c := range r.ingress.clients.conns {
+			return len(c.pipelinePermits) == maxPipelinedCommands && len(r.ingress.requests) == 0
+		}
+		return true
+	})
+	r.onLoop(func() {
+		if r.ingress.clients.open() == 0 {
+			t.Error("the client was disconnected")
+		}
+		for c := range r.ingress.clients.conns {
+			if c.requestCount == commands {
+				t.Error("all commands were accepted at once, so the test checks nothing")
+			}
+			if limit := (maxPipelinedCommands + 1) * (resp.MaxValueBytes + 16); c.reservedBytes > limit {
+				t.Errorf("unread answers take %d bytes, want at most %d", c.reservedBytes, limit)
+			}
+		}
+	})
+	for i := range commands {
+		if got := w.bulk(); string(got) != value {
+			t.Fatalf("answer %d: got %d bytes, want the value of %d bytes", i, len(got), len(value))
+		}
+	}
+	r.waitFor("the client's connection is idle and holds no memory", func() bool {
+		for c := range r.ingress.clients.conns {
+			return c.fullyAnswered() && c.reservedBytes == 0 && r.ingress.inputBudget.Available() == availableBefore
+		}
+		return false
+	})
+}
+
 // A write that the socket does not accept at once sets a write deadline. The deadline must be cleared when that write is complete; otherwise
 // it fails a later answer on the same connection.
 func TestClient_SlowWriteClearsDeadline(t *testing.T) {
--- a/internal/dataplane/ingress/client_writer.go
+++ b/internal/dataplane/ingress/client_writer.go
@@ -3,12 +3,11 @@
 import (
 	"time"
 
-	"eiderspread/internal/dataplane/inputbuffer"
 	"eiderspread/internal/dataplane/sockets"
 )
 
-// maxUnreadAnswerBytes bounds the answers that queue up behind a blocked write to a client.
-const maxUnreadAnswerBytes = 1 << 20
+// maxBatchBytes bounds the answers that are copied together for one write. A longer answer is written by itself, without a copy.
+const maxBatchBytes = 16 << 10
 
 // clientWriteTimeout bounds a write to a client that does not read. Tests shorten it.
 var clientWriteTimeout = 5 * time.Second
@@ -23,49 +22,107 @@
 	in.flushAnswers(c)
 }
 
-// flushAnswers writes the final answers in the order of their commands, up to the first answer that is not final.
+// flushAnswers writes the final answers in the order of their commands, up to the first answer that is not final. While the client does not
+// read, final answers wait in their slots.
 func (in *Ingress) flushAnswers(c *clientConn) {
-	if c.state == connClosed {
-		return
+	switch {
+	case c.state == connClosed:
+	case len(c.answerSlots) == 0 || c.answerSlots[0].answer == nil:
+		in.startNextLargeValue(c)
+	case c.writing:
+		in.reserveWaitingAnswers(c)
+	default:
+		in.writeAnswers(c)
 	}
-	n, before := 0, len(c.pendingOutput)
-	for n < len(c.answerSlots) && c.answerSlots[n].answer != nil && c.state == connOpen {
-		c.pendingOutput = append(c.pendingOutput, c.answerSlots[n].answer...)
-		if c.answerSlots[n].closeAfter {
-			c.state = connClosing
+}
+
+// writeAnswers writes final answers until the socket accepts no more or all are written. The caller makes sure that no write is in progress.
+func (in *Ingress) writeAnswers(c *clientConn) {
+	for {
+		batch, answers := in.nextBatch(c)
+		if answers == 0 {
+			in.afterAnswersWritten(c)
+			return
+		}
+		n, err := sockets.WriteNonBlocking(c.rawConn, batch)
+		if err != nil {
+			in.handleDisconnect(c, closeWriteFailed)
+			return
 		}
-		n++
-		c.releasePipelinePermit()
+		if n < len(batch) {
+			in.writeInBackground(c, batch[n:], answers)
+			return
+		}
+		c.releasePipelinePermits(answers)
 	}
-	if n == 0 {
-		in.startNextLargeValue(c)
-		return
+}
+
+// nextBatch removes the final answers that are to be written next from their slots, and returns their bytes and their number. The bytes are
+// valid until the next call.
+func (in *Ingress) nextBatch(c *clientConn) (batch []byte, answers int) {
+	batch = c.batchBuffer[:0]
+	for answers < len(c.answerSlots) && c.state == connOpen {
+		slot := c.answerSlots[answers]
+		if slot.answer == nil || answers > 0 && len(batch)+len(slot.answer) > maxBatchBytes {
+			break
+		}
+		if len(slot.answer) > maxBatchBytes {
+			batch = slot.answer
+		} else {
+			batch = append(batch, slot.answer...)
+			c.batchBuffer = batch
+		}
+		if slot.reserved {
+			in.releaseOutput(c, len(slot.answer))
+		}
+		if slot.closeAfter {
+			c.state = connClosing
+		}
+		answers++
 	}
-	c.dropAnswerSlots(n)
-	c.lastUsedAt = in.now
-	if !c.writing {
-		in.writePending(c)
-	} else if !in.reserveOutput(c, len(c.pendingOutput)-before) || len(c.pendingOutput) > maxUnreadAnswerBytes {
-		in.logFault("client disconnected: it does not read its answers")
-		in.handleDisconnect(c, closeSlowReader)
+	if answers > 0 {
+		c.dropAnswerSlots(answers)
+		c.lastUsedAt = in.now
 	}
+	return batch, answers
 }
 
-// releasePipelinePermit releases the permit of an answered command. The answer that rejectInput gives has none.
-func (c *clientConn) releasePipelinePermit() {
-	select {
-	case <-c.pipelinePermits:
-	default:
+// releasePipelinePermits releases the permits of n commands whose answers are written. The answer that rejectInput gives has none.
+func (c *clientConn) releasePipelinePermits(n int) {
+	for range n {
+		select {
+		case <-c.pipelinePermits:
+		default:
+		}
 	}
 }
 
 // dropAnswerSlots removes the first n answer slots.
 func (c *clientConn) dropAnswerSlots(n int) {
-	clear(c.answerSlots[:n])
-	c.answerSlots = c.answerSlots[:copy(c.answerSlots, c.answerSlots[n:])]
+	rest := copy(c.answerSlots, c.answerSlots[n:])
+	clear(c.answerSlots[rest:])
+	c.answerSlots = c.answerSlots[:rest]
 }
 
-// reserveOutput reserves n bytes of the input budget for output that the client has not read. It reports whether the budget had them.
+// reserveWaitingAnswers reserves memory for the final answers that wait until the client reads.
+func (in *Ingress) reserveWaitingAnswers(c *clientConn) {
+	for _, slot := range c.answerSlots {
+		if slot.answer == nil {
+			return
+		}
+		if slot.reserved {
+			continue
+		}
+		if !in.reserveOutput(c, len(slot.answer)) {
+			in.logFault("client disconnected: input budget exhausted by unread answers")
+			in.handleDisconnect(c, closeNoMemory)
+			return
+		}
+		slot.reserved = true
+	}
+}
+
+// reserveOutput reserves n bytes of the input budget for answers that the client has not read. It reports whether the budget had them.
 func (in *Ingress) reserveOutput(c *clientConn, n int) bool {
 	if !in.inputBudget.Reserve(n) {
 		return false
@@ -74,48 +131,44 @@
 	return true
 }
 
-// writePending writes the pending output: as much as the socket accepts at once, and the rest on a separate goroutine, which ends with its
-// deadline or the connection.
-func (in *Ingress) writePending(c *clientConn) {
-	in.inputBudget.Release(c.reservedBytes)
-	c.reservedBytes = 0
-	n, err := sockets.WriteNonBlocking(c.rawConn, c.pendingOutput)
-	if err != nil {
-		in.handleDisconnect(c, closeWriteFailed)
-		return
-	}
-	rest := c.pendingOutput[n:]
-	if len(rest) == 0 {
-		if c.pendingOutput = c.pendingOutput[:0]; cap(c.pendingOutput) > 4*inputbuffer.ReadSize {
-			c.pendingOutput = nil
-		}
-		in.afterAnswersWritten(c)
-		return
-	}
-	if !in.reserveOutput(c, len(rest)) {
+// releaseOutput returns n bytes that reserveOutput reserved.
+func (in *Ingress) releaseOutput(c *clientConn, n int) {
+	in.inputBudget.Release(n)
+	c.reservedBytes -= n
+}
+
+// writeInBackground writes the output that the socket did not accept at once on a separate goroutine, which ends with its deadline or the
+// connection. answers is the number of answers of which output holds the last one.
+func (in *Ingress) writeInBackground(c *clientConn, output []byte, answers int) {
+	if !in.reserveOutput(c, len(output)) {
 		in.logFault("client disconnected: input budget exhausted by unread answers")
 		in.handleDisconnect(c, closeNoMemory)
 		return
 	}
-	c.writing, c.pendingOutput = true, nil
-	go in.writeRest(c, rest)
+	c.writing = true
+	in.reserveWaitingAnswers(c)
+	go func() {
+		setWriteDeadline(c.conn, time.Now().Add(clientWriteTimeout))
+		_, err := c.conn.Write(output)
+		setWriteDeadline(c.conn, time.Time{}) // else the deadline would fail a later write
+		in.post(in.clock.Now(), func() { in.handleOutputWritten(c, len(output), answers, err) })
+	}()
 }
 
-// writeRest writes the output that the socket did not accept at once. The loop then writes the output that became pending meanwhile.
-func (in *Ingress) writeRest(c *clientConn, rest []byte) {
-	setWriteDeadline(c.conn, time.Now().Add(clientWriteTimeout))
-	_, err := c.conn.Write(rest)
-	setWriteDeadline(c.conn, time.Time{}) // else the deadline would fail a later write
-	in.post(in.clock.Now(), func() {
-		c.writing = false
-		switch {
-		case c.state == connClosed:
-		case err != nil:
-			in.handleDisconnect(c, closeSlowReader)
-		default:
-			in.writePending(c)
-		}
-	})
+// handleOutputWritten continues with a connection once the goroutine of writeInBackground has ended. err is the error of its write.
+func (in *Ingress) handleOutputWritten(c *clientConn, size, answers int, err error) {
+	c.writing = false
+	if c.state == connClosed {
+		return
+	}
+	if err != nil {
+		in.handleDisconnect(c, closeSlowReader)
+		return
+	}
+	in.releaseOutput(c, size)
+	c.releasePipelinePermits(answers)
+	c.lastUsedAt = in.now
+	in.writeAnswers(c)
 }
 
 // afterAnswersWritten continues with a connection whose output is all written: it closes or transfers the connection if that is due, or
--- a/internal/dataplane/ingress/large_value.go
+++ b/internal/dataplane/ingress/large_value.go
@@ -108,7 +108,7 @@
 
 // startNextLargeValue allows a large value in the client's first answer slot to be written, if no other output is pending or being written.
 func (in *Ingress) startNextLargeValue(c *clientConn) {
-	if c.state != connOpen || c.writing || len(c.pendingOutput) > 0 || len(c.answerSlots) == 0 {
+	if c.state != connOpen || c.writing || len(c.answerSlots) == 0 {
 		return
 	}
 	if v := c.answerSlots[0].value; v != nil && !v.started {
@@ -128,11 +128,8 @@
 	setWriteDeadline(c.conn, time.Time{})
 	c.dropAnswerSlots(1)
 	c.lastUsedAt = in.now
-	c.releasePipelinePermit()
-	in.flushAnswers(c)
-	if !c.writing && c.state != connClosed {
-		in.writePending(c)
-	}
+	c.releasePipelinePermits(1)
+	in.writeAnswers(c)
 }
 
 // handleReplyEnd ends the attempt of a large value that its client has received. The attempt has succeeded, whatever follows the value. An
--- a/internal/dataplane/ingress/send_guard.go
+++ b/internal/dataplane/ingress/send_guard.go
@@ -124,7 +124,7 @@
 			unanswered++
 		}
 	}
-	unwritten := len(c.pendingOutput) > 0 || c.writing
+	unwritten := c.writing || len(c.answerSlots) > 0 && c.answerSlots[0].answer != nil
 	switch c.closeReason {
 	case closeIdleTimeout, closeDrained, closeShutdown, closeNoCapacity:
 		if unanswered > 0 || unwritten {
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -239,8 +239,8 @@
 		Edits: edit(ingressDir+"request.go", "case in.requests[call.ID] != nil, in.predecessorRequests[call.ID] != nil:", "case false:"),
 		Runs:  []string{labOne + "rude", labTwo + "rude"}},
 	{Name: "answers keep the order of their commands", Rule: "answers in order", Unit: "./internal/dataplane/ingress",
-		Edits: edit(ingressDir+"client_writer.go", `	n, before := 0, len(c.pendingOutput)
-`, `	n, before := 0, len(c.pendingOutput)
+		Edits: edit(ingressDir+"client_writer.go", `	batch = c.batchBuffer[:0]
+`, `	batch = c.batchBuffer[:0]
 	for i, s := range c.answerSlots {
 		if s.answer != nil && c.answerSlots[0].answer == nil {
 			c.answerSlots[0], c.answerSlots[i] = s, c.answerSlots[0]
