Fail an answer for which there is no memory, instead of ending its client's connection

When unread answers of some clients had used up the memory that all connections share, the next client whose socket was full for a moment was disconnected, also one that reads all the time; its requests had run and had no answer.

Cause: reserveOutput failed, and both of its callers closed the connection that asked.

Change: an answer that has to wait and finds no memory becomes -ERR failed, which is an answer; the connection and the answers behind it stay. An answer of which a part is written already must be completed: it is counted even beyond the budget, one for each connection (64 KiB). Until then up to 2 MiB a connection lay uncounted in slots at such a moment, so no bound has grown. Unread answers take half of the input budget at most, so that clients that read slowly leave memory for commands and replies. Answers of up to 128 bytes are not counted: 32 of them are the 4 KiB that each connection has uncounted for its input.

TestInputBudget_ExhaustedByUnreadAnswers failed before (got "" in place of an answer) and passes now; it holds that all memory is released too. Nothing is closed for want of memory any more; the status keeps the name "no_memory".

--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -151,8 +151,8 @@
 		in.logClientClose(c)
 	}
 	c.state = connClosed
-	in.inputBudget.Release(c.reservedBytes)
-	c.answerSlots, c.batchBuffer, c.reservedBytes = nil, nil, 0
+	in.releaseOutput(c, c.reservedBytes)
+	c.answerSlots, c.batchBuffer = nil, nil
 	close(c.done)
 	if c.reader >= readerStopped {
 		c.input.Release()
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -51,7 +51,7 @@
 	answer     []byte      // nil until it is final
 	value      *largeValue // streamed in place of answer
 	closeAfter bool        // the connection closes after this answer
-	reserved   bool        // the bytes of answer are reserved from the input budget
+	reserved   bool        // the bytes of answer are reserved, see reserveOutput
 }
 
 // clientConn is the state of one client connection.
@@ -81,7 +81,7 @@
 
 	answerSlots   []*answerSlot // in the order of the commands; at most maxPipelinedCommands + 1
 	batchBuffer   []byte        // reused for the answers that are written together; in use while writing is set
-	reservedBytes int           // of the input budget, for answers that are being written or wait for that
+	reservedBytes int           // of the budgets, for answers that are being written or wait for that
 	writing       bool          // a goroutine writes answers, or a large value is streamed
 
 	acceptedAt    float64
--- a/internal/dataplane/ingress/client_table_test.go
+++ b/internal/dataplane/ingress/client_table_test.go
@@ -5,7 +5,10 @@
 	"strings"
 	"testing"
 
+	"github.com/tidwall/redcon"
+
 	"eiderspread/internal/dataplane/ingressconfig"
+	"eiderspread/internal/dataplane/resp"
 )
 
 // When a new connection needs room, a connection that has sent nothing must be closed before an idle one that has sent a command.
@@ -161,6 +164,54 @@
 	r.waitFor("the whole budget is released", func() bool { return r.ingress.inputBudget.Available() == 30_000 })
 }
 
+// Guards against a reading client that is disconnected because others use the memory for unread answers (review/3): without memory for it an
+// answer fails, and the connection stays.
+func TestInputBudget_ExhaustedByUnreadAnswers(t *testing.T) {
+	r := startIngress(t, testConfig("127.0.0.1:1"), nil)
+	_, availableBefore := r.openResources()
+	w := r.client()
+	r.setTinyClientBuffers(w)
+	var ids []string
+	for i := range 16 {
+		ids = append(ids, fmt.Sprint("a", i))
+		w.send(lookCommand(ids[i])...)
+		receive(t, r.decider.requests)
+	}
+	value := redcon.AppendBulkString(nil, strings.Repeat("v", resp.MaxValueBytes))
+	r.onLoop(func() {
+		available := r.ingress.inputBudget.Available()
+		r.ingress.inputBudget.Reserve(int(available))
+		for _, id := range ids {
+			r.ingress.answerRequest(r.ingress.requests[id], value)
+		}
+		if r.ingress.clients.open() != 1 {
+			t.Error("the client was disconnected")
+		}
+		r.ingress.inputBudget.Release(int(available))
+	})
+	served, failed := 0, 0
+	for range ids {
+		switch line := w.line(); {
+		case line == "-ERR failed":
+			failed++
+		case strings.HasPrefix(line, "$"):
+			w.line()
+			served++
+		default:
+			t.Fatalf("got %q, want a value or -ERR failed", line)
+		}
+	}
+	if served == 0 || failed == 0 {
+		t.Errorf("got %d values and %d failures, want some of each", served, failed)
+	}
+	if w.send("PING"); w.line() != "+PONG" {
+		t.Error("PING behind the answers was not answered with +PONG")
+	}
+	r.waitFor("the whole budget is released", func() bool {
+		return r.ingress.inputBudget.Available() == availableBefore && r.ingress.answerBudget.Available() == int64(float64(availableBefore)*unreadAnswerFraction)
+	})
+}
+
 // At the limit a new connection must not run the ingress out of descriptors: the connection that has been idle for longest is closed for it.
 func TestClientTable_IdleEvictedForNew(t *testing.T) {
 	r := startIngress(t, testConfig("127.0.0.1:1"), func(r *testIngress) { r.ingress.clients.evictIdleFrom, r.ingress.clients.maxOpen = 2, 2 })
--- a/internal/dataplane/ingress/client_writer.go
+++ b/internal/dataplane/ingress/client_writer.go
@@ -5,12 +5,21 @@
 	"os"
 	"time"
 
+	"eiderspread/internal/dataplane/inputbuffer"
 	"eiderspread/internal/dataplane/sockets"
 )
 
 // maxBatchBytes bounds the answers that are copied together for one write. A longer answer is written by itself, without a copy.
 const maxBatchBytes = 16 << 10
 
+// uncountedAnswerBytes is the size up to which an answer that waits is not counted: those of a full pipeline take no more than the buffer
+// that each connection has uncounted for its input.
+const uncountedAnswerBytes = inputbuffer.ReadSize / maxPipelinedCommands
+
+// unreadAnswerFraction is the fraction of the input budget that unread answers may take, so that clients which read slowly leave memory for
+// commands and replies.
+const unreadAnswerFraction = 0.5
+
 // clientStallTimeout is how long a client may read nothing while answers wait for it. Tests shorten it.
 var clientStallTimeout = 5 * time.Second
 
@@ -54,7 +63,7 @@
 			return
 		}
 		if n < len(batch) {
-			in.writeInBackground(c, batch[n:], answers)
+			in.writeInBackground(c, batch, n, answers)
 			return
 		}
 		c.releasePipelinePermits(answers)
@@ -108,27 +117,35 @@
 	c.answerSlots = c.answerSlots[:rest]
 }
 
-// reserveWaitingAnswers reserves memory for the final answers that wait until the client reads.
+// reserveWaitingAnswers reserves memory for the final answers that wait until the client reads. An answer for which there is none fails: its
+// request has an answer all the same, and the connection stays.
 func (in *Ingress) reserveWaitingAnswers(c *clientConn) {
 	for _, slot := range c.answerSlots {
 		if slot.answer == nil {
 			return
 		}
-		if slot.reserved {
+		if slot.reserved || len(slot.answer) <= uncountedAnswerBytes {
 			continue
 		}
-		if !in.reserveOutput(c, len(slot.answer)) {
-			in.logFault("client disconnected: input budget exhausted by unread answers")
-			in.handleDisconnect(c, closeNoMemory)
-			return
+		if slot.reserved = in.reserveOutput(c, len(slot.answer)); !slot.reserved {
+			slot.answer = in.failedForMemory()
 		}
-		slot.reserved = true
 	}
 }
 
-// reserveOutput reserves n bytes of the input budget for answers that the client has not read. It reports whether the budget had them.
+// failedForMemory returns the answer for a request whose own answer can't be kept until its client reads.
+func (in *Ingress) failedForMemory() []byte {
+	in.logFault("request failed: no memory left for unread answers")
+	return failedReply()
+}
+
+// reserveOutput reserves n bytes of the budgets for answers that the client has not read. It reports whether they had them.
 func (in *Ingress) reserveOutput(c *clientConn, n int) bool {
+	if !in.answerBudget.Reserve(n) {
+		return false
+	}
 	if !in.inputBudget.Reserve(n) {
+		in.answerBudget.Release(n)
 		return false
 	}
 	c.reservedBytes += n
@@ -137,23 +154,32 @@
 
 // releaseOutput returns n bytes that reserveOutput reserved.
 func (in *Ingress) releaseOutput(c *clientConn, n int) {
+	in.answerBudget.Release(n)
 	in.inputBudget.Release(n)
 	c.reservedBytes -= n
 }
 
-// writeInBackground writes the output that the socket did not accept at once on a separate goroutine, which ends when the client stops
-// reading, or with the connection. answers is the number of answers of which output holds the last one.
-func (in *Ingress) writeInBackground(c *clientConn, output []byte, answers int) {
-	if !in.reserveOutput(c, len(output)) {
-		in.logFault("client disconnected: input budget exhausted by unread answers")
-		in.handleDisconnect(c, closeNoMemory)
-		return
+// writeInBackground writes the rest of a batch, of which the socket accepted the first written bytes, on a separate goroutine. The goroutine
+// ends when the client stops reading, or with the connection. answers is the number of answers in the batch.
+func (in *Ingress) writeInBackground(c *clientConn, batch []byte, written, answers int) {
+	output := batch[written:]
+	reserved := 0
+	switch {
+	case in.reserveOutput(c, len(output)):
+		reserved = len(output)
+	case written == 0 && answers == 1:
+		output = in.failedForMemory()
+	default: // an answer that has begun must be completed; it is one for each connection at most
+		in.answerBudget.ReserveExcess(len(output))
+		in.inputBudget.ReserveExcess(len(output))
+		c.reservedBytes += len(output)
+		reserved = len(output)
 	}
 	c.writing = true
 	in.reserveWaitingAnswers(c)
 	go func() {
 		err := c.writeWhileRead(output, clientStallTimeout)
-		in.post(in.clock.Now(), func() { in.handleOutputWritten(c, len(output), answers, err) })
+		in.post(in.clock.Now(), func() { in.handleOutputWritten(c, reserved, answers, err) })
 	}()
 }
 
@@ -175,8 +201,9 @@
 	return nil
 }
 
-// handleOutputWritten continues with a connection once the goroutine of writeInBackground has ended. err is the error of its write.
-func (in *Ingress) handleOutputWritten(c *clientConn, size, answers int, err error) {
+// handleOutputWritten continues with a connection once the goroutine of writeInBackground has ended. err is the error of its write, and
+// reserved the number of bytes that were reserved for its output.
+func (in *Ingress) handleOutputWritten(c *clientConn, reserved, answers int, err error) {
 	c.writing = false
 	if c.state == connClosed {
 		return
@@ -188,7 +215,7 @@
 		in.handleDisconnect(c, closeSlowReader)
 		return
 	}
-	in.releaseOutput(c, size)
+	in.releaseOutput(c, reserved)
 	c.releasePipelinePermits(answers)
 	c.lastUsedAt = in.now
 	in.writeAnswers(c)
--- a/internal/dataplane/ingress/ingress.go
+++ b/internal/dataplane/ingress/ingress.go
@@ -53,6 +53,7 @@
 	requests         map[string]*request // by ID: those that are not answered yet or have attempts in flight
 	largeValues      map[*largeValue]struct{}
 	inputBudget      inputbuffer.Budget // bounds the memory for unprocessed input and unread answers, in bytes; any goroutine may use it
+	answerBudget     inputbuffer.Budget // bounds the part of inputBudget that unread answers take
 
 	backends    backendPool
 	writeBuffer []byte    // encodes the command that is being written
@@ -133,6 +134,7 @@
 		acceptFor: acceptAfterSIGTERM}
 	in.now = in.clock.Now()
 	in.inputBudget.Reset(int64(float64(cmp.Or(cfg.MemoryMB, ingressconfig.DefaultMemoryMB)<<20) * inputMemoryFraction))
+	in.answerBudget.Reset(int64(float64(in.inputBudget.Available()) * unreadAnswerFraction))
 	in.clients.init(freeDescriptors(cfg))
 	in.backends.init(cfg)
 	in.watcher = in.newWatcher()
--- a/internal/dataplane/ingress/telemetry.go
+++ b/internal/dataplane/ingress/telemetry.go
@@ -13,7 +13,7 @@
 	closeBadInput                        // the client's input was invalid, incomplete for too long or beyond the input budget
 	closeNoCapacity                      // closed to make room for another connection, or rejected for lack of room
 	closeSlowReader                      // the client does not read its answers
-	closeNoMemory                        // the input budget was exhausted by answers that the client had not read
+	closeNoMemory                        // given to no connection; the status keeps its name
 	closeWriteFailed                     // a write to the client failed
 	closeValueFailed                     // a large value ended before it was complete
 	closeHandedOver                      // the connection was transferred to the successor
--- a/internal/dataplane/inputbuffer/inputbuffer.go
+++ b/internal/dataplane/inputbuffer/inputbuffer.go
@@ -26,6 +26,10 @@
 	return true
 }
 
+// ReserveExcess reserves n bytes even if fewer are available. It is for bytes that are in memory already and can't be dropped; until as many are
+// released, Reserve fails.
+func (b *Budget) ReserveExcess(n int) { b.available.Add(-int64(n)) }
+
 // Release returns n reserved bytes to the budget.
 func (b *Budget) Release(n int) { b.available.Add(int64(n)) }
 
