Let readers wait for memory before a connection ends in the middle of a message

In a moment in which other connections used all memory for input, a client in the middle of a command of over 4 KiB got "-ERR no room for more input" and the end of its connection, with the commands behind it unread; a backend in the middle of a reply lost its connection, and the request, which had run, failed or was sent again.

Cause: both readers took one look at the shared budget and ended the connection if it was empty, though others release theirs within milliseconds.

The peer is held back by TCP meanwhile. The wait is short on purpose: readers that hold parts of messages may be waiting for each other, and then some have to give way, as before.

TestInputBudget_ReadersWaitForMemory failed before for either reader (no request received; outcome with status Error "while the reply can't be read") and passes now.

--- a/internal/dataplane/ingress/backend_reader.go
+++ b/internal/dataplane/ingress/backend_reader.go
@@ -39,7 +39,7 @@
 // readOnce reads once and handles the reply if it is complete. It reports whether to continue reading from the connection.
 func (r *replyReader) readOnce() bool {
 	in, c := r.ingress, r.conn
-	space := r.input.Space()
+	space := awaitSpace(&r.input, c.unusable.Load) // the end of the attempt makes the connection unusable
 	if space == nil {
 		c.failMalformed(in, in.clock.Now(), nil, errInputBudget)
 		return false
--- a/internal/dataplane/ingress/client_reader.go
+++ b/internal/dataplane/ingress/client_reader.go
@@ -54,7 +54,10 @@
 		var err error
 		at := in.clock.Now()
 		if !unprocessed {
-			space := c.input.Space()
+			space := awaitSpace(&c.input, c.readCancelled)
+			if space == nil && c.stopRequested() {
+				continue
+			}
 			if space == nil {
 				c.rejectInput(in, in.clock.Now(), errInputBudget)
 				return
@@ -213,6 +216,18 @@
 	}
 }
 
+// readCancelled reports whether the reader has to stop, or the connection is closed.
+func (c *clientConn) readCancelled() bool {
+	select {
+	case <-c.stopReading:
+		return true
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // handleReaderStopped continues with a connection whose reader has stopped.
 func (in *Ingress) handleReaderStopped(c *clientConn) {
 	if c.state == connClosed {
--- a/internal/dataplane/ingress/client_table_test.go
+++ b/internal/dataplane/ingress/client_table_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/tidwall/redcon"
 
 	"eiderspread/internal/dataplane/ingressconfig"
+	"eiderspread/internal/dataplane/inputbuffer"
 	"eiderspread/internal/dataplane/resp"
+	"eiderspread/internal/dataplane/sockets"
 )
 
 // When a new connection needs room, a connection that has sent nothing must be closed before an idle one that has sent a command.
@@ -164,6 +167,60 @@
 	r.waitFor("the whole budget is released", func() bool { return r.ingress.inputBudget.Available() == 30_000 })
 }
 
+// Guards against connections that are closed in the middle of a message because others use the memory for input at that moment: their readers
+// wait for memory, and go on once it is released.
+func TestInputBudget_ReadersWaitForMemory(t *testing.T) {
+	defer func(was time.Duration) { spaceTimeout = was }(spaceTimeout)
+	spaceTimeout = testTimeout
+	addr, conns := listenBackend(t)
+	r := startIngress(t, testConfig(addr), sendTo(0))
+	w := r.client()
+	w.send("PING")
+	w.line()
+	available := 0
+	exhaust := func() {
+		r.onLoop(func() {
+			available = int(r.ingress.inputBudget.Available())
+			r.ingress.inputBudget.Reserve(available)
+		})
+	}
+	release := func() { r.ingress.inputBudget.Release(available) }
+
+	exhaust()
+	write(w, command("CALL.POST", customer, "big", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", 20_000)))
+	r.waitFor("a part of the command is read, and the rest waits for memory", func() bool {
+		for c := range r.ingress.clients.conns {
+			return c.receivingCommand.Load() && !c.socket.Waiting()
+		}
+		return false
+	})
+	release()
+	if q := receive(t, r.decider.requests); q.ID != "big" {
+		t.Fatalf("got request %+v, want big", q)
+	}
+	b := receive(t, conns)
+	b.command()
+
+	exhaust()
+	value := strings.Repeat("v", 30_000)
+	write(b, fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value))
+	r.waitFor("a part of the reply is read, and the rest waits for memory", func() bool {
+		c := r.ingress.requests["big"].attempts[0].conn
+		if c == nil {
+			return true
+		}
+		unread := sockets.UnreadBytes(c.rawConn)
+		return unread > 0 && unread <= len(value)-inputbuffer.ReadSize/2
+	})
+	if len(r.decider.outcomes) != 0 {
+		t.Errorf("got outcome %+v while the reply can't be read", <-r.decider.outcomes)
+	}
+	release()
+	if got := w.bulk(); string(got) != value {
+		t.Errorf("got %d bytes, want the value of %d bytes", len(got), len(value))
+	}
+}
+
 // Guards against a reading client that is disconnected because others use the memory for unread answers (review/3): without memory for it an
 // answer fails, and the connection stays.
 func TestInputBudget_ExhaustedByUnreadAnswers(t *testing.T) {
