Keep a client's connection in a hot restart when the new process has no memory left

A client that was sending a command of over 4 KiB when its connection moved to the new process of a hot restart was disconnected if that process had no memory for input left at that moment.

Cause: Fill, which takes over the part that the old process had read, failed with an exhausted budget (and kept the data uncounted), and the connection was dropped. The budget of a new process is half of the usual while both run.

Change: Fill keeps the data and counts it, beyond the budget if need be. It is in memory already, and at most one message of the link for each connection; further reservations fail until as much is released.

TestHotRestart_ClientResumedWithoutMemory failed before ("no room for more input") and passes now.

--- a/internal/dataplane/ingress/hot_restart_predecessor.go
+++ b/internal/dataplane/ingress/hot_restart_predecessor.go
@@ -249,9 +249,7 @@
 	if err != nil {
 		return err
 	}
-	if !c.input.Fill(unused) {
-		return errInputBudget
-	}
+	c.input.Fill(unused)
 	if len(unused) > 0 {
 		c.startCommandDeadline(in)
 	}
--- a/internal/dataplane/ingress/hot_restart_test.go
+++ b/internal/dataplane/ingress/hot_restart_test.go
@@ -257,6 +257,28 @@
 	}
 }
 
+// Guards against a client that is disconnected by a hot restart because the new process has no memory left at that moment (review/3): the part
+// of a command that comes with the connection is kept.
+func TestHotRestart_ClientResumedWithoutMemory(t *testing.T) {
+	r := startIngress(t, testConfig("127.0.0.1:1"), nil)
+	client, accepted := tcpPair(t)
+	text := command("CALL.POST", customer, "big", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", 20_000))
+	available := int(r.ingress.inputBudget.Available())
+	r.ingress.inputBudget.Reserve(available)
+	r.ingress.clients.connPermits <- struct{}{}
+	if err := r.ingress.resumeClient(accepted, []byte(text[:10_000])); err != nil {
+		t.Fatal(err)
+	}
+	r.ingress.inputBudget.Release(available)
+	write(client, text[10_000:])
+	if q := receive(t, r.decider.requests); q.ID != "big" {
+		t.Errorf("got request %+v, want big", q)
+	}
+	r.onLoop(func() { r.ingress.Fail("big") })
+	client.line()
+	r.waitFor("the whole budget is released", func() bool { return int(r.ingress.inputBudget.Available()) == available })
+}
+
 // Guards the running process against a hand-over to a process with another listen address, which must not start.
 func TestHotRestart_OtherListenAddressRejected(t *testing.T) {
 	cfg := adminConfig(t, "127.0.0.1:1")
--- a/internal/dataplane/ingress/large_value_migration.go
+++ b/internal/dataplane/ingress/large_value_migration.go
@@ -140,9 +140,7 @@
 	if err != nil {
 		return err
 	}
-	if !c.input.Fill(t.ClientInput) {
-		return errInputBudget
-	}
+	c.input.Fill(t.ClientInput)
 	stream := &valueStream{unwritten: t.Unwritten, unread: t.Unread, migrated: make(chan bool, 1), resumed: true,
 		backendConn: &backendConn{backend: &backend{}, conn: backendSide}}
 	v := &largeValue{client: c, stream: stream, started: true}
--- a/internal/dataplane/inputbuffer/inputbuffer.go
+++ b/internal/dataplane/inputbuffer/inputbuffer.go
@@ -48,16 +48,12 @@
 	return Buffer{budget: budget, data: append(make([]byte, 0, ReadSize), data...)}
 }
 
-// Fill sets the content of the buffer to a copy of data. It returns false if the budget has too few bytes available.
-func (f *Buffer) Fill(data []byte) bool {
+// Fill sets the content of the buffer to a copy of data, which is counted even if the budget has too few bytes available: data is in memory
+// already, and its sender has bounded it.
+func (f *Buffer) Fill(data []byte) {
 	f.data = append(make([]byte, 0, max(ReadSize, len(data))), data...)
-	if more := cap(f.data) - ReadSize; more > 0 {
-		if !f.budget.Reserve(more) {
-			return false
-		}
-		f.reserved = more
-	}
-	return true
+	f.reserved = max(0, cap(f.data)-ReadSize)
+	f.budget.ReserveExcess(f.reserved)
 }
 
 // Bytes returns the content: the bytes that were read and are not discarded yet. The slice is valid until the next call of another method.
