Count discovery's silence from the last bytes, not from the last whole object

A list that takes discovery over 4.5 s to write, the whole one or an object of a watch, was never taken: each attempt was ended in its middle and begun anew.

Cause: the timer for silence was reset at each whole object or empty line, and a full list had 4.5 s from its request.

Change: observedReader resets it whenever bytes arrive. A watch that falls silent, also in the middle of an object, still ends 4.5 s after its last byte, so what it misses is told in time as before.

TestWatcher_SlowObjectIsNotSilence failed before for both ("nothing received within 20s", each attempt ended) and passes now.

--- a/internal/membership/discovery/watcher.go
+++ b/internal/membership/discovery/watcher.go
@@ -103,28 +103,43 @@
 	w.alive = false
 	silence := time.AfterFunc(w.watchTimeout, cancel)
 	defer silence.Stop()
+	heard := func() { silence.Reset(w.watchTimeout) }
 	if w.needFull {
-		if err := w.fetchFull(ctx); err != nil {
+		if err := w.fetchFull(ctx, heard); err != nil {
 			return fmt.Errorf("fetch full list: %w", err)
 		}
-		silence.Reset(w.watchTimeout)
+		heard()
 	}
 	body, err := w.fetch(ctx, fmt.Sprintf("?watch=1&after=%d", w.version))
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	silence.Reset(w.watchTimeout)
-	return w.readWatch(body, func() { silence.Reset(w.watchTimeout) })
+	heard()
+	return w.readWatch(&observedReader{body, heard})
 }
 
-// readWatch passes on the lists of a watch until the watch ends. It calls alive for each object and each empty line.
-func (w *Watcher) readWatch(body io.Reader, alive func()) error {
+// observedReader calls onRead after each read that returns bytes. A long object may take its time, as long as bytes of it arrive.
+type observedReader struct {
+	io.Reader
+	onRead func()
+}
+
+// Read implements io.Reader.
+func (r *observedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.onRead()
+	}
+	return n, err
+}
+
+// readWatch passes on the lists of a watch until the watch ends.
+func (w *Watcher) readWatch(body io.Reader) error {
 	objects := bufio.NewScanner(body)
 	objects.Buffer(nil, maxListBytes)
 	objects.Split(new(objectSplitter).split)
 	for objects.Scan() {
-		alive()
 		w.alive = true
 		if w.OnAlive != nil {
 			w.OnAlive()
@@ -168,15 +183,15 @@
 	return err
 }
 
-// fetchFull fetches the full list and passes it on.
-func (w *Watcher) fetchFull(ctx context.Context) error {
+// fetchFull fetches the full list and passes it on. It calls heard when bytes arrive.
+func (w *Watcher) fetchFull(ctx context.Context, heard func()) error {
 	body, err := w.fetch(ctx, "")
 	if err != nil {
 		return err
 	}
 	defer body.Close()
 	var list List
-	if err := json.NewDecoder(io.LimitReader(body, maxListBytes)).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(&observedReader{body, heard}, maxListBytes)).Decode(&list); err != nil {
 		return err
 	}
 	list.Full = true
--- a/internal/membership/discovery/watcher_test.go
+++ b/internal/membership/discovery/watcher_test.go
@@ -62,6 +62,34 @@
 	}
 }
 
+// Guards against a list that is never read because it takes longer than the time-out for silence: each attempt would end in its middle although
+// bytes of it arrive. A watch and a full list are read in the same way.
+func TestWatcher_SlowObjectIsNotSilence(t *testing.T) {
+	for name, needFull := range map[string]bool{"watch": false, "full list": true} {
+		t.Run(name, func(t *testing.T) {
+			lists := startWatcher(t, func(w http.ResponseWriter, r *http.Request) {
+				pace := time.NewTicker(50 * time.Millisecond)
+				defer pace.Stop()
+				text := `{"version":5,"full":true,"servers":[` + fmt.Sprintf(endpointJSON, "x", "in_service") + `]}`
+				for _, piece := range []byte(text)[:16] {
+					writeFlushed(w, string(piece))
+					<-pace.C
+				}
+				writeFlushed(w, text[16:]+"\n")
+				if r.URL.RawQuery != "" {
+					<-r.Context().Done()
+				}
+			}, func(w *Watcher) {
+				w.needFull = needFull
+				w.watchTimeout = 400 * time.Millisecond
+			})
+			if l := receive(t, lists); l.Version != 5 || !l.Full || len(l.Endpoints) != 1 {
+				t.Errorf("got %+v, want a full list of version 5 with one endpoint", l)
+			}
+		})
+	}
+}
+
 // Guards against a change that is dropped as a whole because one of its endpoints is invalid: the others count as
 // reported.
 func TestWatcher_DropsOnlyInvalidEntries(t *testing.T) {
