Count a connection's idle time from when its client last read, not from the last write

A client that reads slowly answers which the kernel holds already was closed as idle after 10 s. If it then sent its next command before it had read them all, the reset in reply destroyed them: requests that had run had no answer.

Cause: a connection counted as idle from the moment in which the socket accepted the last answer. The kernel may hold megabytes then.

If they have become fewer, the client reads, and the 10 s begin again. A client that has stopped reading is closed after 10 s as before.

TestClient_IdleTimeoutCountsFromLastRead failed before ("the connection was closed although its client reads") and passes now. It also holds that a client which reads nothing more is closed.

--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -89,6 +89,8 @@
 	lastCallAt    float64 // when the last call arrived that was accepted, or rejected for a drain or shutdown; 0: none
 	lastRequestAt float64 // when the last accepted request arrived
 	requestCount  int     // accepted requests
+	unackedBytes  int     // that the client's kernel had not acknowledged when idleTooLong last looked
+	lastReadAt    float64 // when idleTooLong last found that the client had read; 0: never
 
 	commandReceived bool // a request was accepted, or a command or input answered
 	callReceived    bool // a call was accepted, or rejected for a drain or shutdown
--- a/internal/dataplane/ingress/client_conn_test.go
+++ b/internal/dataplane/ingress/client_conn_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"eiderspread/internal/dataplane/resp"
+	"eiderspread/internal/dataplane/sockets"
 	"eiderspread/policy"
 )
 
@@ -115,6 +116,47 @@
 	}
 }
 
+// Guards against a connection that is closed as idle while its client reads answers that the kernel holds (review/3). A client that has stopped
+// reading is closed at the idle timeout.
+func TestClient_IdleTimeoutCountsFromLastRead(t *testing.T) {
+	addr, conns := listenBackend(t)
+	r := startIngress(t, testConfig(addr), sendTo(0))
+	w := r.clientWithReceiveBuffer(8 << 10)
+	value := strings.Repeat("v", resp.MaxValueBytes)
+	go serveBackendWith(conns, fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", resp.MaxValueBytes, value))
+	w.send(lookCommand("long")...)
+	var c *clientConn
+	r.waitFor("the kernel has the whole answer", func() bool {
+		for c = range r.ingress.clients.conns {
+			return c.callReceived && c.fullyAnswered()
+		}
+		return false
+	})
+	unread := func() (n int) {
+		r.onLoop(func() { n = sockets.UnackedBytes(c.rawConn) })
+		return n
+	}
+	sweepAfter := func(seconds float64) {
+		r.onLoop(func() { r.ingress.now += seconds; r.ingress.clients.sweep(r.ingress) })
+	}
+	atStart := unread()
+	sweepAfter(clientIdleTimeoutS * 0.9)
+	got := 0
+	for piece := make([]byte, 4<<10); unread() == atStart; {
+		n, err := w.Read(piece)
+		if got += n; err != nil || got == len(value) {
+			t.Fatalf("after %d bytes the kernel still holds %d bytes: %v", got, unread(), err)
+		}
+	}
+	sweepAfter(clientIdleTimeoutS * 0.2)
+	if c.state != connOpen {
+		t.Fatal("the connection was closed although its client reads")
+	}
+	sweepAfter(clientIdleTimeoutS * 0.9)
+	sweepAfter(clientIdleTimeoutS * 0.2)
+	r.waitFor("the connection of a client that reads nothing more is closed", func() bool { return c.closeReason == closeIdleTimeout })
+}
+
 // Decisions may come in any order, and twice for one request. The answers on a connection must follow the order of its commands, and only
 // the first decision on a request counts.
 func TestClient_PipelinedAnswersOnceInOrder(t *testing.T) {
--- a/internal/dataplane/ingress/client_table.go
+++ b/internal/dataplane/ingress/client_table.go
@@ -5,6 +5,7 @@
 
 	"eiderspread/internal/dataplane/admin"
 	"eiderspread/internal/dataplane/ingressconfig"
+	"eiderspread/internal/dataplane/sockets"
 )
 
 const (
@@ -77,12 +78,27 @@
 	for c := range t.conns {
 		if c.state == connClosing && c.idle() && in.now-c.lastUsedAt > discardTimeout.Seconds() {
 			in.closeClient(c, closeIdleTimeout)
-		} else if c.commandReceived && c.quiescent() && in.now-c.lastUsedAt > clientIdleTimeoutS && c.silent() {
+		} else if c.commandReceived && c.quiescent() && in.idleTooLong(c) && c.silent() {
 			in.closeGracefully(c, closeIdleTimeout)
 		}
 	}
 }
 
+// idleTooLong reports whether nothing was open on a connection for clientIdleTimeoutS, and its client has not read either. A client that reads
+// slowly may need that long for answers that the kernel holds: if it sent a command after the close, the reset would destroy them.
+func (in *Ingress) idleTooLong(c *clientConn) bool {
+	idleS := in.now - max(c.lastUsedAt, c.lastReadAt)
+	if idleS <= clientIdleTimeoutS/2 {
+		return false
+	}
+	before := c.unackedBytes
+	if c.unackedBytes = sockets.UnackedBytes(c.rawConn); c.unackedBytes >= 0 && c.unackedBytes < before {
+		c.lastReadAt = in.now
+		return false
+	}
+	return idleS > clientIdleTimeoutS
+}
+
 // closeIdle closes each fully answered connection, except those that are being transferred or whose first command may be in transit.
 func (t *clientTable) closeIdle(in *Ingress) {
 	for c := range t.conns {
