Mutations: who waits for the end of a reply, and how long a permit is held

Need: the list of mutations names each guard that keeps a rule, and the two new ones were missing. Both are found by unit tests alone, as the testbed's backends have no large values and its clients read as fast as answers come; the entries say so.

--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -297,6 +297,23 @@
 		Reason: "the moment in which the reader holds a command is too short for a run to find; the unit test forces it",
 		Edits:  edit(ingressDir+"client_close.go", "if c.reader == readerRunning && (!c.socket.Waiting() || len(c.pipelinePermits) > 0) {", "if false {"),
 		Runs:   []string{labDrain}},
+	{Name: "the end of a reply holds up no client", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
+		Reason: "backends of the testbed have no large values; the unit test has one whose reply stops behind it",
+		Edits: edit(ingressDir+"large_value.go", `	in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
+	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
+`, `	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
+	in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
+`),
+		Runs: []string{labOne + "answers"}},
+	{Name: "a permit is held until the answer is written", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
+		Reason: "clients of the testbed read as fast as answers come; the unit test has one that does not",
+		Edits: edit(ingressDir+"client_writer.go", `	case c.writing:
+		in.reserveWaitingAnswers(c)
+`, `	case c.writing:
+		c.releasePipelinePermits(1)
+		in.reserveWaitingAnswers(c)
+`),
+		Runs: []string{labOne + "rude"}},
 	{Name: "a connection that has sent nothing ends with an answer", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
 		Reason: "no client of the testbed pauses between its connect and its first request; the unit test and TestDrain_AnswersFirstRequests do",
 		Edits:  edit(ingressDir+"client_close.go", "if c.commandReceived && !c.receivingCommand.Load() {", "if true {"),
