Keep short answers when there is no memory for unread ones: a rejection stays a rejection

A single short answer that met a full socket and an exhausted budget became "-ERR failed", also "-BUSY", which promises that a request had no effect, and "+PONG".

Cause: the rule that answers of up to 128 bytes are never failed for want of memory stood in reserveWaitingAnswers alone, not in writeInBackground.

Change: writeInBackground keeps them too. The stall time-out is read on the loop and no longer by the goroutine, so that a test that sets it can't race with one that has ended.

Measured: the package's tests pass with the race detector. The case itself has no test of its own: it needs a socket that is full to the last byte when the answer is written.

--- a/internal/dataplane/ingress/client_writer.go
+++ b/internal/dataplane/ingress/client_writer.go
@@ -23,6 +23,8 @@
 // clientStallTimeout is how long a client may read nothing while answers wait for it. Tests shorten it.
 var clientStallTimeout = 5 * time.Second
 
+var errClientStalled = errors.New("the client does not read")
+
 // answerImmediately answers a command that is not passed to the decider. With closeAfter the connection closes after this answer.
 func (in *Ingress) answerImmediately(c *clientConn, answer []byte, closeAfter bool) {
 	if c.state != connOpen {
@@ -33,8 +35,6 @@
 	in.flushAnswers(c)
 }
 
-var errClientStalled = errors.New("the client does not read")
-
 // flushAnswers writes the final answers in the order of their commands, up to the first answer that is not final. While the client does not
 // read, final answers wait in their slots.
 func (in *Ingress) flushAnswers(c *clientConn) {
@@ -152,7 +152,14 @@
 	return true
 }
 
-// releaseOutput returns n bytes that reserveOutput reserved.
+// reserveExcessOutput is reserveOutput for bytes that have to be kept even if the budgets do not have them.
+func (in *Ingress) reserveExcessOutput(c *clientConn, n int) {
+	in.answerBudget.ReserveExcess(n)
+	in.inputBudget.ReserveExcess(n)
+	c.reservedBytes += n
+}
+
+// releaseOutput returns n bytes that were reserved for unread answers.
 func (in *Ingress) releaseOutput(c *clientConn, n int) {
 	in.answerBudget.Release(n)
 	in.inputBudget.Release(n)
@@ -167,18 +174,17 @@
 	switch {
 	case in.reserveOutput(c, len(output)):
 		reserved = len(output)
-	case written == 0 && answers == 1:
+	case written == 0 && answers == 1 && len(output) > uncountedAnswerBytes:
 		output = in.failedForMemory()
-	default: // an answer that has begun must be completed; it is one for each connection at most
-		in.answerBudget.ReserveExcess(len(output))
-		in.inputBudget.ReserveExcess(len(output))
-		c.reservedBytes += len(output)
+	default: // an answer that has begun must be completed, and short ones are kept: one batch for each connection at most
+		in.reserveExcessOutput(c, len(output))
 		reserved = len(output)
 	}
 	c.writing = true
 	in.reserveWaitingAnswers(c)
+	stallTimeout := clientStallTimeout
 	go func() {
-		err := c.writeWhileRead(output, clientStallTimeout)
+		err := c.writeWhileRead(output, stallTimeout)
 		in.post(in.clock.Now(), func() { in.handleOutputWritten(c, reserved, answers, err) })
 	}()
 }
