Test that short answers are kept when there is no memory for unread ones

Change: the test fills the socket to the last byte, reserves all memory for unread answers and has a request rejected.

--- a/internal/dataplane/ingress/client_table_test.go
+++ b/internal/dataplane/ingress/client_table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -269,6 +270,38 @@
 	})
 }
 
+// Guards against a rejection that turns into a failure because there is no memory for unread answers: short answers are kept in any case.
+func TestInputBudget_ShortAnswersAreKept(t *testing.T) {
+	r := startIngress(t, testConfig("127.0.0.1:1"), nil)
+	w := r.client()
+	w.send(lookCommand("a")...)
+	receive(t, r.decider.requests)
+	filler := strings.Repeat("f", 64<<10)
+	written := 0
+	r.onLoop(func() {
+		c := r.ingress.requests["a"].client
+		for n := 1; n > 0; written += n {
+			var err error
+			if n, err = sockets.WriteNonBlocking(c.rawConn, []byte(filler)); err != nil {
+				t.Error(err)
+			}
+		}
+		available := int(r.ingress.answerBudget.Available())
+		r.ingress.answerBudget.Reserve(available)
+		r.ingress.Reject("a", 0)
+		if !c.writing {
+			t.Error("the rejection was written at once, so the test checks nothing")
+		}
+		r.ingress.answerBudget.Release(available)
+	})
+	if _, err := io.CopyN(io.Discard, w.r, int64(written)); err != nil {
+		t.Fatal(err)
+	}
+	if got := w.line(); got != "-BUSY" {
+		t.Errorf("got %q, want -BUSY", got)
+	}
+}
+
 // At the limit a new connection must not run the ingress out of descriptors: the connection that has been idle for longest is closed for it.
 func TestClientTable_IdleEvictedForNew(t *testing.T) {
 	r := startIngress(t, testConfig("127.0.0.1:1"), func(r *testIngress) { r.ingress.clients.evictIdleFrom, r.ingress.clients.maxOpen = 2, 2 })
