--- a/internal/dataplane/ingress/doc.go
+++ b/internal/dataplane/ingress/doc.go
@@ -28,5 +28,6 @@
 //	discovery.go, cordon.go, admin.go      the endpoint list and configuration reloads, cordons, operators' calls
 //	peers.go                               datagrams to and from the other ingresses
 //	status.go, telemetry.go, tracing.go    the status page, counters by reason, traces of decisions
-//	deadlines.go                           socket deadlines
+//	deadlines.go, stall_detector.go        socket deadlines, and clients that do not read
+//	await_space.go                         readers that wait for memory
 package ingress
