Test of repeated discovery requests: number them as they are sent, not as they arrive

Cause, in the test: it took the request that arrived first for the one that was sent first. Beside load a repeat, sent 1 ms later, can arrive before it. That one is cancelled by the next repeat, and as only it would have been answered, nothing is.

Change: the watcher's transport numbers the requests when they are sent. What the test asks of the watcher is the same: a repeat is sent, and an answer to either request is taken.

--- a/internal/membership/discovery/watcher_test.go
+++ b/internal/membership/discovery/watcher_test.go
@@ -6,7 +6,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -105,6 +108,21 @@
 	}
 }
 
+// callHeader holds the number of a watcher's request, counted from 1 in the order in which they were sent. Under load they may arrive in another.
+const callHeader = "X-Call"
+
+// numberingTransport sets callHeader.
+type numberingTransport struct {
+	http.RoundTripper
+	calls atomic.Int64
+}
+
+func (t *numberingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set(callHeader, strconv.FormatInt(t.calls.Add(1), 10))
+	return t.RoundTripper.RoundTrip(r)
+}
+
 // Guards against a request that hangs because it was sent while the service was silent: the changes count as reported once the service
 // responds again. It may answer a later request, or the one that hangs.
 func TestWatcher_RepeatsRequestsToSilentService(t *testing.T) {
@@ -113,12 +131,12 @@
 		"the call that hangs, in place": func(call int) bool { return call == 1 },
 	} {
 		t.Run(name, func(t *testing.T) {
-			n, later := make(chan int, 1), make(chan struct{})
-			n <- 0
+			later := make(chan struct{})
+			var closeLater sync.Once
 			lists := startWatcher(t, func(w http.ResponseWriter, r *http.Request) {
-				call := 1 + <-n
-				if n <- call; call == 3 {
-					close(later)
+				call, _ := strconv.Atoi(r.Header.Get(callHeader))
+				if call >= 3 {
+					closeLater.Do(func() { close(later) })
 				}
 				if call == 1 {
 					select {
@@ -131,7 +149,10 @@
 					writeFlushed(w, `{"version":7,"servers":[`+fmt.Sprintf(endpointJSON, "x", "terminating")+"]}\n")
 				}
 				<-r.Context().Done()
-			}, func(w *Watcher) { w.answerTimeout = time.Millisecond })
+			}, func(w *Watcher) {
+				w.answerTimeout = time.Millisecond
+				w.client.Transport = &numberingTransport{RoundTripper: w.client.Transport}
+			})
 			if l := receive(t, lists); l.Version != 7 {
 				t.Errorf("got %+v, want version 7", l)
 			}
