--- a/review/standins-2/backend.go
+++ b/review/standins-2/backend.go
@@ -25,6 +25,9 @@
 
 	// serve answers one command on c. It returns an error to end the connection.
 	serve func(c net.Conn, a attempt) error
+	// begin, if set, takes the place of serve: it does the work of one command, which is begun at once behind others of its connection,
+	// and returns what writes the answer. Answers are written in the order of the commands.
+	begin func(a attempt) (write func(c net.Conn) error)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -92,6 +95,8 @@
 		c.Close()
 	}()
 	in := bufio.NewReaderSize(c, 64<<10)
+	before := make(chan struct{}) // closed once the answer to the command before is written
+	close(before)
 	for {
 		args, err := readCommand(in)
 		if err != nil {
@@ -105,7 +110,20 @@
 			b.attempts = append(b.attempts, a)
 			b.mu.Unlock()
 			b.rig.note("attempt at %s: %s %s", b.id, a.id(), args[3])
-			err = b.serve(c, a)
+			if b.begin == nil {
+				err = b.serve(c, a)
+				break
+			}
+			previous, written := before, make(chan struct{})
+			before = written
+			go func() {
+				write := b.begin(a)
+				<-previous
+				if write(c) != nil {
+					c.Close()
+				}
+				close(written)
+			}()
 		case args[0] == "PING":
 			_, err = c.Write([]byte("+PONG\r\n"))
 		case args[0] == "INFO":
