--- a/review/standins-2/etcd.go
+++ b/review/standins-2/etcd.go
@@ -21,7 +21,7 @@
 
 const etcdPrefix = "/eiderspread/rayon-nord/"
 
-// agentCommand is the project's agent, which build-2.sh builds.
+// agentCommand is the project's agent. build-2.sh does not build it, as it needs etcd's client: go build -o review/standins-2/bin/ ./cmd/membershipagent.
 const agentCommand = "exec review/standins-2/bin/membershipagent "
 
 func (r *rig) startEtcd() *etcd {
