--- a/internal/dataplane/ingress/drain_log.go
+++ b/internal/dataplane/ingress/drain_log.go
@@ -15,7 +15,8 @@
 		return
 	}
 	in.drainLogLines++
-	in.logClientConn("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.state == connClosing, "dropped_calls", c.droppedCalls)
+	in.logClientConn("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.state == connClosing, "dropped_calls", c.droppedCalls,
+		"writing", c.writing, "unwritten_bytes", c.waitingAnswerBytes(), "undelivered_bytes", sockets.UnackedBytes(c.rawConn), "unread_bytes", sockets.UnreadBytes(c.rawConn))
 }
 
 // logClientConn logs an event of one client connection.
@@ -41,5 +42,13 @@
 	}
 }
 
+// waitingAnswerBytes returns the length of the final answers that wait behind others, without the batch or value that is being written.
+func (c *clientConn) waitingAnswerBytes() (n int) {
+	for _, slot := range c.answerSlots {
+		n += len(slot.answer)
+	}
+	return n
+}
+
 // roundToMillis rounds a duration in seconds to whole milliseconds, for the log.
 func roundToMillis(spanS float64) float64 { return float64(int(spanS*1000+0.5)) / 1000 }
