Hot restart: answers that a client has not read move with its connection

Cause: a connection moved to the new process only when nothing was left to write. The rest stayed with the old process, which ends after 3.6 s at the latest, whatever is in its memory. Evidence: its log closes with reason=shutdown_end, requests=0, writing=true, open=17, 1,020,289 bytes unwritten and 4,133,489 undelivered; the new process took over 0 connections. Change: a connection moves once all of its answers are final. A write in progress is stopped between two pieces; the answers go ahead of the connection in messages of their own (Answers). A new process says in Ready that it takes them; older ones are handed over to as before. Each answer keeps the permit of its command, so that the bound on unread answers of a connection (32 commands) holds over any number of upgrades, and its bytes count in the new process. Why it works: nothing that is owed depends on the life of the old process any more.

--- a/internal/dataplane/hotrestart/golden_test.go
+++ b/internal/dataplane/hotrestart/golden_test.go
@@ -10,6 +10,11 @@
 	"eiderspread/internal/testbed/golden"
 )
 
+// Guards against changes of the message that brings unread answers, and of what a successor says to get it.
+func TestGoldenAnswers(t *testing.T) {
+	golden.Check(t, "answers.bin", []byte{byte(Ready), AcceptsAnswers, byte(Answers)})
+}
+
 // Guards against changes of the messages of a hot restart, and of the paths of the socket and the lock file, which two versions share.
 func TestGoldenMessages(t *testing.T) {
 	l, err := Listen(filepath.Join(t.TempDir(), "s"))
--- a/internal/dataplane/hotrestart/hotrestart.go
+++ b/internal/dataplane/hotrestart/hotrestart.go
@@ -6,10 +6,12 @@
 //
 //	S -> P  Hello       the version of this protocol
 //	P -> S  Sockets     descriptors: the listener of clients and, where gateways are peers, their datagram socket
-//	S -> P  Ready       all other preparation is done
+//	S -> P  Ready       all other preparation is done; with what this version accepts, see AcceptsAnswers
 //	P -> S  Snapshot    a part of the decision module's state; any number of messages
 //	P -> S  Proceed     the predecessor has stopped accepting connections; with its endpoint list and its number of clients
-//	P -> S  Client      descriptor: an idle client connection; with the bytes that were read from it and not used
+//	P -> S  Answers     final answers that are not written, of the client connection that the next Client or LargeValue brings; any
+//	                    number of messages, in the order of the answers; behind the large value, if there is one
+//	P -> S  Client      descriptor: a client connection without open requests; with the bytes that were read from it and not used
 //	P -> S  LargeValue  descriptors: a client connection with a large value under way, and the backend connection that it comes from
 //
 // If the successor takes over the decisions on the predecessor's requests, these messages follow until the last of these requests has
@@ -33,6 +35,9 @@
 // Version is the protocol's version, which Hello carries.
 const Version = 1
 
+// AcceptsAnswers is a bit of the first byte of Ready's body: the successor accepts Answers messages. An empty body has no bits set.
+const AcceptsAnswers = 1
+
 // MaxBodyBytes is the maximum length of a message's body, in bytes.
 const MaxBodyBytes = 128 << 10
 
@@ -63,6 +68,7 @@
 	Proceed    Kind = 'G'
 	Client     Kind = 'C'
 	LargeValue Kind = 'V'
+	Answers    Kind = 'A'
 	Event      Kind = 'E'
 	Order      Kind = 'O'
 )
@@ -84,6 +90,8 @@
 		return "client"
 	case LargeValue:
 		return "large value"
+	case Answers:
+		return "answers"
 	case Event:
 		return "event"
 	case Order:
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -83,10 +83,11 @@
 	closeWhenStopped closeReason // the reader is being stopped for this close; closeUnset: for none
 	droppedCalls     int         // calls that were read after the half close
 
-	answerSlots   []*answerSlot // in the order of the commands; at most maxPipelinedCommands + 1
-	batchBuffer   []byte        // reused for the answers that are written together; in use while writing is set
-	reservedBytes int           // of the budgets, for answers that are being written or wait for that
-	writing       bool          // a goroutine writes answers, or a large value is streamed
+	answerSlots   []*answerSlot    // in the order of the commands; at most maxPipelinedCommands + 1
+	batchBuffer   []byte           // reused for the answers that are written together; in use while writing is set
+	reservedBytes int              // of the budgets, for answers that are being written or wait for that
+	writing       bool             // a goroutine writes answers, or a large value is streamed
+	output        *backgroundWrite // the answers that a goroutine writes; nil: none does
 
 	acceptedAt    float64
 	lastUsedAt    float64 // when a request was accepted or an answer became final; initially acceptedAt
--- a/internal/dataplane/ingress/client_reader_stop.go
+++ b/internal/dataplane/ingress/client_reader_stop.go
@@ -51,7 +51,9 @@
 	c.closeWhenStopped = closeUnset
 	if c.idle() {
 		in.releaseStoppedClient(c)
-	} // else afterAnswersWritten does it, once the answers are written
+		return
+	}
+	in.transferUnreadAnswers(c) // else afterAnswersWritten calls releaseStoppedClient, once the answers are written
 }
 
 // releaseStoppedClient transfers, resumes or ends a connection whose reader has stopped and whose client waits for no answer.
--- a/internal/dataplane/ingress/client_writer.go
+++ b/internal/dataplane/ingress/client_writer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"eiderspread/internal/dataplane/inputbuffer"
@@ -23,6 +24,13 @@
 // clientStallTimeout is how long a client may read nothing while answers wait for it. Tests shorten it.
 var clientStallTimeout = 5 * time.Second
 
+// backgroundWrite is a batch of answers that a separate goroutine writes, as the socket did not accept all of it at once.
+type backgroundWrite struct {
+	answers       int         // in the batch
+	reserved      int         // bytes that are reserved for the batch
+	stopRequested atomic.Bool // set by the loop to stop the write before its end; any goroutine may read it
+}
+
 var errClientStalled = errors.New("the client does not read")
 
 // answerImmediately answers a command that is not passed to the decider. With closeAfter the connection closes after this answer.
@@ -39,11 +47,13 @@
 // read, final answers wait in their slots.
 func (in *Ingress) flushAnswers(c *clientConn) {
 	switch {
-	case c.state == connClosed:
+	case c.state == connClosed || c.reader == readerTransferring:
+		return
 	case len(c.answerSlots) == 0 || c.answerSlots[0].answer == nil:
 		in.startNextLargeValue(c)
 	case c.writing:
 		in.reserveWaitingAnswers(c)
+		in.transferUnreadAnswers(c)
 	default:
 		in.writeAnswers(c)
 	}
@@ -64,6 +74,7 @@
 		}
 		if n < len(batch) {
 			in.writeInBackground(c, batch, n, answers)
+			in.transferUnreadAnswers(c)
 			return
 		}
 		c.releasePipelinePermits(answers)
@@ -170,47 +181,48 @@
 // ends when the client stops reading, or with the connection. answers is the number of answers in the batch.
 func (in *Ingress) writeInBackground(c *clientConn, batch []byte, written, answers int) {
 	output := batch[written:]
-	reserved := 0
+	write := &backgroundWrite{answers: answers}
 	switch {
 	case in.reserveOutput(c, len(output)):
-		reserved = len(output)
+		write.reserved = len(output)
 	case written == 0 && answers == 1 && len(output) > uncountedAnswerBytes:
 		output = in.failedForMemory()
 	default: // an answer that has begun must be completed, and short ones are kept: one batch for each connection at most
 		in.reserveExcessOutput(c, len(output))
-		reserved = len(output)
+		write.reserved = len(output)
 	}
-	c.writing = true
+	c.writing, c.output = true, write
 	in.reserveWaitingAnswers(c)
 	stallTimeout := clientStallTimeout
 	go func() {
-		err := c.writeWhileRead(output, stallTimeout)
-		in.post(in.clock.Now(), func() { in.handleOutputWritten(c, reserved, answers, err) })
+		unwritten, err := c.writeWhileRead(write, output, stallTimeout)
+		in.post(in.clock.Now(), func() { in.handleOutputWritten(c, write, unwritten, err) })
 	}()
 }
 
-// writeWhileRead writes output, unless the connection fails or the client reads nothing for stallTimeout.
-func (c *clientConn) writeWhileRead(output []byte, stallTimeout time.Duration) error {
+// writeWhileRead writes output, unless the connection fails, the client reads nothing for stallTimeout or the loop stops the write. It
+// returns the bytes that are not written.
+func (c *clientConn) writeWhileRead(write *backgroundWrite, output []byte, stallTimeout time.Duration) (unwritten []byte, err error) {
 	stall := newStallDetector(c.rawConn, time.Now())
 	defer setWriteDeadline(c.conn, time.Time{}) // else the deadline would fail a later write
-	for len(output) > 0 {
+	for len(output) > 0 && !write.stopRequested.Load() {
 		setWriteDeadline(c.conn, time.Now().Add(blockedPollInterval))
 		n, err := c.conn.Write(output)
 		output = output[n:]
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
+			return output, err
 		}
 		if stall.stalledFor(time.Now(), n) > stallTimeout {
-			return errClientStalled
+			return output, errClientStalled
 		}
 	}
-	return nil
+	return output, nil
 }
 
-// handleOutputWritten continues with a connection once the goroutine of writeInBackground has ended. err is the error of its write, and
-// reserved the number of bytes that were reserved for its output.
-func (in *Ingress) handleOutputWritten(c *clientConn, reserved, answers int, err error) {
-	c.writing = false
+// handleOutputWritten continues with a connection once the goroutine of writeInBackground has ended. err is the error of its write. Bytes
+// are unwritten if the write failed or was stopped.
+func (in *Ingress) handleOutputWritten(c *clientConn, write *backgroundWrite, unwritten []byte, err error) {
+	c.writing, c.output = false, nil
 	if c.state == connClosed {
 		return
 	}
@@ -221,10 +233,28 @@
 		in.handleDisconnect(c, closeSlowReader)
 		return
 	}
-	in.releaseOutput(c, reserved)
-	c.releasePipelinePermits(answers)
+	in.releaseOutput(c, write.reserved)
 	c.lastUsedAt = in.now
-	in.writeAnswers(c)
+	if len(unwritten) == 0 {
+		c.releasePipelinePermits(write.answers)
+		in.writeAnswers(c)
+		return
+	}
+	in.requeueAnswers(c, write, unwritten)
+	if in.transferUnreadAnswers(c); c.reader != readerTransferring {
+		in.writeAnswers(c)
+	}
+}
+
+// requeueAnswers puts the rest of a stopped write back in front of the answers that wait. Each answer of the batch keeps a slot, as it keeps
+// the permit of its command; the slots behind the first one have nothing left to write.
+func (in *Ingress) requeueAnswers(c *clientConn, write *backgroundWrite, unwritten []byte) {
+	in.reserveExcessOutput(c, len(unwritten))
+	slots := []*answerSlot{{answer: unwritten, reserved: true}}
+	for range write.answers - 1 {
+		slots = append(slots, &answerSlot{answer: []byte{}})
+	}
+	c.answerSlots = append(slots, c.answerSlots...)
 }
 
 // afterAnswersWritten continues with a connection whose output is all written: it closes or transfers the connection if that is due, or
--- a/internal/dataplane/ingress/hot_restart_predecessor.go
+++ b/internal/dataplane/ingress/hot_restart_predecessor.go
@@ -24,6 +24,7 @@
 	reservedInput int             // bytes of the input budget that are reserved for the predecessor
 	bootTime      float64         // when the machine started, in Unix seconds by its clock; 0: not known
 	ranRequests   []string        // ids that this process must not run again, see ranEvents
+	answers       []*answerSlot   // received for the next connection; receiveTransfers only
 	orders        chan []byte     // sent to the predecessor by the goroutine sendOrders; nil: this process has not taken over its decisions
 }
 
@@ -126,7 +127,7 @@
 
 // awaitProceed sends Ready, and receives the snapshot and the Proceed message.
 func (p *predecessorState) awaitProceed() (message proceedMessage, err error) {
-	err = p.link.Send(hotrestart.Ready, nil, linkTimeout)
+	err = p.link.Send(hotrestart.Ready, []byte{hotrestart.AcceptsAnswers}, linkTimeout)
 	var m hotrestart.Message
 	for err == nil && m.Kind != hotrestart.Proceed {
 		m, err = p.link.Receive(linkTimeout)
@@ -202,6 +203,10 @@
 			m.Close()
 			in.receiveEvent(p, m.Body)
 			continue
+		case m.Kind == hotrestart.Answers:
+			m.Close()
+			p.receiveAnswers(m.Body)
+			continue
 		case m.Kind == hotrestart.Client && len(m.Files) == 1, m.Kind == hotrestart.LargeValue && len(m.Files) == 2:
 		default:
 			m.Close()
@@ -214,7 +219,7 @@
 			p.link.Close()
 			return
 		}
-		if err := in.receiveTransfer(m); err != nil {
+		if err := in.receiveTransfer(m, p.takeAnswers()); err != nil {
 			<-in.clients.connPermits
 			in.Post(func(float64) { in.logFault("connection not taken over from the old process", "error", err) })
 			continue
@@ -226,8 +231,8 @@
 }
 
 // receiveTransfer takes over a client connection from the predecessor or, with LargeValue, a client connection, its backend connection and
-// the value under way between them.
-func (in *Ingress) receiveTransfer(m hotrestart.Message) error {
+// the value under way between them. answers are to be written to the client, behind the value.
+func (in *Ingress) receiveTransfer(m hotrestart.Message, answers []*answerSlot) error {
 	var conns []*net.TCPConn
 	var err error
 	for _, f := range m.Files {
@@ -239,9 +244,9 @@
 	switch {
 	case len(conns) < len(m.Files):
 	case m.Kind == hotrestart.LargeValue:
-		err = in.resumeLargeValue(conns[0], conns[1], m.Body)
+		err = in.resumeLargeValue(conns[0], conns[1], m.Body, answers)
 	default:
-		err = in.resumeClient(conns[0], m.Body)
+		err = in.resumeClient(conns[0], m.Body, answers)
 	}
 	if err != nil {
 		for _, c := range conns {
@@ -251,13 +256,16 @@
 	return err
 }
 
-// resumeClient starts to read a connection of the predecessor. unused is the input that the predecessor read and did not use. The caller
-// holds a connection permit for it.
-func (in *Ingress) resumeClient(conn *net.TCPConn, unused []byte) error {
+// resumeClient starts to read a connection of the predecessor, and to write the answers that the predecessor has not written. unused is the
+// input that the predecessor read and did not use. The caller holds a connection permit for it.
+func (in *Ingress) resumeClient(conn *net.TCPConn, unused []byte, answers []*answerSlot) error {
 	c, err := in.newClientConn(conn)
 	if err != nil {
 		return err
 	}
+	if err := c.resumeAnswers(answers); err != nil {
+		return err
+	}
 	c.input.Fill(unused)
 	if len(unused) > 0 {
 		c.startCommandDeadline(in)
@@ -272,8 +280,10 @@
 func (in *Ingress) addResumedClient(c *clientConn) {
 	in.clients.predecessorConns = max(0, in.clients.predecessorConns-1)
 	c.commandReceived, c.callReceived = true, true // assumed, as this process can't know: a command of the client may be on its way
+	in.reserveResumedAnswers(c)
 	if in.successor.stage != handoverActive {
 		in.addClient(c)
+		in.flushAnswers(c)
 		return
 	}
 	c.lastUsedAt, c.acceptedAt = in.now, in.now
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -24,6 +24,7 @@
 	listener    *hotrestart.Listener // accepts links of successors; nil: this process can't be replaced
 	link        *hotrestart.Link
 	stage       handoverStage
+	features    byte            // what the successor accepts, as in the body of Ready
 	pauseAccept chan struct{}   // closed to stop acceptLoop
 	transfers   chan transfer   // queue of sendToSuccessor; has room for every client connection, each of which is queued once at most
 	events      chan []byte     // queue of sendToSuccessor; nil before the hand-over is active
@@ -34,9 +35,10 @@
 
 // transfer is a connection on its way to the successor.
 type transfer struct {
-	client *clientConn
-	body   []byte      // input that was read and not used; with a value, an encoded valueTransfer
-	value  *largeValue // transferred too, with its backend connection; nil: no answer is open
+	client  *clientConn
+	answers [][]byte    // that are not written, in their order
+	body    []byte      // input that was read and not used; with a value, an encoded valueTransfer
+	value   *largeValue // transferred too, with its backend connection, in front of answers; nil: no answer is open
 }
 
 // listenForSuccessor starts to listen for a process that replaces this one.
@@ -79,10 +81,15 @@
 	if err := link.Send(hotrestart.Sockets, nil, linkTimeout, sockets...); err != nil {
 		return
 	}
-	if _, err := link.Expect(hotrestart.Ready, 0, 0); err != nil {
+	ready, err := link.Expect(hotrestart.Ready, 0, 0)
+	if err != nil {
 		return
 	}
-	in.Post(func(float64) { in.beginHandover(link) })
+	features := byte(0)
+	if len(ready.Body) > 0 {
+		features = ready.Body[0]
+	}
+	in.Post(func(float64) { in.beginHandover(link, features) })
 	for err == nil { // until the link ends
 		if m, err = link.Receive(0); err == nil && m.Kind == hotrestart.Order {
 			in.receiveOrder(link, m.Body)
@@ -93,13 +100,13 @@
 
 // beginHandover stops accepting connections. startTransfers continues the hand-over once the loop has all accepted connections. A second
 // hand-over, or one after the shutdown has begun to close clients, is rejected by closing the link.
-func (in *Ingress) beginHandover(link *hotrestart.Link) {
+func (in *Ingress) beginHandover(link *hotrestart.Link, features byte) {
 	if _, migrated := in.decider.(*eventRelay); migrated || in.shutdown.closingClients || in.successor.stage != handoverNone {
 		link.Close()
 		return
 	}
 	in.log.Info("hand-over to a new process begins")
-	in.successor.link, in.successor.stage = link, handoverPausing
+	in.successor.link, in.successor.stage, in.successor.features = link, handoverPausing, features
 	in.acceptingClients.Store(false)
 	in.clearDrain()
 	close(in.successor.pauseAccept)
@@ -158,17 +165,23 @@
 	return body
 }
 
-// transferClient queues a connection for transfer to the successor. The connection's reader must have stopped, and its client must wait for
-// no answer. transferClient returns false if the connection can't be transferred.
+// transferClient queues a connection for transfer to the successor, with the answers that are not written. The connection's reader must
+// have stopped, nothing may be being written to it, and all of its answers must be final. transferClient returns false if the connection
+// can't be transferred.
 func (in *Ingress) transferClient(c *clientConn) bool {
-	if in.successor.stage != handoverActive || c.state == connClosing || c.reader == readerTransferring || c.input.Len() > hotrestart.MaxBodyBytes {
+	if !in.transferable(c) {
 		return false
 	}
 	c.reader = readerTransferring
-	in.successor.transfers <- transfer{client: c, body: bytes.Clone(c.input.Bytes())}
+	in.successor.transfers <- transfer{client: c, body: bytes.Clone(c.input.Bytes()), answers: finalAnswers(c.answerSlots)}
 	return true
 }
 
+// transferable reports whether a connection may be transferred to the successor, once its reader has stopped and its answers are final.
+func (in *Ingress) transferable(c *clientConn) bool {
+	return in.successor.stage == handoverActive && c.state == connOpen && c.reader != readerTransferring && c.input.Len() <= hotrestart.MaxBodyBytes
+}
+
 // sendToSuccessor sends the snapshot, the messages of ranEvents, Proceed and then events and connections, until the link or the loop ends. From then on it is the only
 // goroutine that sends on the link. If a send fails it closes the link, and the receiving goroutine reports the end.
 func (in *Ingress) sendToSuccessor(link *hotrestart.Link, parts []snapshot.Part, ran [][]byte, proceedBody []byte, transfers <-chan transfer, events <-chan []byte) {
@@ -217,8 +230,12 @@
 	return nil
 }
 
-// send sends the client connection and, with a value, its backend connection to the successor. After an error the successor has neither.
+// send sends the answers that are not written, the client connection and, with a value, its backend connection to the successor. After an
+// error the successor has no connection.
 func (t transfer) send(link *hotrestart.Link) (err error) {
+	if err := sendAnswers(link, t.answers); err != nil {
+		return err
+	}
 	t.client.sentToSuccessor.Store(true) // before the send, as the successor may use the connection at once
 	if t.value != nil {
 		err = link.Send(hotrestart.LargeValue, t.body, linkTimeout, t.client.conn, t.value.stream.backendConn.conn)
@@ -295,6 +312,7 @@
 	for c := range in.clients.conns {
 		if c.reader >= readerStopped && c.state != connClosing {
 			in.restartReader(c)
+			in.flushAnswers(c)
 		}
 	}
 	if in.shutdown.requested { // no connections are accepted again; those that were to be transferred end with the shutdown
--- a/internal/dataplane/ingress/hot_restart_test.go
+++ b/internal/dataplane/ingress/hot_restart_test.go
@@ -267,7 +267,7 @@
 	available := int(r.ingress.inputBudget.Available())
 	r.ingress.inputBudget.Reserve(available)
 	r.ingress.clients.connPermits <- struct{}{}
-	if err := r.ingress.resumeClient(accepted, []byte(text[:10_000])); err != nil {
+	if err := r.ingress.resumeClient(accepted, []byte(text[:10_000]), nil); err != nil {
 		t.Fatal(err)
 	}
 	r.ingress.inputBudget.Release(available)
--- a/internal/dataplane/ingress/large_value_migration.go
+++ b/internal/dataplane/ingress/large_value_migration.go
@@ -72,30 +72,33 @@
 		return
 	}
 	if in.successor.stage == handoverActive && in.migratable(v) {
-		if body := encodeTransfer(v, backendInput); body != nil {
+		if body, answers := in.encodeTransfer(v, backendInput); body != nil {
 			c.reader = readerTransferring
-			in.successor.transfers <- transfer{c, body, v}
+			in.successor.transfers <- transfer{client: c, answers: answers, body: body, value: v}
 			return
 		}
 	}
 	in.resumeStream(v)
 }
 
-// encodeTransfer returns the body of the message that transfers a value to the successor, or nil if it would be too long.
-func encodeTransfer(v *largeValue, backendInput []byte) []byte {
+// encodeTransfer returns the body of the message that transfers a value to the successor, or nil if it would be too long, and the answers
+// behind the value that are sent before it. A successor that does not accept these gets the answers in the body.
+func (in *Ingress) encodeTransfer(v *largeValue, backendInput []byte) (body []byte, answers [][]byte) {
 	c, stream := v.client, v.stream
 	t := valueTransfer{Unwritten: stream.unwritten, Unread: stream.unread, BackendInput: backendInput, ClientInput: bytes.Clone(c.input.Bytes())}
-	for _, s := range c.answerSlots[1:] {
-		t.QueuedAnswers, t.QueuedSlots = append(t.QueuedAnswers, s.answer...), t.QueuedSlots+1
+	answers = finalAnswers(c.answerSlots[1:])
+	if !in.successor.acceptsAnswers() {
+		t.QueuedAnswers, t.QueuedSlots = bytes.Join(answers, nil), len(answers)
+		answers = nil
 	}
 	if len(t.Unwritten)+len(t.BackendInput)+len(t.ClientInput)+len(t.QueuedAnswers) >= maxMigratedValueBytes*3/4 { // base64 makes 4 bytes of 3
-		return nil
+		return nil, nil
 	}
 	body, err := json.Marshal(t)
 	if err != nil || len(body) > hotrestart.MaxBodyBytes {
-		return nil
+		return nil, nil
 	}
-	return body
+	return body, answers
 }
 
 // resumeStream continues a stopped stream in this process.
@@ -129,9 +132,9 @@
 	in.closeClient(v.client, closeHandedOver)
 }
 
-// resumeLargeValue continues to stream a value that the predecessor began. body is an encoded valueTransfer. The caller holds one of
-// clientTable.connPermits for the client's connection.
-func (in *Ingress) resumeLargeValue(client, backendSide *net.TCPConn, body []byte) error {
+// resumeLargeValue continues to stream a value that the predecessor began. body is an encoded valueTransfer; answers are to be written
+// behind the value. The caller holds one of clientTable.connPermits for the client's connection.
+func (in *Ingress) resumeLargeValue(client, backendSide *net.TCPConn, body []byte, answers []*answerSlot) error {
 	var t valueTransfer
 	if err := json.Unmarshal(body, &t); err != nil {
 		return err
@@ -140,16 +143,17 @@
 	if err != nil {
 		return err
 	}
-	c.input.Fill(t.ClientInput)
 	stream := &valueStream{unwritten: t.Unwritten, unread: t.Unread, migrated: make(chan bool, 1), resumed: true,
 		backendConn: &backendConn{backend: &backend{}, conn: backendSide}}
 	v := &largeValue{client: c, stream: stream, started: true}
-	c.answerSlots = []*answerSlot{{value: v}}
-	c.pipelinePermits <- struct{}{}
+	slots := []*answerSlot{{value: v}}
 	if t.QueuedSlots > 0 { // one slot for all of them: they are written together
-		c.answerSlots = append(c.answerSlots, &answerSlot{answer: t.QueuedAnswers})
-		c.pipelinePermits <- struct{}{}
+		slots = append(slots, &answerSlot{answer: t.QueuedAnswers})
 	}
+	if err := c.resumeAnswers(append(slots, answers...)); err != nil {
+		return err
+	}
+	c.input.Fill(t.ClientInput)
 	c.writing = true
 	in.post(in.clock.Now(), func() { in.addResumedValue(v) })
 	if len(t.ClientInput) > 0 {
@@ -177,6 +181,7 @@
 	in.backends.openConns++
 	c.commandReceived, c.callReceived, c.lastUsedAt, c.acceptedAt = true, true, in.now, in.now
 	in.clients.conns[c] = struct{}{}
+	in.reserveResumedAnswers(c)
 	in.largeValues[v] = struct{}{}
 	if in.shutdown.closingClients {
 		c.stopReader()
