Hot restart: large values that wait behind unread answers move too

A client that reads slowly and has a large value behind other answers, or over 67 KB of answers or another large value behind one, was still cut off at an upgrade. Found by reading which answers the transfer left out, shown by tests. Cause: a connection moved only if all answers behind a value are final and short enough for one message; a value that has not started has no final answer. Change: a value that has not started is sent ahead of its client's connection, with the connection of its backend (NextValue), in the place of its answer. The new process streams it when its turn comes. Both messages are of one feature that a new process says in Ready. A value whose connection has moved can't fail here any more, whatever its goroutine saw first.

--- a/internal/dataplane/hotrestart/golden_test.go
+++ b/internal/dataplane/hotrestart/golden_test.go
@@ -10,9 +10,10 @@
 	"eiderspread/internal/testbed/golden"
 )
 
-// Guards against changes of the message that brings unread answers, and of what a successor says to get it.
+// Guards against changes of the messages that bring unread answers, and of what a successor says to get it.
 func TestGoldenAnswers(t *testing.T) {
-	golden.Check(t, "answers.bin", []byte{byte(Ready), AcceptsAnswers, byte(Answers)})
+	golden.Check(t, "answers.bin", []byte{byte(Ready), AcceptsAnswers, byte(Answer)})
+	golden.Check(t, "next_value.bin", []byte{byte(NextValue)})
 }
 
 // Guards against changes of the messages of a hot restart, and of the paths of the socket and the lock file, which two versions share.
--- a/internal/dataplane/hotrestart/hotrestart.go
+++ b/internal/dataplane/hotrestart/hotrestart.go
@@ -9,8 +9,9 @@
 //	S -> P  Ready       all other preparation is done; with what this version accepts, see AcceptsAnswers
 //	P -> S  Snapshot    a part of the decision module's state; any number of messages
 //	P -> S  Proceed     the predecessor has stopped accepting connections; with its endpoint list and its number of clients
-//	P -> S  Answers     final answers that are not written, of the client connection that the next Client or LargeValue brings; any
+//	P -> S  Answer      a final answer that is not written, of the client connection that the next Client or LargeValue brings; any
 //	                    number of messages, in the order of the answers; behind the large value, if there is one
+//	P -> S  NextValue   descriptor: a backend connection with a large value that takes the place of an Answer
 //	P -> S  Client      descriptor: a client connection without open requests; with the bytes that were read from it and not used
 //	P -> S  LargeValue  descriptors: a client connection with a large value under way, and the backend connection that it comes from
 //
@@ -35,7 +36,7 @@
 // Version is the protocol's version, which Hello carries.
 const Version = 1
 
-// AcceptsAnswers is a bit of the first byte of Ready's body: the successor accepts Answers messages. An empty body has no bits set.
+// AcceptsAnswers is a bit of the first byte of Ready's body: the successor accepts Answer and NextValue. An empty body has no bits set.
 const AcceptsAnswers = 1
 
 // MaxBodyBytes is the maximum length of a message's body, in bytes.
@@ -68,7 +69,8 @@
 	Proceed    Kind = 'G'
 	Client     Kind = 'C'
 	LargeValue Kind = 'V'
-	Answers    Kind = 'A'
+	Answer     Kind = 'A'
+	NextValue  Kind = 'W'
 	Event      Kind = 'E'
 	Order      Kind = 'O'
 )
@@ -90,8 +92,10 @@
 		return "client"
 	case LargeValue:
 		return "large value"
-	case Answers:
-		return "answers"
+	case Answer:
+		return "answer"
+	case NextValue:
+		return "next value"
 	case Event:
 		return "event"
 	case Order:
--- a/internal/dataplane/ingress/answer_transfer_test.go
+++ b/internal/dataplane/ingress/answer_transfer_test.go
@@ -44,7 +44,7 @@
 	}
 	r.waitFor("all answers are final, and one is being written", func() bool {
 		for c := range r.ingress.clients.conns {
-			if c.requestCount == requests && c.output != nil && allFinal(c.answerSlots) {
+			if c.requestCount == requests && c.output != nil && len(r.ingress.requests) == 0 {
 				return true
 			}
 		}
@@ -174,13 +174,112 @@
 	r := startIngress(t, testConfig("127.0.0.1:1"), nil)
 	p := &predecessorState{}
 	for range 2 * maxPipelinedCommands {
-		p.receiveAnswers([]byte("+PONG\r\n"))
+		p.receiveSlot(r.ingress, hotrestart.Message{Kind: hotrestart.Answer, Body: []byte("+PONG\r\n")})
 	}
 	_, accepted := pair(t)
-	if err := r.ingress.resumeClient(accepted, nil, p.takeAnswers()); err == nil {
+	if err := r.ingress.resumeClient(accepted, nil, p.takeSlots()); err == nil {
 		t.Error("a connection with more answers than a pipeline has was accepted")
 	}
-	if len(p.takeAnswers()) != 0 {
+	if len(p.takeSlots()) != 0 {
 		t.Error("the answers stay for the next connection")
 	}
 }
+
+// serveUnreadAndLarge is serveUnreadValues with a backend that answers "l0", "l1" and so on with large values.
+func serveUnreadAndLarge(conns chan *testConn) {
+	for w := range conns {
+		go func() {
+			for args := w.command(); args != nil; args = w.command() {
+				var i int
+				if _, err := fmt.Sscanf(args[2], "l%d", &i); err == nil {
+					_, reply := randomLargeValue(largeUnreadBytes, uint64(i))
+					_, _ = w.Write(reply)
+					continue
+				}
+				_, _ = fmt.Sscanf(args[2], "u%d", &i)
+				write(w, fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", unreadValueBytes, unreadValue(i)))
+			}
+		}()
+	}
+}
+
+// largeUnreadBytes is the size of a large value that kernels can't hold for a client with tiny buffers.
+const largeUnreadBytes = 1 << 20
+
+// Guards against large values that an upgrade cuts off because they wait behind answers that their client has not read, or have more such
+// answers behind them than one message holds. Two upgrades in a row: while the values wait, and while one is under way.
+func TestHotRestart_TransfersUnreadLargeValues(t *testing.T) {
+	order := []string{"u0", "u1", "l2", "u3", "u4", "u5", "l6", "l7"}
+	addr, conns := listenBackend(t)
+	go serveUnreadAndLarge(conns)
+	cfg := adminConfig(t, addr)
+	first := startIngress(t, cfg, sendTo(0))
+	cfg.Listen = first.ingress.listener.Addr().String()
+	w := first.clientWithReceiveBuffer(8 << 10)
+	first.setTinyClientBuffers(w)
+	for _, id := range order {
+		w.send(lookCommand(id)...)
+	}
+	first.waitFor("all values have come", func() bool {
+		for c := range first.ingress.clients.conns {
+			if c.requestCount < len(order) || c.output == nil {
+				return false
+			}
+			for _, slot := range c.answerSlots {
+				if slot.answer == nil && slot.value == nil {
+					return false
+				}
+			}
+		}
+		return len(first.ingress.largeValues) == 3
+	})
+	current := startIngress(t, cfg, sendTo(0))
+	receive(t, first.ended)
+	for i, id := range order {
+		if id[0] == 'u' {
+			w.expectUnreadAnswers(i, i+1)
+			continue
+		}
+		want, _ := randomLargeValue(largeUnreadBytes, uint64(i))
+		if i == 2 {
+			next := startIngress(t, cfg, sendTo(0))
+			next.waitFor("the next serves", next.ingress.acceptingClients.Load)
+			current.waitForReadersStopped()
+			current.onLoop(current.ingress.migrateValues) // as if migrateValuesAfterS had passed
+			receive(t, current.ended)
+			current = next
+		}
+		if got := w.bulk(); string(got) != string(want) {
+			t.Fatalf("answer %d: got %d bytes, want the value of %d bytes", i, len(got), len(want))
+		}
+	}
+	w.send("PING")
+	if got := w.line(); got != "+PONG" {
+		t.Errorf("behind the values: got %q, want +PONG", got)
+	}
+	current.waitFor("no value and no backend connection is left", func() bool {
+		return len(current.ingress.largeValues) == 0 && current.ingress.backends.openConns == 0
+	})
+}
+
+// Guards against backend connections and a client that are left behind when a client disconnects while its large value waits in the new
+// process.
+func TestHotRestart_ClientOfWaitingValueDisconnects(t *testing.T) {
+	addr, conns := listenBackend(t)
+	go serveUnreadAndLarge(conns)
+	cfg := adminConfig(t, addr)
+	first := startIngress(t, cfg, sendTo(0))
+	cfg.Listen = first.ingress.listener.Addr().String()
+	w := first.clientWithReceiveBuffer(8 << 10)
+	first.setTinyClientBuffers(w)
+	w.send(lookCommand("u0")...)
+	w.send(lookCommand("l1")...)
+	first.waitFor("the value waits", func() bool { return len(first.ingress.largeValues) == 1 })
+	second := startIngress(t, cfg, sendTo(0))
+	receive(t, first.ended)
+	second.waitFor("the value is there", func() bool { return len(second.ingress.largeValues) == 1 })
+	w.Close()
+	second.waitFor("nothing is left", func() bool {
+		return len(second.ingress.largeValues) == 0 && second.ingress.backends.openConns == 0 && second.ingress.clients.open() == 0
+	})
+}
--- a/internal/dataplane/ingress/hot_restart_predecessor.go
+++ b/internal/dataplane/ingress/hot_restart_predecessor.go
@@ -24,7 +24,7 @@
 	reservedInput int             // bytes of the input budget that are reserved for the predecessor
 	bootTime      float64         // when the machine started, in Unix seconds by its clock; 0: not known
 	ranRequests   []string        // ids that this process must not run again, see ranEvents
-	answers       []*answerSlot   // received for the next connection; receiveTransfers only
+	slots         []*answerSlot   // received for the next connection; receiveTransfers only
 	orders        chan []byte     // sent to the predecessor by the goroutine sendOrders; nil: this process has not taken over its decisions
 }
 
@@ -203,9 +203,8 @@
 			m.Close()
 			in.receiveEvent(p, m.Body)
 			continue
-		case m.Kind == hotrestart.Answers:
-			m.Close()
-			p.receiveAnswers(m.Body)
+		case m.Kind == hotrestart.Answer, m.Kind == hotrestart.NextValue && len(m.Files) == 1:
+			p.receiveSlot(in, m)
 			continue
 		case m.Kind == hotrestart.Client && len(m.Files) == 1, m.Kind == hotrestart.LargeValue && len(m.Files) == 2:
 		default:
@@ -219,20 +218,21 @@
 			p.link.Close()
 			return
 		}
-		if err := in.receiveTransfer(m, p.takeAnswers()); err != nil {
+		if err := in.receiveTransfer(m, p.takeSlots()); err != nil {
 			<-in.clients.connPermits
 			in.Post(func(float64) { in.logFault("connection not taken over from the old process", "error", err) })
 			continue
 		}
 		transferred++
 	}
+	closeValues(p.takeSlots()) // of a connection that did not come
 	p.link.Close()
 	in.Post(func(float64) { in.handlePredecessorEnd(p, transferred) })
 }
 
 // receiveTransfer takes over a client connection from the predecessor or, with LargeValue, a client connection, its backend connection and
-// the value under way between them. answers are to be written to the client, behind the value.
-func (in *Ingress) receiveTransfer(m hotrestart.Message, answers []*answerSlot) error {
+// the value under way between them. behind holds what is to be written to the client, behind the value.
+func (in *Ingress) receiveTransfer(m hotrestart.Message, behind []*answerSlot) error {
 	var conns []*net.TCPConn
 	var err error
 	for _, f := range m.Files {
@@ -244,26 +244,27 @@
 	switch {
 	case len(conns) < len(m.Files):
 	case m.Kind == hotrestart.LargeValue:
-		err = in.resumeLargeValue(conns[0], conns[1], m.Body, answers)
+		err = in.resumeLargeValue(conns[0], conns[1], m.Body, behind)
 	default:
-		err = in.resumeClient(conns[0], m.Body, answers)
+		err = in.resumeClient(conns[0], m.Body, behind)
 	}
 	if err != nil {
 		for _, c := range conns {
 			c.Close()
 		}
+		closeValues(behind)
 	}
 	return err
 }
 
-// resumeClient starts to read a connection of the predecessor, and to write the answers that the predecessor has not written. unused is the
-// input that the predecessor read and did not use. The caller holds a connection permit for it.
-func (in *Ingress) resumeClient(conn *net.TCPConn, unused []byte, answers []*answerSlot) error {
+// resumeClient starts to read a connection of the predecessor, and to write what the predecessor has not written. unused is the input that
+// the predecessor read and did not use. The caller holds a connection permit for it.
+func (in *Ingress) resumeClient(conn *net.TCPConn, unused []byte, slots []*answerSlot) error {
 	c, err := in.newClientConn(conn)
 	if err != nil {
 		return err
 	}
-	if err := c.resumeAnswers(answers); err != nil {
+	if err := c.resumeSlots(slots); err != nil {
 		return err
 	}
 	c.input.Fill(unused)
@@ -280,7 +281,7 @@
 func (in *Ingress) addResumedClient(c *clientConn) {
 	in.clients.predecessorConns = max(0, in.clients.predecessorConns-1)
 	c.commandReceived, c.callReceived = true, true // assumed, as this process can't know: a command of the client may be on its way
-	in.reserveResumedAnswers(c)
+	in.addResumedSlots(c)
 	if in.successor.stage != handoverActive {
 		in.addClient(c)
 		in.flushAnswers(c)
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -35,10 +35,10 @@
 
 // transfer is a connection on its way to the successor.
 type transfer struct {
-	client  *clientConn
-	answers [][]byte    // that are not written, in their order
-	body    []byte      // input that was read and not used; with a value, an encoded valueTransfer
-	value   *largeValue // transferred too, with its backend connection, in front of answers; nil: no answer is open
+	client *clientConn
+	value  *largeValue // under way, transferred with its backend connection; nil: none is
+	behind []slotTransfer
+	body   []byte // input that was read and not used; with a value, an encoded valueTransfer
 }
 
 // listenForSuccessor starts to listen for a process that replaces this one.
@@ -172,8 +172,12 @@
 	if !in.transferable(c) {
 		return false
 	}
+	behind, ok := encodeSlots(c.answerSlots)
+	if !ok {
+		return false
+	}
 	c.reader = readerTransferring
-	in.successor.transfers <- transfer{client: c, body: bytes.Clone(c.input.Bytes()), answers: finalAnswers(c.answerSlots)}
+	in.successor.transfers <- transfer{client: c, body: bytes.Clone(c.input.Bytes()), behind: behind}
 	return true
 }
 
@@ -233,8 +237,10 @@
 // send sends the answers that are not written, the client connection and, with a value, its backend connection to the successor. After an
 // error the successor has no connection.
 func (t transfer) send(link *hotrestart.Link) (err error) {
-	if err := sendAnswers(link, t.answers); err != nil {
-		return err
+	for _, slot := range t.behind {
+		if err := slot.send(link); err != nil {
+			return err
+		}
 	}
 	t.client.sentToSuccessor.Store(true) // before the send, as the successor may use the connection at once
 	if t.value != nil {
@@ -251,9 +257,13 @@
 // handleTransferred releases a connection that was sent to the successor.
 func (in *Ingress) handleTransferred(t transfer) {
 	in.successor.transferred++
+	for _, slot := range t.behind {
+		if slot.value != nil {
+			in.handleValueMigrated(slot.value)
+		}
+	}
 	if t.value != nil {
 		in.handleValueMigrated(t.value)
-		return
 	}
 	in.closeClient(t.client, closeHandedOver)
 }
--- a/internal/dataplane/ingress/large_value.go
+++ b/internal/dataplane/ingress/large_value.go
@@ -41,29 +41,44 @@
 // reader goroutine of the backend's connection.
 func (c *backendConn) streamLargeValue(in *Ingress, input *inputbuffer.Buffer, large resp.LargeReply, at float64) bool {
 	arrived := min(input.Len(), large.ValueAt+large.ValueSize) // bytes of the reply, up to the end of the value
-	v := c.announceLargeValue(in, newValueStream(c, large.ValueSize, input.Bytes()[large.ValueAt:arrived]), at)
-	if v == nil {
+	stream := newValueStream(c, large.ValueSize, input.Bytes()[large.ValueAt:arrived], input.Bytes()[arrived:])
+	v := c.announceLargeValue(in, stream, at)
+	if v == nil || !v.awaitTurn(in) {
 		return false
 	}
+	input.Discard(arrived)
+	if !v.streamAndReport(in, input) {
+		return false
+	}
+	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
+	c.replyExpected.Store(false)
+	in.post(in.clock.Now(), func() { in.handleReplyEnd(v.attempt, load, err) })
+	return err == nil
+}
+
+// awaitTurn waits until the loop allows the value to be written. It reports false if it never will be, here: its client has disconnected, the
+// successor has it, or the loop has ended. It runs on the goroutine that streams the value.
+func (v *largeValue) awaitTurn(in *Ingress) bool {
 	select {
 	case <-v.mayWrite:
+		return true
 	case <-v.client.done:
 		in.post(in.clock.Now(), func() { in.handleValueFailed(v, errClientDisconnected) })
-		return false
+	case <-v.stream.migrated:
 	case <-in.done:
-		return false
 	}
-	input.Discard(arrived)
-	if err := v.streamToEnd(in, input); err != nil {
-		if !errors.Is(err, errMigrating) {
-			in.post(in.clock.Now(), func() { in.handleValueFailed(v, err) })
-		}
-		return false
+	return false
+}
+
+// streamAndReport streams a value whose turn has come, and posts the result to the loop. It reports whether the value is written.
+func (v *largeValue) streamAndReport(in *Ingress, input *inputbuffer.Buffer) bool {
+	err := v.streamToEnd(in, input)
+	switch {
+	case err == nil:
+		in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
+	case !errors.Is(err, errMigrating):
+		in.post(in.clock.Now(), func() { in.handleValueFailed(v, err) })
 	}
-	in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
-	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
-	c.replyExpected.Store(false)
-	in.post(in.clock.Now(), func() { in.handleReplyEnd(v.attempt, load, err) })
 	return err == nil
 }
 
@@ -147,6 +162,9 @@
 
 // handleValueFailed ends a large value that can't be completed, and closes its client's connection to show that.
 func (in *Ingress) handleValueFailed(v *largeValue, cause error) {
+	if _, open := in.largeValues[v]; !open { // the successor has it
+		return
+	}
 	status := policy.Cancelled
 	if !errors.Is(cause, errClientDisconnected) {
 		status = policy.Reset
--- a/internal/dataplane/ingress/large_value_migration.go
+++ b/internal/dataplane/ingress/large_value_migration.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"net"
 
 	"eiderspread/internal/dataplane/callprotocol"
 	"eiderspread/internal/dataplane/hotrestart"
-	"eiderspread/internal/dataplane/inputbuffer"
 	"eiderspread/policy"
 )
 
@@ -32,19 +30,14 @@
 	QueuedSlots   int    `json:"Slots"`  // number of these answers
 }
 
-// migratable reports whether a value can be transferred: it is being streamed, the reader of its client's connection has stopped, and all
-// answers behind the value are final and leave the connection open.
+// migratable reports whether a value can be transferred: it is being streamed, the reader of its client's connection has stopped, and
+// everything behind the value can be transferred too.
 func (in *Ingress) migratable(v *largeValue) bool {
 	c := v.client
 	if !v.started || c.state == connClosed || c.reader != readerStopped || c.answerSlots[0].value != v {
 		return false
 	}
-	for _, s := range c.answerSlots[1:] {
-		if s.answer == nil || s.closeAfter {
-			return false
-		}
-	}
-	return true
+	return in.slotsTransferable(c.answerSlots[1:])
 }
 
 // migrateValues stops the streams of the values that can be transferred to the successor. It repeats this every migrateValuesIntervalS
@@ -72,33 +65,61 @@
 		return
 	}
 	if in.successor.stage == handoverActive && in.migratable(v) {
-		if body, answers := in.encodeTransfer(v, backendInput); body != nil {
+		if body, behind := in.encodeTransfer(v, backendInput); body != nil {
 			c.reader = readerTransferring
-			in.successor.transfers <- transfer{client: c, answers: answers, body: body, value: v}
+			in.successor.transfers <- transfer{client: c, value: v, behind: behind, body: body}
 			return
 		}
 	}
 	in.resumeStream(v)
 }
 
-// encodeTransfer returns the body of the message that transfers a value to the successor, or nil if it would be too long, and the answers
-// behind the value that are sent before it. A successor that does not accept these gets the answers in the body.
-func (in *Ingress) encodeTransfer(v *largeValue, backendInput []byte) (body []byte, answers [][]byte) {
-	c, stream := v.client, v.stream
-	t := valueTransfer{Unwritten: stream.unwritten, Unread: stream.unread, BackendInput: backendInput, ClientInput: bytes.Clone(c.input.Bytes())}
-	answers = finalAnswers(c.answerSlots[1:])
+// encodeTransfer returns the body of the message that transfers a value to the successor, or nil if it would be too long, and what is
+// transferred behind the value. A successor that does not accept that gets the answers in the body.
+func (in *Ingress) encodeTransfer(v *largeValue, backendInput []byte) (body []byte, behind []slotTransfer) {
+	c := v.client
+	t := v.stream.encode(backendInput)
+	t.ClientInput = bytes.Clone(c.input.Bytes())
+	behind, ok := encodeSlots(c.answerSlots[1:])
+	if !ok {
+		return nil, nil
+	}
 	if !in.successor.acceptsAnswers() {
-		t.QueuedAnswers, t.QueuedSlots = bytes.Join(answers, nil), len(answers)
-		answers = nil
+		for _, s := range c.answerSlots[1:] {
+			t.QueuedAnswers, t.QueuedSlots = append(t.QueuedAnswers, s.answer...), t.QueuedSlots+1
+		}
+		behind = nil
 	}
+	return t.marshal(), behind
+}
+
+// encode returns the state of a stream that has stopped or has not started. backendInput is the input that was read from the backend behind
+// the value.
+func (s *valueStream) encode(backendInput []byte) valueTransfer {
+	return valueTransfer{Unwritten: s.unwritten, Unread: s.unread, BackendInput: backendInput}
+}
+
+// marshal returns the encoding, or nil if it would be too long for a message.
+func (t valueTransfer) marshal() []byte {
 	if len(t.Unwritten)+len(t.BackendInput)+len(t.ClientInput)+len(t.QueuedAnswers) >= maxMigratedValueBytes*3/4 { // base64 makes 4 bytes of 3
-		return nil, nil
+		return nil
 	}
 	body, err := json.Marshal(t)
 	if err != nil || len(body) > hotrestart.MaxBodyBytes {
-		return nil, nil
+		return nil
 	}
-	return body, answers
+	return body
+}
+
+// decodeValue returns the large value of a message of the predecessor, of a client that is not known yet, and its encoded state.
+func (in *Ingress) decodeValue(backendSide *net.TCPConn, body []byte) (*largeValue, valueTransfer, error) {
+	var t valueTransfer
+	if err := json.Unmarshal(body, &t); err != nil {
+		return nil, t, err
+	}
+	stream := &valueStream{unwritten: t.Unwritten, unread: t.Unread, backendInput: t.BackendInput, migrated: make(chan bool, 1), resumed: true,
+		backendConn: &backendConn{backend: &backend{}, conn: backendSide}}
+	return &largeValue{stream: stream, mayWrite: make(chan struct{})}, t, nil
 }
 
 // resumeStream continues a stopped stream in this process.
@@ -118,8 +139,8 @@
 	}
 }
 
-// handleValueMigrated releases a value that has been transferred to the successor, and closes its client's connection in this process. Only
-// the first call for a value has an effect.
+// handleValueMigrated releases a value that has been transferred to the successor with its client's connection, which the caller closes.
+// Only the first call for a value has an effect.
 func (in *Ingress) handleValueMigrated(v *largeValue) {
 	if _, open := in.largeValues[v]; !open {
 		return
@@ -129,48 +150,35 @@
 	if v.attempt != nil {
 		in.finishAttempt(v.attempt, callprotocol.Result{Status: policy.OK}, in.now) // closes the backend's connection in this process
 	}
-	in.closeClient(v.client, closeHandedOver)
 }
 
-// resumeLargeValue continues to stream a value that the predecessor began. body is an encoded valueTransfer; answers are to be written
-// behind the value. The caller holds one of clientTable.connPermits for the client's connection.
-func (in *Ingress) resumeLargeValue(client, backendSide *net.TCPConn, body []byte, answers []*answerSlot) error {
-	var t valueTransfer
-	if err := json.Unmarshal(body, &t); err != nil {
+// resumeLargeValue continues to stream a value that the predecessor began. body is an encoded valueTransfer; behind holds what is to be
+// written behind the value. The caller holds one of clientTable.connPermits for the client's connection.
+func (in *Ingress) resumeLargeValue(client, backendSide *net.TCPConn, body []byte, behind []*answerSlot) error {
+	v, t, err := in.decodeValue(backendSide, body)
+	if err != nil {
 		return err
 	}
 	c, err := in.newClientConn(client)
 	if err != nil {
 		return err
 	}
-	stream := &valueStream{unwritten: t.Unwritten, unread: t.Unread, migrated: make(chan bool, 1), resumed: true,
-		backendConn: &backendConn{backend: &backend{}, conn: backendSide}}
-	v := &largeValue{client: c, stream: stream, started: true}
 	slots := []*answerSlot{{value: v}}
 	if t.QueuedSlots > 0 { // one slot for all of them: they are written together
 		slots = append(slots, &answerSlot{answer: t.QueuedAnswers})
 	}
-	if err := c.resumeAnswers(append(slots, answers...)); err != nil {
+	slots = append(slots, behind...)
+	if err := c.resumeSlots(slots); err != nil {
 		return err
 	}
 	c.input.Fill(t.ClientInput)
-	c.writing = true
+	v.started, c.writing = true, true
+	close(v.mayWrite)
 	in.post(in.clock.Now(), func() { in.addResumedValue(v) })
 	if len(t.ClientInput) > 0 {
 		c.startCommandDeadline(in)
 	}
 	go c.readLoop(in)
-	go func() {
-		input := inputbuffer.NewUncounted(&in.inputBudget, t.BackendInput)
-		err := v.streamToEnd(in, &input)
-		input.Release()
-		switch {
-		case err == nil:
-			in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
-		case !errors.Is(err, errMigrating):
-			in.post(in.clock.Now(), func() { in.handleValueFailed(v, err) })
-		}
-	}()
 	return nil
 }
 
@@ -178,11 +186,9 @@
 func (in *Ingress) addResumedValue(v *largeValue) {
 	c := v.client
 	in.clients.predecessorConns = max(0, in.clients.predecessorConns-1)
-	in.backends.openConns++
 	c.commandReceived, c.callReceived, c.lastUsedAt, c.acceptedAt = true, true, in.now, in.now
 	in.clients.conns[c] = struct{}{}
-	in.reserveResumedAnswers(c)
-	in.largeValues[v] = struct{}{}
+	in.addResumedSlots(c)
 	if in.shutdown.closingClients {
 		c.stopReader()
 	}
--- a/internal/dataplane/ingress/large_value_stream.go
+++ b/internal/dataplane/ingress/large_value_stream.go
@@ -33,6 +33,9 @@
 	unwritten []byte // output that is not written to the client yet
 	unread    int    // bytes of the value that are not read from the backend yet
 
+	// backendInput is the input that was read from the backend behind the value, by the time at which the stream was created. It never changes.
+	backendInput []byte
+
 	stopRequested atomic.Bool // set by the loop to stop the stream between two chunks
 	clientBlocked atomic.Bool // the last write to the client made no progress; of any goroutine
 	migrated      chan bool   // from the loop to a stopped stream; true: the successor has the value, false: continue here
@@ -43,10 +46,12 @@
 	resumed     bool         // the predecessor began to stream the value: there is no attempt in this process
 }
 
-// newValueStream returns the stream of a value of size bytes, of which first is already read. The header is generated.
-func newValueStream(conn *backendConn, size int, first []byte) *valueStream {
+// newValueStream returns the stream of a value of size bytes, of which first is already read, and behind the value backendInput. The header
+// is generated.
+func newValueStream(conn *backendConn, size int, first, backendInput []byte) *valueStream {
 	header := append(strconv.AppendInt([]byte{'$'}, int64(size), 10), endOfValue...)
-	return &valueStream{unwritten: append(header, first...), unread: size - len(first), backendConn: conn, migrated: make(chan bool, 1)}
+	return &valueStream{unwritten: append(header, first...), unread: size - len(first), backendInput: bytes.Clone(backendInput), backendConn: conn,
+		migrated: make(chan bool, 1)}
 }
 
 // interrupted reports whether the stream has to stop, as the loop has requested. err is the result of the last read or write, nil before
