Shutdown: a closed sending side waits until the client has received everything

Cause: once the kernel had the whole answer the connection counted as done. Its sending side was closed, and the socket 1.5 s later, whatever the client had received; a command that comes to a closed socket is answered by a reset, which destroys the rest. Evidence: the close line of four of four connections, 2.0 s after SIGTERM: reason=shutdown, ended by us first, writing=false, 231,445 to 288,789 bytes undelivered, 0 unread; the resets came with the next commands and not with the close or the end of the process. The commands that come meanwhile are dropped as before, and no longer fill the pipeline: behind the 32nd they stayed unread, and an unread byte at the close is a reset too.

--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -8,9 +8,6 @@
 	"eiderspread/internal/dataplane/resp"
 )
 
-// deliveryTimeout is how long a half-closed connection waits for its client to receive what was written. A drain allows 4 s in all.
-const deliveryTimeout = 1500 * time.Millisecond
-
 // halfCloseTimeout is how long a half-closed connection waits for the client to close its side.
 const halfCloseTimeout = 300 * time.Millisecond
 
@@ -54,7 +51,7 @@
 	}
 }
 
-// closeSendingSide half-closes a connection and closes it after halfCloseTimeout. Commands that arrive meanwhile are read and dropped: closing
+// closeSendingSide half-closes a connection and closes it after halfCloseTimeout, or once its client has received everything. Commands that arrive meanwhile are read and dropped: closing
 // a socket with unread bytes would reset the connection, and the reset could destroy the previous answer in transit. After a half close the
 // client reads that answer and sends the command again.
 func (in *Ingress) closeSendingSide(c *clientConn, reason closeReason) {
@@ -72,24 +69,6 @@
 	in.closeDelivered(c, reason, halfCloseTimeout)
 }
 
-// closeDelivered closes a half-closed connection after a delay, or later if its client has not received everything by then: at
-// deliveryTimeout at the latest.
-func (in *Ingress) closeDelivered(c *clientConn, reason closeReason, delay time.Duration) {
-	end := in.now + deliveryTimeout.Seconds()
-	var closeOrWait func()
-	closeOrWait = func() {
-		if c.state == connClosed {
-			return
-		}
-		if !c.delivered() && in.now < end {
-			in.after(halfCloseTimeout.Seconds(), closeOrWait)
-			return
-		}
-		in.closeClient(c, reason)
-	}
-	in.after(delay.Seconds(), closeOrWait)
-}
-
 // rejectUnsentCommand writes a rejection to a client that is about to send its first command or the rest of one, and half-closes the
 // connection. The client takes the rejection for the answer to that command, which no one reads.
 func (in *Ingress) rejectUnsentCommand(c *clientConn) {
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -164,9 +164,5 @@
 	setReadDeadline(c.conn, time.Now().Add(in.clients.commandTimeout))
 }
 
-// delivered reports whether the client's kernel has acknowledged everything that was written, as far as that is known. A close before would
-// destroy the rest if the client sent another command: that is answered by a reset.
-func (c *clientConn) delivered() bool { return sockets.UnackedBytes(c.rawConn) <= 0 }
-
 // silent reports whether the client has not closed the connection and no byte waits in the socket to be read.
 func (c *clientConn) silent() bool { return sockets.OpenAndSilent(c.rawConn) }
--- a/internal/dataplane/ingress/client_table.go
+++ b/internal/dataplane/ingress/client_table.go
@@ -81,7 +81,7 @@
 // connection that has never sent a command is left to its reader, which answers it when commandTimeout is over.
 func (t *clientTable) sweep(in *Ingress) {
 	for c := range t.conns {
-		if c.state == connClosing && c.idle() && in.now-c.lastUsedAt > discardTimeout.Seconds() {
+		if c.state == connClosing && c.idle() && in.now-c.lastUsedAt > discardTimeout.Seconds() && (c.delivered() || in.idleTooLong(c)) {
 			in.closeClient(c, closeIdleTimeout)
 		} else if c.commandReceived && c.quiescent() && in.idleTooLong(c) && c.silent() {
 			in.closeGracefully(c, closeIdleTimeout)
--- a/internal/dataplane/ingress/client_writer.go
+++ b/internal/dataplane/ingress/client_writer.go
@@ -36,6 +36,7 @@
 // answerImmediately answers a command that is not passed to the decider. With closeAfter the connection closes after this answer.
 func (in *Ingress) answerImmediately(c *clientConn, answer []byte, closeAfter bool) {
 	if c.state != connOpen {
+		c.releasePipelinePermits(1)
 		return
 	}
 	c.commandReceived = true
--- a/internal/dataplane/ingress/doc.go
+++ b/internal/dataplane/ingress/doc.go
@@ -27,6 +27,7 @@
 //	reload.go                              classes and attempts of a reloaded configuration
 //	hot_restart*.go, decider_migration.go  hand-over from the old process to the new one
 //	answer_transfer.go                     answers that move to the new process, as their clients have not read them
+//	client_delivery.go                     what clients have not received when their connections are closed
 //	discovery.go, cordon.go, admin.go      the endpoint list and configuration reloads, cordons, operators' calls
 //	peers.go                               datagrams to and from the other ingresses
 //	status.go, telemetry.go, tracing.go    the status page, counters by reason, traces of decisions
--- a/internal/dataplane/ingress/request.go
+++ b/internal/dataplane/ingress/request.go
@@ -68,6 +68,7 @@
 func (in *Ingress) rejectOnArrival(c *clientConn, call *callprotocol.Call, at float64) bool {
 	if c.state != connOpen { // no answer: the client sees the close, and retries elsewhere
 		c.droppedCalls++
+		c.releasePipelinePermits(1) // else the reader would leave the next ones unread, and the close would be a reset
 		return true
 	}
 	var reason rejectReason
