Shutdown and drain: no new work for a client that lags behind its answers

After SIGTERM a client that reads slowly and sends a request for each answer was cut off at the end, over requests that had run; found by the new cases slow-reader-* (product's programs, drawn clients that send on past SIGKILL). Cause: its requests ran until 0.2 s before SIGKILL, behind as many unread answers as ever; and its connection was closed at any moment at which the kernel held all of them. Change: from SIGTERM or the drain on, the age of the oldest final answer that a client has not received is measured every 0.1 s (acknowledged bytes; what waits in the process counts). Once it is 0.25 s, or a quarter of the time left, the client's requests are rejected to the end, and its connection is closed when it has received all. policy.ClientLags decides. Why it works: what is owed shrinks from then on, and each request has a true answer.

--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -72,7 +72,7 @@
 // rejectUnsentCommand writes a rejection to a client that is about to send its first command or the rest of one, and half-closes the
 // connection. The client takes the rejection for the answer to that command, which no one reads.
 func (in *Ingress) rejectUnsentCommand(c *clientConn) {
-	retryInS, _ := in.rejectsRequests()
+	retryInS, _ := in.rejectsRequests(c)
 	in.counters.rejected[rejectDraining]++
 	in.answerImmediately(c, in.busyReply(retryInS), true)
 }
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -97,6 +97,10 @@
 	unackedBytes  int     // that the client's kernel had not acknowledged when idleTooLong last looked
 	lastReadAt    float64 // when idleTooLong last found that the client had read; 0: never
 
+	lag       deliveryLag // measured while connections are to be closed
+	lagging   bool        // see policy.ClientLags
+	hasLagged bool        // since connections are to be closed: its requests are rejected
+
 	commandReceived bool // a request was accepted, or a command or input answered
 	callReceived    bool // a call was accepted, or rejected for a drain or shutdown
 	discardDone     bool // the input behind the last answer needs no further discarding before the close
--- a/internal/dataplane/ingress/client_table.go
+++ b/internal/dataplane/ingress/client_table.go
@@ -104,10 +104,11 @@
 	return idleS > clientIdleTimeoutS
 }
 
-// closeIdle closes each fully answered connection, except those that are being transferred or whose first command may be in transit.
+// closeIdle closes each fully answered connection, except those that are being transferred, whose first command may be in transit, or whose
+// client lags behind its answers: what it sends meanwhile is rejected.
 func (t *clientTable) closeIdle(in *Ingress) {
 	for c := range t.conns {
-		if c.fullyAnswered() && c.reader != readerTransferring && !c.recentlyOpened(in) {
+		if c.fullyAnswered() && !c.lagging && c.reader != readerTransferring && !c.recentlyOpened(in) {
 			in.closeGracefully(c, closeShutdown)
 		}
 	}
--- a/internal/dataplane/ingress/client_writer.go
+++ b/internal/dataplane/ingress/client_writer.go
@@ -26,9 +26,10 @@
 
 // backgroundWrite is a batch of answers that a separate goroutine writes, as the socket did not accept all of it at once.
 type backgroundWrite struct {
-	answers       int         // in the batch
-	reserved      int         // bytes that are reserved for the batch
-	stopRequested atomic.Bool // set by the loop to stop the write before its end; any goroutine may read it
+	answers       int          // in the batch
+	reserved      int          // bytes that are reserved for the batch
+	unwritten     atomic.Int64 // bytes that are not written; any goroutine may read it
+	stopRequested atomic.Bool  // set by the loop to stop the write before its end; any goroutine may read it
 }
 
 var errClientStalled = errors.New("the client does not read")
@@ -192,6 +193,7 @@
 		in.reserveExcessOutput(c, len(output))
 		write.reserved = len(output)
 	}
+	write.unwritten.Store(int64(len(output)))
 	c.writing, c.output = true, write
 	in.reserveWaitingAnswers(c)
 	stallTimeout := clientStallTimeout
@@ -210,6 +212,7 @@
 		setWriteDeadline(c.conn, time.Now().Add(blockedPollInterval))
 		n, err := c.conn.Write(output)
 		output = output[n:]
+		write.unwritten.Store(int64(len(output)))
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return output, err
 		}
@@ -270,7 +273,7 @@
 		in.releaseStoppedClient(c)
 	case c.callReceived && in.drain.CloseAfterResponse(in.now) && c.fullyAnswered():
 		in.closeGracefully(c, closeDrained)
-	case in.shutdown.closingClients && in.successor.stage == handoverNone && c.fullyAnswered(): // else the commands that wait are served first
+	case in.shutdown.closingClients && in.successor.stage == handoverNone && c.fullyAnswered() && !c.lagging: // else the commands that wait are served first
 		in.closeGracefully(c, closeShutdown)
 	default:
 		in.startNextLargeValue(c)
--- a/internal/dataplane/ingress/drain.go
+++ b/internal/dataplane/ingress/drain.go
@@ -41,6 +41,7 @@
 	in.drain = drainState{}
 	in.drain.Begin(in.now)
 	in.acceptingClients.Store(false)
+	in.measureLag()
 	in.drain.sweepTimer = in.after(in.drain.NextIdleCheckS(in.now), in.sweepDraining)
 	in.drain.deadlineTimer = in.after(in.drain.RemainingS(in.now)+networkMarginS, func() {
 		in.checkClientsDrained()
@@ -67,6 +68,7 @@
 	in.stopTimer(in.drain.sweepTimer)
 	in.stopTimer(in.drain.deadlineTimer)
 	in.drain = drainState{}
+	in.clearLag()
 }
 
 // sweepDraining closes idle connections and, near the end of the drain, connections whose requests are all answered. Two other
@@ -75,6 +77,7 @@
 func (in *Ingress) sweepDraining() {
 	in.drain.sweepTimer = in.after(in.drain.NextIdleCheckS(in.now), in.sweepDraining)
 	in.drain.recordSweep(in.now)
+	in.measureLag()
 	for c := range in.clients.conns {
 		if c.lastCallAt > 0 && in.drain.CloseBlocked(in.now, c.lastCallAt) {
 			in.answerOpenRequests(c)
@@ -94,7 +97,7 @@
 	if !c.commandReceived && !receiving {
 		return in.drain.CloseUnused(in.now, c.acceptedAt)
 	}
-	if in.drain.CloseIdle(in.now, c.lastUsedAt, receiving) {
+	if in.drain.CloseIdle(in.now, c.lastUsedAt, receiving) && !c.lagging {
 		return true
 	}
 	return c.callReceived && !receiving && in.drain.CloseAfterResponse(in.now)
--- a/internal/dataplane/ingress/drain_log.go
+++ b/internal/dataplane/ingress/drain_log.go
@@ -16,7 +16,7 @@
 	}
 	in.drainLogLines++
 	in.logClientConn("connection closed", c, "reason", c.closeReason, "ended_by_us_first", c.state == connClosing, "dropped_calls", c.droppedCalls,
-		"writing", c.writing, "unwritten_bytes", c.waitingAnswerBytes(), "undelivered_bytes", sockets.UnackedBytes(c.rawConn), "unread_bytes", sockets.UnreadBytes(c.rawConn))
+		"writing", c.writing, "unwritten_bytes", c.unwrittenBytes(), "undelivered_bytes", sockets.UnackedBytes(c.rawConn), "unread_bytes", sockets.UnreadBytes(c.rawConn))
 }
 
 // logClientConn logs an event of one client connection.
--- a/internal/dataplane/ingress/request.go
+++ b/internal/dataplane/ingress/request.go
@@ -85,7 +85,7 @@
 		reason = rejectOpenLimit
 	default:
 		c.lastCallAt = at
-		retryInS, reject := in.rejectsRequests()
+		retryInS, reject := in.rejectsRequests(c)
 		if !reject {
 			return false
 		}
@@ -99,10 +99,10 @@
 	return true
 }
 
-// rejectsRequests reports whether a request that arrives now is rejected because its answer would come too late for the drain or the
-// shutdown.
-func (in *Ingress) rejectsRequests() (retryInS float64, reject bool) {
-	if in.shutdown.expired {
+// rejectsRequests reports whether a request of a client that arrives now is rejected because its answer would come too late for the drain or
+// the shutdown.
+func (in *Ingress) rejectsRequests(c *clientConn) (retryInS float64, reject bool) {
+	if in.shutdown.expired || c.hasLagged {
 		return 0, true
 	}
 	return in.drain.RejectRequest(in.now)
--- a/internal/dataplane/ingress/shutdown.go
+++ b/internal/dataplane/ingress/shutdown.go
@@ -26,6 +26,7 @@
 // sets closingClients without requested, and clears it if the successor dies and no shutdown was requested.
 type shutdownState struct {
 	requested      bool // SIGTERM was received
+	requestedAt    float64
 	closingClients bool // no new connections are accepted; an open one closes, or is transferred, once everything on it is answered
 	expired        bool // all open requests have failed; new requests are rejected
 
@@ -36,8 +37,14 @@
 
 // requestShutdown starts a shutdown. New connections are accepted for another acceptFor.
 func (in *Ingress) requestShutdown() {
-	in.shutdown.requested = true
+	in.shutdown.requested, in.shutdown.requestedAt = true, in.now
 	in.log.Info("shutdown started")
+	in.measureLag()
+	in.every(closeIdleInterval, func() {
+		if in.successor.stage == handoverNone { // else connections are transferred to the successor
+			in.measureLag()
+		}
+	})
 	in.after(in.acceptFor.Seconds(), in.stopAccepting)
 }
 
--- a/internal/dataplane/sockets/sockets.go
+++ b/internal/dataplane/sockets/sockets.go
@@ -61,6 +61,25 @@
 // UnackedBytes returns the number of written bytes that the peer's kernel has not acknowledged, or -1 if it is not known.
 func UnackedBytes(raw syscall.RawConn) int { return queuedBytes(raw, unix.SIOCOUTQ) }
 
+// SendProgress tells how far a connection's output has come, in bytes since the connection was opened.
+type SendProgress struct {
+	Written uint64 // by this side
+	Acked   uint64 // by the peer's kernel
+}
+
+// ReadSendProgress returns the progress of a connection's output. It reports false if that is not known.
+func ReadSendProgress(raw syscall.RawConn) (p SendProgress, ok bool) {
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		unacked, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		p, ok = SendProgress{Written: info.Bytes_acked + uint64(max(unacked, 0)), Acked: info.Bytes_acked}, err == nil
+	})
+	return p, ok && controlErr == nil
+}
+
 func queuedBytes(raw syscall.RawConn, request uint) int {
 	queued := -1
 	controlErr := raw.Control(func(fd uintptr) {
--- a/internal/testbed/hostile/hostile_test.go
+++ b/internal/testbed/hostile/hostile_test.go
@@ -111,3 +111,20 @@
 
 // Guards against answers that are cut off because many that are written slowly hold the memory for input at once.
 func TestAnswer_WrittenSlowlyByMany(t *testing.T) { playCase(t, "slow-answers-crowd", 0) }
+
+// Guards against answers that are lost because their client has not read them when its ingress ends or drains (review/8): connections counted as
+// done once the kernel had the answers, and requests ran whose answers could not be read in time.
+func TestSlowReader_Terminated(t *testing.T) {
+	for _, seed := range []uint64{1, 2} { // with clients that send on behind much that they have not read
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			playCaseWithSeed(t, "slow-reader-term", 0, seed)
+		})
+	}
+}
+
+// Guards against answers that are lost in the same way when the ingress is drained.
+func TestSlowReader_Drained(t *testing.T) { playCaseWithSeed(t, "slow-reader-drain", 0, 1) }
+
+// Guards against answers that are lost because they stay with the old process of an upgrade (review/7), in two upgrades in a row.
+func TestSlowReader_UpgradedTwice(t *testing.T) { playCaseWithSeed(t, "slow-reader-upgrades", 0, 1) }
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -40,6 +40,20 @@
 	drainCheckIntervalS      = 0.1  // seconds between two checks for idle connections
 )
 
+// A client lags if its answers are undelivered for clientLagS seconds, which is longer than a round trip, or for
+// clientLagFraction of the time that is left.
+const (
+	clientLagS        = 0.25
+	clientLagFraction = 0.25
+)
+
+// ClientLags reports whether a client lags behind its answers: the oldest that it has not received was final
+// undeliveredS seconds ago, and its connection is to be closed in leftS seconds. From then on it gets no new
+// answers but rejections: it might not receive them in time, and what has run is owed to it.
+func ClientLags(undeliveredS, leftS float64) bool {
+	return undeliveredS > 0 && undeliveredS >= min(clientLagS, leftS*clientLagFraction)
+}
+
 // Begin starts the drain at now. It has no effect on an active drain.
 func (d *Drain) Begin(now float64) {
 	if !d.active {
--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -111,3 +111,17 @@
 		}
 	}
 }
+
+// A client that is a round trip behind must not be rejected, and the less time is left, the less it may lag.
+func TestClientLags(t *testing.T) {
+	for _, tc := range []struct {
+		undeliveredS, leftS float64
+		want                bool
+	}{
+		{0, 3, false}, {0.2, 3, false}, {0.25, 3, true}, {0.2, 1, false}, {0.1, 0.4, true}, {0.05, 0.4, false}, {0, 0, false}, {0.01, 0, true},
+	} {
+		if got := ClientLags(tc.undeliveredS, tc.leftS); got != tc.want {
+			t.Errorf("ClientLags(%v, %v) is %v, want %v", tc.undeliveredS, tc.leftS, got, tc.want)
+		}
+	}
+}
