Hot restart: a closed sending side waits until the client has received everything

Cause: endStoppedClient closed the socket after 1 s, whatever the client had received. Change: it uses closeDelivered, as all other closed sending sides do, and input is read and dropped for as long as the connection stays (1 MiB at most, as before).

--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -102,17 +102,19 @@
 	return false
 }
 
-// endStoppedClient closes a connection whose reader has stopped, the sending side first. Further input is read and dropped, for
-// discardTimeout/2 and maxDiscardBytes at most, so that the close does not reset the connection.
+// endStoppedClient closes a connection whose reader has stopped, the sending side first. Further input is read and dropped, maxDiscardBytes
+// at most, so that the close does not reset the connection.
 func (in *Ingress) endStoppedClient(c *clientConn) {
 	c.setCloseReason(in.drainCloseReason())
 	c.state, c.discardDone = connClosing, true
 	in.halfClose(c)
+	setReadDeadline(c.conn, time.Time{})
 	go func() {
-		setReadDeadline(c.conn, time.Now().Add(discardTimeout/2))
-		_, _ = io.Copy(io.Discard, io.LimitReader(c.conn, maxDiscardBytes)) // the connection is closed whatever the result
-		in.post(in.clock.Now(), func() { in.closeClient(c, c.closeReason) })
+		if n, _ := io.Copy(io.Discard, io.LimitReader(c.conn, maxDiscardBytes)); n < maxDiscardBytes { // the client has closed its side
+			in.post(in.clock.Now(), func() { in.closeClient(c, c.closeReason) })
+		}
 	}()
+	in.closeDelivered(c, c.closeReason, discardTimeout/2)
 }
 
 // handleDisconnect closes a connection that its client has closed or that can't be served any more. Its open requests are completed
--- a/internal/dataplane/ingress/client_delivery_test.go
+++ b/internal/dataplane/ingress/client_delivery_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"strings"
 	"testing"
 
+	"eiderspread/internal/dataplane/hotrestart"
 	"eiderspread/internal/dataplane/resp"
 	"eiderspread/internal/dataplane/sockets"
 )
@@ -134,3 +136,29 @@
 		}
 	}
 }
+
+// Guards against a client that is cut off while it reads its last answer because its ingress is upgraded: a connection whose sending side is
+// closed does not move to the new process, and was closed 1 s after its reader had stopped.
+func TestHotRestart_WaitsForSlowReaderOfClosedSide(t *testing.T) {
+	addr, conns := listenBackend(t)
+	cfg := adminConfig(t, addr)
+	cfg.Settings.Classes[0].DeadlineS = maxKillDeadlineS
+	r := startIngress(t, cfg, sendTo(0))
+	w, c := r.clientWithUndeliveredAnswer(conns)
+	var began float64
+	r.onLoop(func() {
+		began = r.ingress.now
+		r.ingress.closeSendingSide(c, closeIdleTimeout)
+	})
+	path, err := hotrestart.SocketPath(os.TempDir(), cfg.Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	link := dialAsSuccessor(t, path)
+	defer link.Close() // the hand-over lasts until then
+	completeHandover(t, link)
+	r.waitFor("some time has passed", func() bool { return r.ingress.clock.Now() > began+discardTimeout.Seconds() })
+	w.send(lookCommand("next")...)
+	w.expectUndeliveredAnswer()
+	receive(t, r.ended)
+}
