--- a/policy/drain.go
+++ b/policy/drain.go
@@ -32,7 +32,7 @@
 	// From then on no request that could be less than drainRecentS old at the end may wait behind another one.
 	drainCloseBlockedS       = 3.6
 	drainCloseAfterResponseS = 3.7  // from then on connections in use are closed
-	drainCloseUndeliveredS   = 3.95 // until then a closed sending side waits for its client to receive all
+	drainCloseUndeliveredS   = 3.95 // until then a closed connection waits for its client
 	drainEndS                = 4.0  // the time that operators allow for a drain
 	drainRecentS             = 2.0  // age in seconds below which no request may be open at the end
 	drainIdleGraceS          = 0.15 // seconds that a connection stays idle, so that its client reads the answer
@@ -83,8 +83,8 @@
 // RemainingS returns the seconds left of the time that operators allow, at least 0.
 func (d *Drain) RemainingS(now float64) float64 { return max(0, drainEndS-d.Elapsed(now)) }
 
-// DeliveryRemainingS returns the seconds left, at least 0, for which a connection whose sending side is closed
-// waits for its client to receive everything.
+// DeliveryRemainingS returns the seconds left, at least 0, for which a connection whose sending side is
+// closed waits for its client to receive everything.
 func (d *Drain) DeliveryRemainingS(now float64) float64 {
 	return max(0, drainCloseUndeliveredS-d.Elapsed(now))
 }
