--- a/policy/drain.go
+++ b/policy/drain.go
@@ -40,8 +40,8 @@
 	drainCheckIntervalS      = 0.1  // seconds between two checks for idle connections
 )
 
-// A client lags if its answers are undelivered for clientLagS seconds, which is longer than a round trip, or for
-// clientLagFraction of the time that is left.
+// A client lags if its answers are undelivered for clientLagS seconds, which is longer than a round trip, or
+// for clientLagFraction of the time that is left.
 const (
 	clientLagS        = 0.25
 	clientLagFraction = 0.25
