Mutation list: four entries follow the moved code, three for slow readers

The guards are where they were, and so are the entries' mutations. Change: their texts follow; new entries for the transfer of unread answers, the rejection of clients that lag, and the wait of a closed sending side.

--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -250,7 +250,7 @@
 `),
 		Runs: []string{labOne + "rude"}},
 	{Name: "a planned restart answers what was taken", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
-		Edits: edit(ingressDir+"client_table.go", `		if c.fullyAnswered() && c.reader != readerTransferring && !c.recentlyOpened(in) {
+		Edits: edit(ingressDir+"client_table.go", `		if c.fullyAnswered() && !c.lagging && c.reader != readerTransferring && !c.recentlyOpened(in) {
 			in.closeGracefully(c, closeShutdown)`, `		if true {
 			in.closeClient(c, closeShutdown)`),
 		Runs: []string{"lab -forwarders 4 -planners 0 -nodes 6 -for 30s -scenario playoff -kinds roll,snow,snow -every 600ms"}}, // the requests last longer than the time in which new connections are accepted
@@ -300,9 +300,14 @@
 		Runs:   []string{labDrain}},
 	{Name: "the end of a reply holds up no client", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
 		Reason: "backends of the testbed have no large values; the unit test has one whose reply stops behind it",
-		Edits: edit(ingressDir+"large_value.go", `	in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
+		Edits: edit(ingressDir+"large_value.go", `	if !v.streamAndReport(in, input) {
+		return false
+	}
+	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
+`, `	if v.streamToEnd(in, input) != nil {
+		return false
+	}
 	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
-`, `	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
 	in.post(in.clock.Now(), func() { in.handleValueWritten(v) })
 `),
 		Runs: []string{labOne + "answers"}},
@@ -403,10 +408,10 @@
 		Edits: edit(ingressDir+"admin.go", "in.cordonStore.ReadIfChanged(func(c cordontable.Cordons) { in.cordons.Replace(c) })", "in.cordonStore.ReadIfChanged(func(c cordontable.Cordons) {})"), Runs: []string{labOne + "operators -kinds replaced,held -every 200ms"}},
 	{Name: "connections go to the new process", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
 		Reason: "a client whose idle connection is closed uses another one; this costs a dial and, at times, a request that crosses the close and is sent again",
-		Edits:  edit(ingressDir+"hot_restart_successor.go", "if in.successor.stage != handoverActive || c.state == connClosing", "if true || c.state == connClosing"), Runs: []string{labOne + "operators -kinds replaced"}},
+		Edits:  edit(ingressDir+"hot_restart_successor.go", "return in.successor.stage == handoverActive && c.state == connOpen &&", "return false && c.state == connOpen &&"), Runs: []string{labOne + "operators -kinds replaced"}},
 	{Name: "what was read of a command goes with its connection", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
 		Reason: "the testbed's clients write a command in one piece, so an ingress has hardly ever read only a part of one at the handover; the unit test sends halves",
-		Edits:  edit(ingressDir+"hot_restart_successor.go", "body: bytes.Clone(c.input.Bytes())}", "body: bytes.Clone(c.input.Bytes()[:0])}"), Runs: []string{labOne + "operators -kinds replaced -every 100ms"}},
+		Edits:  edit(ingressDir+"hot_restart_successor.go", "body: bytes.Clone(c.input.Bytes()), behind: behind}", "body: bytes.Clone(c.input.Bytes()[:0]), behind: behind}"), Runs: []string{labOne + "operators -kinds replaced -every 100ms"}},
 	// ---- Hot restart of a forwarder ----
 	{Name: "promises that were handed on are not taken back", Rule: "one leader", Unit: "./internal/controlplane/forwarder",
 		Edits: edit(migrationFile, "\tc.resetPromises()\n", "\tfor i := range c.cells {\n\t\tc.cells[i].requester, c.cells[i].leaderlessSince = noPlanner, now\n\t}\n"), Runs: []string{simTwo + "handed-torn"}},
@@ -439,6 +444,13 @@
 		Edits: edit(ingressDir+"hot_restart_predecessor.go", "\t\t\tp.addRanEvent(m.Body)\n", ""), Runs: []string{hostile + "leave-and-return-upgrade"}},
 	{Name: "answers are delivered before their connection is closed", Rule: "crowd-pipelined-readers", Unit: "./internal/testbed/hostile",
 		Edits: edit(ingressDir+"client_table.go", "if !candidate.delivered() ||", "if false ||"), Runs: []string{hostile + "crowd-pipelined-readers -for 6s"}},
+	{Name: "unread answers go to the new process", Rule: "slow-reader-upgrade", Unit: "./internal/dataplane/ingress",
+		Edits: edit(ingressDir+"answer_transfer.go", "\tcase !in.slotsTransferable(c.answerSlots):\n", "\tcase true:\n"), Runs: []string{hostile + "slow-reader-upgrade -runs 3"}},
+	{Name: "a client that lags gets no new work at an end", Rule: "slow-reader-term", Unit: "./internal/dataplane/ingress",
+		Edits: edit(ingressDir+"request.go", "if in.shutdown.expired || c.hasLagged {", "if in.shutdown.expired {"), Runs: []string{hostile + "slow-reader-term -runs 3"}},
+	{Name: "a closed sending side waits for its client", Rule: "slow-reader-term", Unit: "./internal/dataplane/ingress",
+		Reason: "connections of clients that lag stay open, so that few are closed before; the unit tests close one",
+		Edits:  edit(ingressDir+"client_delivery.go", "\t\tif !c.delivered() {\n", "\t\tif false {\n"), Runs: []string{hostile + "slow-reader-term"}},
 	{Name: "a command without memory is dropped and rejected", Rule: "crowd-large-requests", Unit: "./internal/testbed/hostile",
 		Edits: edit(ingressDir+"client_reader.go", "if space == nil && !c.stopRequested() && !c.dropCommand(in) {\n", "if space == nil && !c.stopRequested() {\n\t\t\t\tc.rejectInput(in, in.clock.Now(), errInputBudget)\n"), Runs: []string{hostile + "crowd-large-requests -runs 4"}},
 	{Name: "SIGHUP after SIGTERM has no effect", Rule: "soak", Unit: "./internal/testbed/hostile",
