TestGoldenAnswers: the backend answers only once all commands are taken

It sends one id twice and expects the second to be rejected while the first is open, but did not wait for that: its backend could answer first, the id was free, and the second went to the backend. Change: it waits until the answers behind the open request are there. What it compares is as before, and as strict.

--- a/internal/dataplane/ingress/golden_test.go
+++ b/internal/dataplane/ingress/golden_test.go
@@ -102,6 +102,12 @@
 	c.send("NOVEL")
 	b := receive(t, conns)
 	b.command()
+	r.waitFor("what is sent behind the open request is answered", func() bool { // else its id might be free again
+		for there := range r.ingress.clients.conns {
+			return len(there.answerSlots) == 3
+		}
+		return false
+	})
 	write(b, "*3\r\n$5\r\nvalue\r\n$7\r\nfigures\r\n$13\r\ncpu_share=0.5\r\n")
 	var got []byte
 	read := func(w *testConn, lines int) {
