Client table tests wait until idle connections may be closed

An idle connection is closed for a new one only once its reader waits for input and its client's kernel has acknowledged the answers. The test had read the PONG and connected at once; on a busy machine the reader was not back in its wait, so no connection could be closed at that moment, which is the wanted behaviour. Four tests of the client table assumed the same.

Change: waitForSettledClients (before: waitForReadersWaiting) waits for both conditions before the connection that makes the table full. The checks are unchanged; one that stood behind the new request (the answer of the first connection) is made before it.

--- a/internal/dataplane/ingress/client_table_test.go
+++ b/internal/dataplane/ingress/client_table_test.go
@@ -24,6 +24,7 @@
 	}
 	silent := r.client()
 	r.waitFor("both are open", func() bool { return r.ingress.clients.open() == 2 })
+	r.waitForSettledClients()
 	r.onLoop(func() { // make them older: recently opened connections are not evicted
 		for c := range r.ingress.clients.conns {
 			c.lastUsedAt -= 2 * recentlyOpenedS
@@ -60,6 +61,7 @@
 		} else if c.send("PING"); c.line() != "+PONG" {
 			t.Fatal("PING of a new connection is not answered by +PONG")
 		}
+		r.waitForSettledClients()
 		r.onLoop(func() { // make them older: recently opened connections are not evicted
 			for c := range r.ingress.clients.conns {
 				c.lastUsedAt -= 2 * recentlyOpenedS
@@ -104,6 +106,7 @@
 			t.Fatal("PING of a new connection is not answered by +PONG")
 		}
 	}
+	r.waitForSettledClients()
 	r.onLoop(func() {
 		all := r.ingress.clients.conns
 		for c := range all { // as a reader does with each command before it posts it
@@ -311,6 +314,7 @@
 		if c.send("PING"); c.line() != "+PONG" {
 			t.Fatal("PING of a new connection is not answered by +PONG")
 		}
+		r.waitForSettledClients()
 		conns = append(conns, c)
 	}
 	if conns[0].line() != "" {
@@ -335,6 +339,7 @@
 	if got := second.line(); got != "-BUSY 1000" {
 		t.Errorf("second connection: got %q, want -BUSY 1000", got)
 	}
+	r.waitForSettledClients()
 	third := r.client() // the second one is idle and closed for it
 	third.send(lookCommand("b")...)
 	if got := third.line(); got != "-BUSY 1000" || second.line() != "" {
@@ -344,9 +349,13 @@
 		t.Error("the decider got a request that the ingress had rejected")
 	}
 	r.onLoop(func() { r.ingress.Fail("a") })
+	if got := busy.line(); got != "-ERR failed" {
+		t.Errorf("first connection: got %q, want -ERR failed", got)
+	}
+	r.waitForSettledClients()
 	third.send(lookCommand("c")...)
-	if q := receive(t, r.decider.requests); q.ID != "c" || busy.line() != "-ERR failed" || busy.line() != "" {
-		t.Errorf("the decider got %+v, want request c, and the first connection answered and closed", q)
+	if q := receive(t, r.decider.requests); q.ID != "c" || busy.line() != "" {
+		t.Errorf("the decider got %+v, want request c, and the first connection closed", q)
 	}
 }
 
--- a/internal/dataplane/ingress/drain_test.go
+++ b/internal/dataplane/ingress/drain_test.go
@@ -15,7 +15,7 @@
 	c := r.client()
 	c.send("PING")
 	c.line()
-	r.waitForReadersWaiting()
+	r.waitForSettledClients()
 	r.onLoop(func() {
 		for c := range r.ingress.clients.conns {
 			c.lastUsedAt -= 1
--- a/internal/dataplane/ingress/harness_test.go
+++ b/internal/dataplane/ingress/harness_test.go
@@ -234,12 +234,13 @@
 	})
 }
 
-// waitForReadersWaiting waits until the readers of all clients have posted what they have read and wait for input.
-func (r *testIngress) waitForReadersWaiting() {
+// waitForSettledClients waits until the loop knows all input of the clients, and their kernels have acknowledged their answers. Before that an
+// idle connection may not be closed.
+func (r *testIngress) waitForSettledClients() {
 	r.t.Helper()
-	r.waitFor("all client readers wait for input", func() bool {
+	r.waitFor("all client readers wait for input and all answers are delivered", func() bool {
 		for c := range r.ingress.clients.conns {
-			if !c.socket.Waiting() {
+			if !c.socket.Waiting() || !c.delivered() {
 				return false
 			}
 		}
--- a/internal/dataplane/ingress/hot_restart_test.go
+++ b/internal/dataplane/ingress/hot_restart_test.go
@@ -166,6 +166,7 @@
 		if w.line() != "+PONG" {
 			t.Fatalf("client %d got no +PONG", i)
 		}
+		r.waitForSettledClients()
 	}
 	if r.onLoop(func() {
 		if n := r.ingress.clients.open(); n != 1 {
