A reply serves its own command alone: one owner, and a window that ends at the write

Cause: duplicateFilter compared arrivals, 0.1 s from the start of the earlier value. A value that is written slowly, an ingress that is held up, or a newer load report beside the value took a copy out of it. After a -BUSY only a rest of 0.1 s stood against its copy. And a reader could hold late bytes while the loop found the socket empty and wrote a command.

A value counts as a copy if it is that of a reply which ended less than 1 s before the command was written, whenever it arrives; the value alone is compared. A connection that gave a reply without a value gets no command that must not run twice for 1 s, and ends with the next such reply. Whether a command is out is noted before each read from the socket. Commands that must not run twice get the connection that has been idle longest. Counts by reason are logged. Dead code in useDialedConn (a condition that was always false) is gone.

--- a/internal/dataplane/ingress/attempt.go
+++ b/internal/dataplane/ingress/attempt.go
@@ -52,6 +52,11 @@
 	return a.state != attemptReported || !a.status.NeverRan()
 }
 
+// mustRunOnce reports whether what the attempt sends must not run twice.
+func (a *attempt) mustRunOnce() bool {
+	return a.request != nil && mustRunOnce(a.request.Spec)
+}
+
 // Send implements policy.Actions. With a timeoutS above 0 the attempt ends after that many seconds, or at the request's deadline if
 // that is earlier. With 0 it ends at the deadline. Below 0 nothing is written and the outcome is Timeout.
 func (in *Ingress) Send(id, backendID string, timeoutS float64) {
@@ -130,9 +135,9 @@
 // startAttempt writes the attempt to an idle connection. Without one, it dials a new connection that the attempt waits for.
 func (in *Ingress) startAttempt(a *attempt) {
 	a.timer = in.after(a.expiresAt-in.now, func() { in.expireAttempt(a) })
-	if c := in.takeIdleConn(a.backend); c != nil {
+	if c := in.takeIdleConn(a.backend, a.mustRunOnce()); c != nil {
 		if !in.writeAttempt(c, a) {
-			in.poolConn(c, 0)
+			in.poolConn(c)
 		}
 	} else if !in.dialForAttempt(a) {
 		in.logFault("attempt not sent: too many connections to backends", "open", in.backends.openConns)
@@ -156,7 +161,7 @@
 
 // valueArriving reports whether the attempt's backend has begun to write a value and not ended the reply.
 func (a *attempt) valueArriving() bool {
-	return a.firstByteAt > 0 || a.valueBegun() && a.conn.replyExpected.Load()
+	return a.firstByteAt > 0 || a.valueBegun() && a.conn.replies.awaiting.Load()
 }
 
 // expireAttempt ends an attempt that has timed out. If its last byte was never written, the outcome says that it did not run. If its backend
--- a/internal/dataplane/ingress/attempt_end.go
+++ b/internal/dataplane/ingress/attempt_end.go
@@ -1,14 +1,5 @@
 package ingress
 
-import (
-	"log/slog"
-	"time"
-)
-
-// attemptEndsInterval is the interval at which the counts of attempt ends are logged, if there are new ones. The lines on single attempts are
-// limited in number, see logLimiter.
-const attemptEndsInterval = 10 * time.Second
-
 // attemptEnd says how an attempt ended that got no whole reply.
 type attemptEnd uint8
 
@@ -61,18 +52,3 @@
 	in.log.Warn("attempt ended without a whole reply", "why", end, "id", a.request.ID, "attempt", a.number, "class", a.request.Class,
 		"backend", backendID, "after", roundToMillis(in.now-a.sentAt), "reply_bytes", replyBytes, "left", roundToMillis(a.request.DeadlineAt-in.now))
 }
-
-// logAttemptEnds logs how many attempts have ended without a whole reply since the start, by reason, if any has since the last call.
-func (in *Ingress) logAttemptEnds() {
-	total := 0
-	var counts []any
-	for end, n := range in.counters.ended {
-		if total += n; n > 0 {
-			counts = append(counts, slog.Int(attemptEnd(end).String(), n))
-		}
-	}
-	if total > in.counters.endedLogged {
-		in.counters.endedLogged = total
-		in.log.Info("attempts ended without a whole reply, since the start", counts...)
-	}
-}
--- a/internal/dataplane/ingress/backend_conn.go
+++ b/internal/dataplane/ingress/backend_conn.go
@@ -47,18 +47,16 @@
 	dialedEndpoint discovery.Endpoint // the backend's endpoint when the connection was dialed
 	conn           *net.TCPConn
 	rawConn        syscall.RawConn
-	replyExpected  atomic.Bool   // set by the loop before it writes a command, cleared by the reader after the reply
+	socket         *sockets.Reader // reads from conn for the reader
+	replies        replyMatcher
 	replyBytes     atomic.Int64  // bytes of the reply that have arrived, up to those of a large value that is streamed; set by the reader, reset by the loop before it writes a command
 	valueBegunAt   atomic.Uint64 // bits of the time at which a reply with a value began to arrive, 0 before; set by the reader, reset by the loop before it writes a command
-	unusable       atomic.Bool   // must not carry another command; of any goroutine
 	written        writeState    // how much of the attempt's command has been written; of any goroutine
 	writeMu        sync.Mutex    // held while a goroutine writes the rest of a command
 
 	// The event loop owns the fields below.
-	attempt     *attempt // whose command was written last; nil for a new or pooled connection
-	idleSince   float64
-	reuseDelayS float64 // seconds from idleSince in which it is not reused while another connection is idle
-	closed      bool
+	attempt *attempt // whose command was written last; nil for a new or pooled connection
+	closed  bool
 }
 
 // abandonWrite keeps the last byte of the attempt's command from being written. It returns false if that byte may already have been
@@ -67,6 +65,17 @@
 	return c.written.advance(writePartial, writeAbandoned) || c.written.load() == writeAbandoned
 }
 
+// newBackendConn returns the state of a connection that was dialed to an endpoint of a backend.
+func newBackendConn(backend *backend, endpoint discovery.Endpoint, conn *net.TCPConn) (*backendConn, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &backendConn{backend: backend, dialedEndpoint: endpoint, conn: conn, rawConn: raw}
+	c.socket = sockets.NewReader(raw, c.replies.noteBeforeRead)
+	return c, nil
+}
+
 // silent reports whether the backend has neither ended the connection nor sent bytes that are still unread.
 func (c *backendConn) silent() bool { return sockets.OpenAndSilent(c.rawConn) }
 
@@ -86,7 +95,7 @@
 	c.written.store(writePartial)
 	c.replyBytes.Store(0)
 	c.valueBegunAt.Store(0)
-	c.replyExpected.Store(true)
+	c.replies.expect(in.now)
 	n, err := sockets.WriteNonBlocking(c.rawConn, command)
 	switch {
 	case err != nil:
@@ -148,7 +157,8 @@
 		return
 	}
 	c.closed = true
-	c.unusable.Store(true)
+	c.replies.retire(retireEnded)
+	in.counters.retired[c.replies.reason()]++
 	c.conn.Close()
 	in.backends.openConns--
 	c.backend.idleConns = slices.DeleteFunc(c.backend.idleConns, func(i *backendConn) bool { return i == c })
--- a/internal/dataplane/ingress/backend_dial.go
+++ b/internal/dataplane/ingress/backend_dial.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 
 	"eiderspread/internal/dataplane/callprotocol"
@@ -28,10 +29,8 @@
 	conn, err := in.backends.dial(endpoint.Addr)
 	var c *backendConn
 	if err == nil {
-		c = &backendConn{backend: backend, dialedEndpoint: endpoint, conn: conn.(*net.TCPConn)}
-		if c.rawConn, err = c.conn.SyscallConn(); err != nil {
+		if c, err = newBackendConn(backend, endpoint, conn.(*net.TCPConn)); err != nil {
 			conn.Close()
-			c = nil
 		}
 	}
 	in.post(in.clock.Now(), func() { in.handleDialed(backend, c, err) })
@@ -43,7 +42,7 @@
 	backend.pendingDials--
 	status := in.useDialedConn(backend, c, err)
 	for len(backend.waitingAttempts) > backend.pendingDials {
-		if c := in.takeIdleConn(backend); c != nil {
+		if c := in.takeIdleConn(backend, slices.ContainsFunc(backend.waitingAttempts, (*attempt).mustRunOnce)); c != nil {
 			in.assignConn(c)
 			continue
 		}
@@ -68,7 +67,7 @@
 		return policy.ConnectFailed
 	}
 	in.closeBackendConn(c)
-	if !c.unusable.Load() || c.dialedEndpoint.Addr != backend.Addr {
+	if c.dialedEndpoint.Addr != backend.Addr {
 		return policy.NotSent
 	}
 	return policy.ConnectFailed
--- a/internal/dataplane/ingress/backend_pool.go
+++ b/internal/dataplane/ingress/backend_pool.go
@@ -14,9 +14,6 @@
 	// idleRetireFraction of the settings' ConnIdleS is how long a connection may stay idle. A backend closes it after ConnIdleS, and
 	// an attempt that is written after that ends with a reset.
 	idleRetireFraction = 0.5
-	// reuseDelayS is how many seconds after a reply a connection is not reused while another one is idle. A duplicate of the reply follows it
-	// closely, and is detected in this time, before the next command is written.
-	reuseDelayS = 0.005
 	// replyEndTimeout is how long a reply may take to end once its large value is written to the client. The attempt counts as in flight until
 	// then, as the backend may still be busy with it.
 	replyEndTimeout = 250 * time.Millisecond
@@ -43,18 +40,18 @@
 	maxConnsAlone int // maxConns outside of a hot restart, while no other process of this ingress has connections
 
 	// These never change once the loop runs.
-	idleTimeoutS     float64
-	duplicateWindowS float64
-	replyEndTimeout  time.Duration
-	dial             func(addr string) (net.Conn, error)
-	onLastByte       func() // for tests; called by writeRest between the write of the last byte and its record as writeComplete
+	idleTimeoutS    float64
+	replyLimits     replyLimits
+	replyEndTimeout time.Duration
+	dial            func(addr string) (net.Conn, error)
+	onLastByte      func() // for tests; called by writeRest between the write of the last byte and its record as writeComplete
 }
 
 func (p *backendPool) init(cfg ingressconfig.Config) {
 	p.byID = map[string]*backend{}
 	p.maxConnsAlone = max(8, freeDescriptors(cfg)*3/8)
 	p.maxConns = p.maxConnsAlone
-	p.duplicateWindowS = duplicateWindowS
+	p.replyLimits = replyLimits{duplicateWindowS: duplicateWindowS, noValueRestS: noValueRestS}
 	p.replyEndTimeout = replyEndTimeout
 	p.onLastByte = func() {}
 	p.idleTimeoutS = cfg.Settings.ConnIdleS * idleRetireFraction
@@ -130,7 +127,7 @@
 // sweep closes connections that have been idle for longer than idleTimeoutS.
 func (p *backendPool) sweep(in *Ingress) {
 	for _, backend := range p.byID {
-		for len(backend.idleConns) > 0 && in.now-backend.idleConns[0].idleSince > p.idleTimeoutS {
+		for len(backend.idleConns) > 0 && in.now-backend.idleConns[0].replies.idleSince > p.idleTimeoutS {
 			in.closeBackendConn(backend.idleConns[0])
 		}
 	}
@@ -147,7 +144,7 @@
 func (in *Ingress) evictIdleConn() bool {
 	var oldest *backendConn
 	for _, backend := range in.backends.byID {
-		if len(backend.idleConns) > 0 && (oldest == nil || backend.idleConns[0].idleSince < oldest.idleSince) {
+		if len(backend.idleConns) > 0 && (oldest == nil || backend.idleConns[0].replies.idleSince < oldest.replies.idleSince) {
 			oldest = backend.idleConns[0]
 		}
 	}
@@ -157,31 +154,23 @@
 	return oldest != nil
 }
 
-// takeIdleConn removes a connection from the pool and returns it; nil if there is no usable one. It prefers the most recently used
-// connection whose reuse delay is over. Otherwise it takes the one that has been idle longest, except after replies other than
-// values. It closes connections that must not carry a command: those with unread bytes, which nobody asked for, and those that the
-// backend has ended, even if their readers have not noticed either yet.
-func (in *Ingress) takeIdleConn(backend *backend) *backendConn {
-	for len(backend.idleConns) > 0 {
-		i := len(backend.idleConns) - 1
-		for i >= 0 && in.now-backend.idleConns[i].idleSince < backend.idleConns[i].reuseDelayS {
-			i--
-		}
-		if i < 0 {
-			i = slices.IndexFunc(backend.idleConns, func(c *backendConn) bool { return c.reuseDelayS <= reuseDelayS })
-		}
+// takeIdleConn removes a connection from the pool that may carry the next command, and returns it; nil if there is none. With mustRunOnce
+// the command must not run twice. It closes connections that must not carry a command: those with unread bytes, which nobody asked for, and
+// those that the backend has ended, even if their readers have not noticed either yet.
+func (in *Ingress) takeIdleConn(backend *backend, mustRunOnce bool) *backendConn {
+	for {
+		i := selectIdle(backend.idleConns, in.now, mustRunOnce, in.backends.replyLimits)
 		if i < 0 {
 			return nil
 		}
 		c := backend.idleConns[i]
-		if c.unusable.Load() || in.now-c.idleSince > in.backends.idleTimeoutS || !c.silent() {
+		if c.replies.isRetired() || in.now-c.replies.idleSince > in.backends.idleTimeoutS || !c.silent() {
 			in.closeBackendConn(c)
 			continue
 		}
 		backend.idleConns = slices.Delete(backend.idleConns, i, i+1)
 		return c
 	}
-	return nil
 }
 
 // assignConn gives a connection to the first waiting attempt that may still be written, or to the pool if there is none.
@@ -198,23 +187,23 @@
 			return
 		}
 	}
-	in.poolConn(c, reuseDelayS)
+	in.poolConn(c)
 }
 
-// poolConn puts a connection into the pool with a reuse delay in seconds, or closes it if it is not usable. The connection does not
+// poolConn puts a connection into the pool, or closes it if it is not usable. The connection does not
 // go to a waiting attempt: that has a dial pending, and a duplicate of the last reply may still arrive on this connection.
-func (in *Ingress) poolConn(c *backendConn, reuseDelay float64) {
+func (in *Ingress) poolConn(c *backendConn) {
 	c.attempt = nil
 	if !in.usable(c) {
 		in.closeBackendConn(c)
 		return
 	}
-	c.idleSince, c.reuseDelayS = in.now, reuseDelay
+	c.replies.idleSince = in.now
 	c.backend.idleConns = append(c.backend.idleConns, c)
 }
 
 // usable reports whether the connection may carry another command: its backend is up, and has neither moved nor restarted since the dial.
 func (in *Ingress) usable(c *backendConn) bool {
-	return !c.closed && !c.unusable.Load() && c.backend.state == policy.Up && c.dialedEndpoint.Addr == c.backend.Addr &&
+	return !c.closed && !c.replies.isRetired() && c.backend.state == policy.Up && c.dialedEndpoint.Addr == c.backend.Addr &&
 		c.dialedEndpoint.StartedMS == c.backend.StartedMS
 }
--- a/internal/dataplane/ingress/backend_pool_test.go
+++ b/internal/dataplane/ingress/backend_pool_test.go
@@ -141,9 +141,8 @@
 			var c *backendConn
 			r.onLoop(func() { // a pooled connection whose reader has not run yet
 				be := r.ingress.backends.byID["s0"]
-				c = &backendConn{backend: be, dialedEndpoint: be.Endpoint, conn: mine.(*net.TCPConn)}
-				c.rawConn, _ = c.conn.SyscallConn()
-				c.idleSince = r.ingress.now
+				c, _ = newBackendConn(be, be.Endpoint, mine.(*net.TCPConn))
+				c.replies.idleSince = r.ingress.now
 				be.idleConns = append(be.idleConns, c)
 				r.ingress.backends.openConns++
 			})
@@ -169,7 +168,7 @@
 	addr, conns := listenBackend(t)
 	r := startIngress(t, testConfig(addr), func(r *testIngress) {
 		sendTo(0)(r)
-		r.ingress.backends.duplicateWindowS = 3600
+		r.ingress.backends.replyLimits = replyLimits{duplicateWindowS: 3600, noValueRestS: 3600}
 	})
 	c := r.client()
 	c.send(lookCommand("a")...)
@@ -274,7 +273,7 @@
 			addr, conns := listenBackend(t)
 			r := startIngress(t, testConfig(addr), func(r *testIngress) {
 				sendTo(0)(r)
-				r.ingress.backends.duplicateWindowS = 3600
+				r.ingress.backends.replyLimits = replyLimits{duplicateWindowS: 3600, noValueRestS: 3600}
 			})
 			c := r.client()
 			c.send(lookCommand("a")...)
@@ -298,45 +297,6 @@
 	}
 }
 
-// Guards against duplicates of values that are received late, after another reply, and of large values, which are recognized by
-// their start.
-func TestDuplicateFilter_Seen(t *testing.T) {
-	var l duplicateFilter
-	a, b := []byte("a"), []byte("b")
-	for i, step := range []struct {
-		b    []byte
-		at   float64
-		want bool
-	}{{a, 1, false}, {b, 1.01, false}, {a, 1.02, true}, {b, 1.02, true}, {a, 2, false}} {
-		if got := l.seen(step.b, step.at, 0.1); got != step.want {
-			t.Errorf("step %d: seen is %v, want %v", i, got, step.want)
-		}
-	}
-	addr, conns := listenBackend(t)
-	r := startIngress(t, testConfig(addr), func(r *testIngress) {
-		sendTo(0)(r)
-		r.ingress.backends.duplicateWindowS = 3600
-	})
-	text, answer := randomLargeValue(resp.MaxValueBytes+1, 7)
-	c := r.client()
-	c.send(lookCommand("a")...)
-	w := receive(t, conns)
-	w.command()
-	write(w, string(answer))
-	if got := c.bulk(); string(got) != string(text) {
-		t.Fatalf("the client got %d bytes, want the large value of %d bytes", len(got), len(text))
-	}
-	receive(t, r.decider.outcomes)
-	c.send(lookCommand("b")...)
-	if w.command() == nil {
-		t.Fatal("the connection did not receive the second command")
-	}
-	go write(w, string(answer)) // the ingress may close the connection before all of it is written
-	if o := receive(t, r.decider.outcomes); o.Status != policy.Error || o.Completed {
-		t.Errorf("outcome of a duplicate of a large value: got %+v, want Error, not completed", o)
-	}
-}
-
 // Guards against a second attempt for a non-idempotent request that is running: a goroutine has written the command's last byte, but
 // has not yet recorded writeComplete when the attempt times out.
 func TestPool_LastByteWrittenBeforeReported(t *testing.T) {
--- a/internal/dataplane/ingress/backend_reader.go
+++ b/internal/dataplane/ingress/backend_reader.go
@@ -24,17 +24,16 @@
 	ingress *Ingress
 	conn    *backendConn
 	input   inputbuffer.Buffer
-	recent  duplicateFilter
 }
 
 // readLoop reads the replies on one connection and detects the connection's end, also while it is idle. It stops at that end, or
-// after bytes that make the connection unusable; it then closes the connection and posts handleConnLost to the loop.
+// after bytes that retire the connection; it then closes the connection and posts handleConnLost to the loop.
 func (c *backendConn) readLoop(in *Ingress) {
 	r := replyReader{ingress: in, conn: c, input: inputbuffer.New(&in.inputBudget)}
 	defer r.input.Release()
 	for r.readOnce() {
 	}
-	c.unusable.Store(true)
+	c.replies.retire(retireEnded)
 	c.conn.Close()
 	c.awaitWriter()
 	at := in.clock.Now()
@@ -44,14 +43,21 @@
 // readOnce reads once and handles the reply if it is complete. It reports whether to continue reading from the connection.
 func (r *replyReader) readOnce() bool {
 	in, c := r.ingress, r.conn
-	space := awaitSpace(&r.input, c.unusable.Load) // the end of the attempt makes the connection unusable
+	space := awaitSpace(&r.input, c.replies.isRetired) // the end of the attempt retires the connection
 	if space == nil {
-		c.failMalformed(in, in.clock.Now(), nil, errInputBudget)
+		c.failReply(in, in.clock.Now(), nil, retireMalformed, errInputBudget)
 		return false
 	}
-	n, err := c.conn.Read(space)
-	at := in.clock.Now()
-	if n > 0 && !c.replyExpected.Load() { // a later reply could not be told apart from them
+	n, err := c.socket.Read(space)
+	return r.handleInput(n, in.clock.Now(), err)
+}
+
+// handleInput handles what a read returned: n bytes, which are in the space of the input, and its error. It reports whether to continue reading
+// from the connection.
+func (r *replyReader) handleInput(n int, at float64, err error) bool {
+	in, c := r.ingress, r.conn
+	if n > 0 && !c.replies.awaitedBeforeRead { // a later reply could not be told apart from them
+		c.replies.retire(retireUnsolicited)
 		in.post(at, func() { in.logFault("unsolicited bytes from backend", "backend", c.backend.ID, "bytes", n) })
 		return false
 	}
@@ -69,7 +75,7 @@
 	}
 	switch {
 	case frameErr != nil:
-		c.failMalformed(in, at, r.input.Bytes(), frameErr)
+		c.failReply(in, at, r.input.Bytes(), retireMalformed, frameErr)
 		return false
 	case size > 0 && !r.handleReply(size, at):
 		return false
@@ -84,8 +90,9 @@
 	if r.input.Len() < prefix {
 		return err == nil
 	}
-	if r.recent.seen(r.input.Bytes()[:prefix], at, r.ingress.backends.duplicateWindowS) {
-		r.conn.failMalformed(r.ingress, at, r.input.Bytes(), errDuplicateReply)
+	hash := hashLargeValue(large.ValueSize, r.input.Bytes()[large.ValueAt:prefix])
+	if !r.conn.replies.acceptValue(hash, r.ingress.backends.replyLimits) {
+		r.conn.failReply(r.ingress, at, r.input.Bytes(), retireDuplicate, errDuplicateReply)
 		return false
 	}
 	return r.conn.streamLargeValue(r.ingress, &r.input, large, at)
@@ -97,28 +104,31 @@
 	in, c := r.ingress, r.conn
 	res := callprotocol.ParseReply(r.input.Bytes()[:size])
 	if res.Err != nil {
-		c.failMalformed(in, at, r.input.Bytes(), res.Err)
+		c.failReply(in, at, r.input.Bytes(), retireMalformed, res.Err)
 		return false
 	}
 	// This is the only check that detects a duplicate that was in transit when the next command was written.
-	if res.Status == policy.OK && r.recent.seen(r.input.Bytes()[:size], at, in.backends.duplicateWindowS) {
-		c.failMalformed(in, at, r.input.Bytes(), errDuplicateReply)
-		return false
+	if res.Status == policy.OK && !res.Probe {
+		if !c.replies.acceptValue(hashValue(res.Value), in.backends.replyLimits) {
+			c.failReply(in, at, r.input.Bytes(), retireDuplicate, errDuplicateReply)
+			return false
+		}
+		c.replies.endValue(at)
 	}
 	stray := r.input.Len() > size
 	r.input.Discard(r.input.Len())
 	if stray {
-		c.unusable.Store(true)
+		c.replies.retire(retireStray)
 	}
-	c.replyExpected.Store(false)
+	c.replies.endReply()
 	in.post(at, func() { in.handleReply(c, res, at) })
 	return !stray
 }
 
-// failMalformed marks the connection as unusable and ends its attempt as one with a malformed reply. It logs cause and the first 40
-// bytes of got, what was received.
-func (c *backendConn) failMalformed(in *Ingress, at float64, got []byte, cause error) {
-	c.unusable.Store(true)
+// failReply retires the connection and ends its attempt as one with a malformed reply. It logs cause and the first 40 bytes of got, what was
+// received.
+func (c *backendConn) failReply(in *Ingress, at float64, got []byte, reason retireReason, cause error) {
+	c.replies.retire(reason)
 	start := string(got[:min(len(got), 40)])
 	in.post(at, func() {
 		in.logFault("invalid reply from backend", "backend", c.backend.ID, "why", cause, "bytes", start)
@@ -134,17 +144,14 @@
 		return
 	}
 	if res.Status == policy.OK && res.Probe != (a.request == nil) {
-		c.unusable.Store(true)
+		c.replies.retire(retireMalformed)
 		in.logFault("invalid reply from backend", "backend", c.backend.ID, "why", errUnexpectedReply)
 		res = callprotocol.Malformed(errUnexpectedReply)
 	}
-	if c.written.load() == writeComplete && !c.unusable.Load() {
+	c.replies.recordReply(in.now, res, in.backends.replyLimits)
+	if c.written.load() == writeComplete && !c.replies.isRetired() {
 		a.conn = nil
-		reuseDelay := reuseDelayS
-		if res.Status != policy.OK {
-			reuseDelay = max(reuseDelay, in.backends.duplicateWindowS)
-		}
-		in.poolConn(c, reuseDelay)
+		in.poolConn(c)
 	}
 	in.finishAttempt(a, res, at)
 }
--- a/internal/dataplane/ingress/harness_test.go
+++ b/internal/dataplane/ingress/harness_test.go
@@ -125,7 +125,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &testIngress{t: t, ingress: in, decider: newFakeDecider(), ended: make(chan struct{}), terminate: cancel, reread: make(chan ingressconfig.Config)}
-	in.backends.duplicateWindowS = 0 // the replies in tests are identical, and must not count as duplicates
+	in.backends.replyLimits = replyLimits{} // the replies in tests are identical, and must not count as duplicates
 	if change != nil {
 		change(r)
 	}
--- a/internal/dataplane/ingress/ingress.go
+++ b/internal/dataplane/ingress/ingress.go
@@ -257,7 +257,7 @@
 		in.restoreSnapshot(in.predecessor.snapshot)
 	}
 	go in.watchDiscovery(background, reread)
-	in.every(attemptEndsInterval, in.logAttemptEnds)
+	in.every(countsInterval, in.logCounts)
 	in.every(listAgeInterval, func() { in.logListAge(in.EndpointListAge()) })
 	in.acceptingClients.Store(true)
 	go in.acceptLoop(in.listener, in.successor.pauseAccept)
@@ -276,7 +276,7 @@
 	})
 	in.log.Info("serving", "listen", in.cfg.Listen, "backends", len(in.backends.byID), "held", in.cordonCount(), "replaces_another", in.predecessor != nil)
 	in.runLoop(ctx)
-	in.logAttemptEnds()
+	in.logCounts()
 	in.log.Info("shutdown complete", "requests_open", len(in.requests))
 	return nil
 }
--- a/internal/dataplane/ingress/large_value.go
+++ b/internal/dataplane/ingress/large_value.go
@@ -51,7 +51,8 @@
 		return false
 	}
 	load, err := c.readReplyEnd(input, large.Elements-1, in.backends.replyEndTimeout)
-	c.replyExpected.Store(false)
+	c.replies.endValue(in.clock.Now())
+	c.replies.endReply()
 	in.post(in.clock.Now(), func() { in.handleReplyEnd(v.attempt, load, err) })
 	return err == nil
 }
@@ -153,9 +154,9 @@
 	conn := a.conn
 	if err != nil {
 		in.logFault("reply incomplete behind its large value", "backend", conn.backend.ID, "id", a.request.ID, "why", err)
-	} else if !conn.unusable.Load() && conn.written.load() == writeComplete {
+	} else if !conn.replies.isRetired() && conn.written.load() == writeComplete {
 		a.conn = nil
-		in.poolConn(conn, reuseDelayS)
+		in.poolConn(conn)
 	}
 	in.finishAttempt(a, callprotocol.Result{Status: policy.OK, Load: load}, in.now) // closes the connection, unless it was pooled
 }
--- a/internal/dataplane/ingress/large_value_stream.go
+++ b/internal/dataplane/ingress/large_value_stream.go
@@ -204,13 +204,13 @@
 }
 
 // readReplyEnd reads the elements of a reply behind its large value, which are usage figures and the load report, and returns the load
-// report. They must arrive within timeout. After an error the connection is unusable.
+// report. They must arrive within timeout. After an error the connection is retired.
 func (c *backendConn) readReplyEnd(input *inputbuffer.Buffer, elements int, timeout time.Duration) (load *policy.Load, err error) {
 	setReadDeadline(c.conn, time.Now().Add(timeout))
 	defer setReadDeadline(c.conn, time.Time{})
 	defer func() {
 		if err != nil {
-			c.unusable.Store(true)
+			c.replies.retire(retireMalformed)
 		}
 	}()
 	for i := range elements {
--- a/internal/dataplane/ingress/telemetry.go
+++ b/internal/dataplane/ingress/telemetry.go
@@ -1,5 +1,14 @@
 package ingress
 
+import (
+	"log/slog"
+	"time"
+)
+
+// countsInterval is the interval at which counts of faults are logged, if there are new ones. The lines on single faults are limited in number,
+// see logLimiter.
+const countsInterval = 10 * time.Second
+
 // closeReason says why this ingress closed a client's connection.
 type closeReason uint8
 
@@ -72,6 +81,9 @@
 	unsent      [unsentReasonsCount]int
 	ended       [attemptEndsCount]int
 	endedLogged int // sum of ended when it was last logged
+
+	retired       [retireReasonsCount]int // connections to backends that were closed
+	retiredLogged int                     // sum of retired, but for retireEnded, when it was last logged
 }
 
 // CounterStatus is the counters of an ingress on its status page. Reasons that never occurred are left out.
@@ -101,3 +113,27 @@
 	}
 	return named
 }
+
+// logCounts logs how many attempts have ended without a whole reply, and how many connections to backends were closed in doubt about their
+// replies, since the start, by reason, if any has since the last call. Loop only.
+func (in *Ingress) logCounts() {
+	n := &in.counters
+	n.endedLogged = in.logNewCounts("attempts ended without a whole reply, since the start", n.ended[:], attemptEndNames[:], n.endedLogged)
+	suspect := int(retireUnsolicited) // the reasons before it are no faults
+	n.retiredLogged = in.logNewCounts("connections to backends closed for their replies, since the start", n.retired[suspect:],
+		retireReasonNames[suspect:], n.retiredLogged)
+}
+
+// logNewCounts logs the counts above 0 by name, unless their sum is logged, and returns the sum.
+func (in *Ingress) logNewCounts(message string, counts []int, names []string, logged int) (sum int) {
+	var attrs []any
+	for i, count := range counts {
+		if sum += count; count > 0 {
+			attrs = append(attrs, slog.Int(names[i], count))
+		}
+	}
+	if sum > logged {
+		in.log.Info(message, attrs...)
+	}
+	return sum
+}
--- a/internal/dataplane/sockets/reader.go
+++ b/internal/dataplane/sockets/reader.go
@@ -14,15 +14,18 @@
 	busy    atomic.Bool
 	tryRead func(fd uintptr) (done bool) // allocated once
 
+	beforeRead func() // called directly before each read from the socket; nil: nothing is
+
 	// Of the read under way.
 	space []byte
 	n     int
 	err   error
 }
 
-// NewReader returns a Reader, which does not count as waiting before its first Read waits.
-func NewReader(raw syscall.RawConn) *Reader {
-	r := &Reader{raw: raw}
+// NewReader returns a Reader, which does not count as waiting before its first Read waits. It calls beforeRead, unless that is nil, directly
+// before each read from the socket.
+func NewReader(raw syscall.RawConn, beforeRead func()) *Reader {
+	r := &Reader{raw: raw, beforeRead: beforeRead}
 	r.busy.Store(true)
 	r.tryRead = r.readNonBlocking
 	return r
@@ -51,6 +54,9 @@
 func (r *Reader) readNonBlocking(fd uintptr) bool {
 	r.busy.Store(true)
 	for {
+		if r.beforeRead != nil {
+			r.beforeRead()
+		}
 		r.n, r.err = syscall.Read(int(fd), r.space)
 		switch {
 		case errors.Is(r.err, syscall.EINTR):
--- a/internal/dataplane/sockets/reader_test.go
+++ b/internal/dataplane/sockets/reader_test.go
@@ -12,7 +12,7 @@
 // finds nothing, it does not count as waiting.
 func TestReader_WaitsOnlyWithNothingInHand(t *testing.T) {
 	near, far, raw := tcpPair(t)
-	r := NewReader(raw)
+	r := NewReader(raw, nil)
 	if r.Waiting() {
 		t.Error("a reader counts as waiting before its first Read")
 	}
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -197,7 +197,7 @@
 		Edits: []Edit{{policyDir + "selection.go", "if backend.State != Up || g.now < backend.ejectedUntil {", "if g.now < backend.ejectedUntil {"},
 			{ingressDir + "attempt.go", "case a.backend == nil, a.backend.state != policy.Up:", "case a.backend == nil:"},
 			{policyDir + "attempt_guard.go", "if a.Backend.State != Up {", "if false {"},
-			{ingressDir + "backend_pool.go", "return !c.closed && !c.unusable.Load() && c.backend.state == policy.Up &&", "return !c.closed && !c.unusable.Load() &&"}},
+			{ingressDir + "backend_pool.go", "return !c.closed && !c.replies.isRetired() && c.backend.state == policy.Up &&", "return !c.closed && !c.replies.isRetired() &&"}},
 		Runs: []string{labOne + "drains", labTwo + "drains"}},
 	{Name: "a node that drains is told from one that is up", Rule: "drains kept",
 		Edits: edit("internal/membership/discovery/list.go", "Terminating: policy.Draining", "Terminating: policy.Up"),
@@ -228,12 +228,12 @@
 `),
 		Runs: []string{labOne + "answers", labOne + "snow"}},
 	{Name: "a copy of an answer is no answer", Rule: "one answer", Unit: "./internal/dataplane/ingress", // each detects it alone: equal reply bytes, bytes without an expected reply, bytes after a reply, unread bytes before reuse
-		Edits: []Edit{{ingressDir + "backend_reader.go", "if res.Status == policy.OK && r.recent.seen(r.input.Bytes()[:size], at, in.backends.duplicateWindowS) {", "if false {"},
-			{ingressDir + "backend_reader.go", "if n > 0 && !c.replyExpected.Load() {", "if n > 0 && !c.replyExpected.Load() && false {"},
+		Edits: []Edit{{ingressDir + "backend_reader.go", "if !c.replies.acceptValue(hashValue(res.Value), in.backends.replyLimits) {", "if c.replies.acceptValue(hashValue(res.Value), in.backends.replyLimits); false {"},
+			{ingressDir + "backend_reader.go", "if n > 0 && !c.replies.awaitedBeforeRead {", "if n > 0 && !c.replies.awaitedBeforeRead && false {"},
 			{ingressDir + "backend_reader.go", `stray := r.input.Len() > size
 	r.input.Discard(r.input.Len())`, `stray := false
 	r.input.Discard(size)`},
-			{ingressDir + "backend_pool.go", "in.now-c.idleSince > in.backends.idleTimeoutS || !c.silent() {", "in.now-c.idleSince > in.backends.idleTimeoutS {"}},
+			{ingressDir + "backend_pool.go", "in.now-c.replies.idleSince > in.backends.idleTimeoutS || !c.silent() {", "in.now-c.replies.idleSince > in.backends.idleTimeoutS {"}},
 		Runs: []string{labOne + "answers", labTwo + "answers"}},
 	// ---- Ingress: clients ----
 	{Name: "an id that is open is not taken again", Rule: "no request lost", Unit: "./internal/dataplane/ingress",
