Testbed: backends that send answers a second time, late, beside hold-ups

Case late-copies of testbed hostile: values of 0 to 4 MiB, large ones written slowly, a tenth of the calls turned away, a fifth of the answers a second time, 0 to 200 ms late, half of these with a newer load report, and the ingress held up for 0 to 0.3 s. Checks each served value and that no courier-send runs twice; occasions are copies that come while another command is out on their connection.

--- a/internal/testbed/hostile/hostile_test.go
+++ b/internal/testbed/hostile/hostile_test.go
@@ -128,3 +128,7 @@
 
 // Guards against answers that are lost because they stay with the old process of an upgrade (review/7), in two upgrades in a row.
 func TestSlowReader_UpgradedTwice(t *testing.T) { playCaseWithSeed(t, "slow-reader-upgrades", 0, 1) }
+
+// Guards against a late second answer that serves another request (review/1), and against another request's -BUSY that has an unsafe request sent
+// again (review/6).
+func TestLateCopies_ServeNobody(t *testing.T) { playCase(t, "late-copies", 4*time.Second) }
