Replies without a value: a window of 0.3 s, and for commands that no backend may repeat

Cause: after a reply without a value a connection was closed to all commands of classes with a key for 1 s, though these may be sent again where all backends share keys, and a second such reply within 1 s ended it.

Change: noValueWindowS, 0.3 s (copies come some milliseconds late); mustRunOnce asks policy.MayReject.

--- a/internal/dataplane/ingress/attempt.go
+++ b/internal/dataplane/ingress/attempt.go
@@ -52,9 +52,9 @@
 	return a.state != attemptReported || !a.status.NeverRan()
 }
 
-// mustRunOnce reports whether what the attempt sends must not run twice.
+// mustRunOnce reports whether what the attempt sends must not be sent again, to any backend, once it may have run.
 func (a *attempt) mustRunOnce() bool {
-	return a.request != nil && mustRunOnce(a.request.Spec)
+	return a.request != nil && !policy.MayReject(a.request.Spec, true)
 }
 
 // Send implements policy.Actions. With a timeoutS above 0 the attempt ends after that many seconds, or at the request's deadline if
--- a/internal/dataplane/ingress/backend_pool.go
+++ b/internal/dataplane/ingress/backend_pool.go
@@ -51,7 +51,7 @@
 	p.byID = map[string]*backend{}
 	p.maxConnsAlone = max(8, freeDescriptors(cfg)*3/8)
 	p.maxConns = p.maxConnsAlone
-	p.replyLimits = replyLimits{duplicateWindowS: duplicateWindowS, noValueRestS: noValueRestS}
+	p.replyLimits = replyLimits{duplicateWindowS, noValueWindowS, noValueRestS}
 	p.replyEndTimeout = replyEndTimeout
 	p.onLastByte = func() {}
 	p.idleTimeoutS = cfg.Settings.ConnIdleS * idleRetireFraction
--- a/internal/dataplane/ingress/reply_matcher.go
+++ b/internal/dataplane/ingress/reply_matcher.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// duplicateWindowS is for how many seconds after its end a reply may come a second time.
+	// duplicateWindowS is for how many seconds after its end a reply with a value may come a second time.
 	duplicateWindowS = 1.0
+	// noValueWindowS is the same for a reply without a value. It is shorter, as each such reply costs the connection's use in this time.
+	noValueWindowS = 0.3
 	// noValueRestS is for how many seconds after a reply without a value a connection is not reused: such replies are alike, so that a
 	// duplicate could not be told from the reply to the next command.
 	noValueRestS = 0.1
@@ -27,6 +29,7 @@
 // replyLimits are the times of a replyMatcher. Tests change them.
 type replyLimits struct {
 	duplicateWindowS float64
+	noValueWindowS   float64
 	noValueRestS     float64
 }
 
@@ -118,7 +121,7 @@
 
 // recordReply records the reply to a command, and retires the connection if the reply may be the duplicate of an earlier one. Loop only.
 func (m *replyMatcher) recordReply(now float64, res callprotocol.Result, limits replyLimits) {
-	if res.Status != policy.OK && m.noValueWithin(m.commandAt, limits.duplicateWindowS) {
+	if res.Status != policy.OK && m.noValueWithin(m.commandAt, limits.noValueWindowS) {
 		m.retire(retireRepeatedError)
 	}
 	if res.Status != policy.OK || res.Probe {
@@ -135,7 +138,7 @@
 // mustRunOnce the command must not run twice. Loop only.
 func (m *replyMatcher) mustRest(now float64, mustRunOnce bool, limits replyLimits) bool {
 	if mustRunOnce {
-		return now-m.idleSince < min(reuseDelayS, limits.duplicateWindowS) || m.noValueWithin(now, limits.duplicateWindowS)
+		return now-m.idleSince < min(reuseDelayS, limits.duplicateWindowS) || m.noValueWithin(now, limits.noValueWindowS)
 	}
 	return m.noValueWithin(now, limits.noValueRestS)
 }
