Hot restart: the socket may lie in a folder with a path of any length

Cause: the address of a Unix socket holds 107 bytes, and SocketPath refused paths over 100. connectPredecessor took that refusal for 'no predecessor', and the error named the address alone.

A new process without a predecessor whose address is in use names the path and the reason.

--- a/internal/dataplane/ingress/golden_test.go
+++ b/internal/dataplane/ingress/golden_test.go
@@ -15,6 +15,7 @@
 // Guards the JSON keys of the status, and of the hot restart's messages other than the snapshot.
 func TestGoldenForms(t *testing.T) {
 	golden.JSON(t, "status.json", &Status{})
+	golden.JSON(t, "status_page.json", &StatusPage{})
 	golden.JSON(t, "go.json", &proceedMessage{})
 	golden.JSON(t, "value.json", &valueTransfer{})
 }
--- a/internal/dataplane/ingress/harness_test.go
+++ b/internal/dataplane/ingress/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -16,6 +17,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"eiderspread/internal/dataplane/hotrestart"
 	"eiderspread/internal/dataplane/ingressconfig"
 	"eiderspread/internal/dataplane/settings"
 	"eiderspread/internal/dataplane/sockets"
@@ -221,6 +223,40 @@
 	return c
 }
 
+// dialAsSuccessor connects to the ingress of a name as a new process does, and receives the sockets, which it closes.
+func dialAsSuccessor(t *testing.T, name string) *hotrestart.Link {
+	t.Helper()
+	link, err := hotrestart.Dial(hotrestart.SocketPath(os.TempDir(), name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	noError(t, link.Send(hotrestart.Hello, []byte{hotrestart.Version}, testTimeout))
+	m, err := link.Expect(hotrestart.Sockets, 1, testTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Close()
+	return link
+}
+
+// completeHandover sends Ready and waits for Proceed.
+func completeHandover(t *testing.T, link *hotrestart.Link) {
+	t.Helper()
+	noError(t, link.Send(hotrestart.Ready, nil, testTimeout))
+	if _, err := link.Expect(hotrestart.Proceed, 0, testTimeout); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// startHandover begins a hand-over as a new process does that has no state and accepts no answers. The caller keeps the link referenced for as
+// long as the hand-over is to last.
+func (r *testIngress) startHandover() *hotrestart.Link {
+	r.t.Helper()
+	link := dialAsSuccessor(r.t, r.ingress.cfg.Name)
+	completeHandover(r.t, link)
+	return link
+}
+
 // waitForReadersStopped waits until the hand-over is active and the readers of all clients have stopped.
 func (r *testIngress) waitForReadersStopped() {
 	r.t.Helper()
--- a/internal/dataplane/ingress/hot_restart_predecessor.go
+++ b/internal/dataplane/ingress/hot_restart_predecessor.go
@@ -12,7 +12,10 @@
 	"eiderspread/internal/decision/snapshot"
 )
 
-var errNoSnapshot = errors.New("no snapshot received")
+var (
+	errNoSnapshot    = errors.New("no snapshot received")
+	errNoPredecessor = errors.New("no process hands over its sockets")
+)
 
 // predecessorState is the state of a new process's link to the process that it replaces, kept until the link ends. Loop only, except the
 // link and the fields that never change.
@@ -28,16 +31,12 @@
 	orders        chan []byte     // sent to the predecessor by the goroutine sendOrders; nil: this process has not taken over its decisions
 }
 
-// connectPredecessor connects to the running process that this one replaces, and receives its sockets. It returns nil without an error if
-// no such process runs.
+// connectPredecessor connects to the running process that this one replaces, and receives its sockets. The error is errNoPredecessor if
+// no such process can be reached.
 func connectPredecessor(cfg ingressconfig.Config) (*predecessorState, error) {
-	path, err := hotrestart.SocketPath(os.TempDir(), cfg.Name)
+	link, err := hotrestart.Dial(hotrestart.SocketPath(os.TempDir(), cfg.Name))
 	if err != nil {
-		return nil, nil // the path is too long: listenForSuccessor logs the error
-	}
-	link, err := hotrestart.Dial(path)
-	if link == nil || err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errNoPredecessor, err)
 	}
 	p := &predecessorState{link: link}
 	if err := p.fetchSockets(cfg); err != nil {
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -22,6 +22,7 @@
 // successorState is the state of an old process's hand-over to its successor. Loop only, except the channels and the link.
 type successorState struct {
 	listener    *hotrestart.Listener // accepts links of successors; nil: this process can't be replaced
+	notOffered  error                // why this process can't be replaced; nil: it can
 	link        *hotrestart.Link
 	stage       handoverStage
 	features    byte            // what the successor accepts, as in the body of Ready
@@ -43,15 +44,14 @@
 
 // listenForSuccessor starts to listen for a process that replaces this one.
 func (in *Ingress) listenForSuccessor() {
-	path, err := hotrestart.SocketPath(os.TempDir(), in.cfg.Name)
-	if err == nil {
-		in.successor.listener, err = hotrestart.Listen(path)
-	}
+	listener, err := hotrestart.Listen(hotrestart.SocketPath(os.TempDir(), in.cfg.Name))
 	if err != nil {
+		in.successor.notOffered = err
 		in.log.Warn("hot restart not available: not listening for a new process", "error", err)
 		return
 	}
-	go in.serveSuccessors(in.successor.listener)
+	in.successor.listener = listener
+	go in.serveSuccessors(listener)
 }
 
 // serveSuccessors serves one new process after the other, until the listener is closed. A second one comes only if the first one fails.
--- a/internal/dataplane/ingress/ingress.go
+++ b/internal/dataplane/ingress/ingress.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"eiderspread/internal/base/monotime"
@@ -158,9 +160,11 @@
 
 // openListener sets the listener for clients: the predecessor's listener if there is a predecessor, else a new one.
 func (in *Ingress) openListener() (err error) {
+	var notFound error
 	if in.cfg.AdminAddr != "" {
-		if in.predecessor, err = connectPredecessor(in.cfg); err != nil {
-			return err
+		in.predecessor, notFound = connectPredecessor(in.cfg)
+		if notFound != nil && !errors.Is(notFound, errNoPredecessor) {
+			return notFound
 		}
 	}
 	if in.predecessor != nil {
@@ -172,7 +176,10 @@
 	if err == nil {
 		in.listener, err = net.ListenTCP("tcp", addr)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE) && notFound != nil:
+		return fmt.Errorf("listen: %w; %w", err, notFound)
+	case err != nil:
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
--- a/internal/dataplane/ingress/reply_matcher.go
+++ b/internal/dataplane/ingress/reply_matcher.go
@@ -45,6 +45,8 @@
 	retireRepeatedError                     // a reply without a value came soon after another one, and may be its duplicate
 	retireMalformed                         // a reply could not be read, or was of another kind than its command
 	retireReasonsCount  int          = iota
+
+	firstFault = retireUnsolicited // this reason and those after it are faults of the backend
 )
 
 var retireReasonNames = [retireReasonsCount]string{"unset", "ended", "unsolicited", "stray", "duplicate", "repeated_error", "malformed"}
--- a/internal/dataplane/ingress/status.go
+++ b/internal/dataplane/ingress/status.go
@@ -28,6 +28,13 @@
 	Overload          *loadshed.Status `json:"overload,omitempty"` // nil: load shedding is off
 }
 
+// StatusPage is what the status page shows: the status, and what is to be looked at, if there is something.
+type StatusPage struct {
+	Status
+	Retired        map[string]int `json:"retired,omitempty"`         // connections to backends that were closed for their replies, by reason
+	NotReplaceable string         `json:"not_replaceable,omitempty"` // why no new process can take over from this one
+}
+
 // statusTimeout limits the wait for the loop's answer, and the time in which the headers of an HTTP request must arrive.
 const statusTimeout = time.Second
 
@@ -44,8 +51,8 @@
 }
 
 func (in *Ingress) handleStatus(w http.ResponseWriter, r *http.Request) {
-	result := make(chan Status, 1)
-	in.Post(func(float64) { result <- in.status() })
+	result := make(chan StatusPage, 1)
+	in.Post(func(float64) { result <- in.statusPage() })
 	select {
 	case st := <-result:
 		w.Header().Set("Content-Type", "application/json")
@@ -55,6 +62,14 @@
 	}
 }
 
+func (in *Ingress) statusPage() StatusPage {
+	page := StatusPage{Status: in.status(), Retired: in.counters.suspectConns()}
+	if err := in.successor.notOffered; err != nil {
+		page.NotReplaceable = err.Error()
+	}
+	return page
+}
+
 func (in *Ingress) status() Status {
 	age := in.EndpointListAge()
 	var overload *loadshed.Status
--- a/internal/dataplane/ingress/telemetry.go
+++ b/internal/dataplane/ingress/telemetry.go
@@ -119,9 +119,13 @@
 func (in *Ingress) logCounts() {
 	n := &in.counters
 	n.endedLogged = in.logNewCounts("attempts ended without a whole reply, since the start", n.ended[:], attemptEndNames[:], n.endedLogged)
-	suspect := int(retireUnsolicited) // the reasons before it are no faults
-	n.retiredLogged = in.logNewCounts("connections to backends closed for their replies, since the start", n.retired[suspect:],
-		retireReasonNames[suspect:], n.retiredLogged)
+	n.retiredLogged = in.logNewCounts("connections to backends closed for their replies, since the start", n.retired[firstFault:],
+		retireReasonNames[firstFault:], n.retiredLogged)
+}
+
+// suspectConns returns how many connections to backends were closed for their replies, by reason.
+func (n *ingressCounters) suspectConns() map[string]int {
+	return countsByName(n.retired[firstFault:], retireReasonNames[firstFault:])
 }
 
 // logNewCounts logs the counts above 0 by name, unless their sum is logged, and returns the sum.
