late-copies: a rejected client waits as long as its rejection says

Cause: the case wants 80% of the requests served.

Change: a client waits for the milliseconds of its -BUSY, as PROTOCOL's clients do.

--- a/internal/testbed/hostile/case_late_copies.go
+++ b/internal/testbed/hostile/case_late_copies.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -184,6 +186,8 @@
 		switch {
 		case a.outcome == Served && a.value != valueOf(q.ID, copySize(q.ID)):
 			res.breach("%s %s is served with %d bytes, %.40q", q.Class, q.ID, len(a.value), a.value)
+		case a.outcome == Rejected:
+			time.Sleep(retryAfter(a.text))
 		case a.outcome == Late:
 			res.breach("%s %s: %s %s after %v", q.Class, q.ID, a.outcome, a.text, a.after.Round(time.Millisecond))
 		case a.outcome == Cut:
@@ -196,6 +200,15 @@
 	}
 }
 
+// retryAfter returns the time after which a rejection, -BUSY MS, lets a client send again.
+func retryAfter(rejection string) time.Duration {
+	ms, err := strconv.Atoi(strings.TrimPrefix(rejection, "-BUSY "))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // checkRan records a breach if the request has run more than once.
 func (b *copyingBackends) checkRan(id string) {
 	b.mu.Lock()
