A drain mark in etcd belongs to the id and ends with its own deletion

Cause: the merge kept the mark as a report on id, address and start, and dropped the report on the id. A newer start from the roster had no mark. A mark that was deleted together with its node's key was not reported at all.

Change: what etcd says of a listed node is split into a report on the node and one on its id (merge.Config.MarksIDs, source.parts), each deferred for itself while etcd is stale; the follower reports marks that change together with a removal. State files keep their form.

--- a/internal/membership/agent/config.go
+++ b/internal/membership/agent/config.go
@@ -78,8 +78,8 @@
 	cfg := Config{Listen: f.Listen, Status: f.Status, Discovery: f.Discovery, State: f.State, StartTimeoutS: f.StartTimeoutMS / 1e3,
 		Etcd: etcdsource.Config{Endpoints: f.Endpoints, Prefix: f.Prefix, User: f.User, ProgressInterval: milliseconds(f.ProgressMS),
 			ReadTimeout: milliseconds(f.TimeoutMS), MaxRetryDelay: milliseconds(f.MaxRetryMS)},
-		Merge: merge.Config{StaleAfterS: map[string]float64{etcdName: f.StaleMS / 1e3}, OrphanAfterS: f.OrphanMS / 1e3, FlapWindowS: f.FlapMS / 1e3,
-			MaxFlapDelayS: f.MaxFlapDelayMS / 1e3}}
+		Merge: merge.Config{StaleAfterS: map[string]float64{etcdName: f.StaleMS / 1e3}, MarksIDs: map[string]bool{etcdName: true},
+			OrphanAfterS: f.OrphanMS / 1e3, FlapWindowS: f.FlapMS / 1e3, MaxFlapDelayS: f.MaxFlapDelayMS / 1e3}}
 	if f.Discovery != "" {
 		cfg.Merge.StaleAfterS[discoveryName] = f.DiscoveryStaleMS / 1e3
 	}
--- a/internal/membership/etcdsource/follower.go
+++ b/internal/membership/etcdsource/follower.go
@@ -172,6 +172,7 @@
 	before := f.header.Revision
 	index := map[string]int{}    // by ID: the index in reports
 	removed := map[string]bool{} // by ID: the node was listed and its key is deleted
+	marked := map[string]bool{}  // by ID, of changed drain marks: whether there was one before
 	for _, kv := range kvs {
 		if kv.Revision <= before {
 			f.duplicateEvents++
@@ -180,6 +181,11 @@
 		f.header.Revision = max(f.header.Revision, kv.Revision)
 		nodeID, isNode := strings.CutPrefix(kv.Key, nodesPrefix)
 		_, listed := f.nodes[nodeID]
+		if markID, isMark := strings.CutPrefix(kv.Key, drainPrefix); isMark {
+			if _, changed := marked[markID]; !changed {
+				marked[markID] = f.drains[markID]
+			}
+		}
 		id, ok := f.applyKey(kv, f.nodes)
 		if !ok {
 			continue
@@ -198,7 +204,24 @@
 		index[id] = len(reports)
 		reports = append(reports, report)
 	}
-	return reports, nil
+	return append(reports, f.marksOfRemoved(reports, marked)...), nil
+}
+
+// marksOfRemoved returns reports on the drain marks of nodes that are reported as removed, if the marks differ from those before: the report
+// on a removed node says nothing of its mark.
+func (f *follower) marksOfRemoved(reports []merge.Node, markedBefore map[string]bool) (marks []merge.Node) {
+	for _, n := range reports {
+		before, changed := markedBefore[n.ID]
+		if n.State != merge.Removed || !changed || before == f.drains[n.ID] {
+			continue
+		}
+		mark := merge.Node{Identity: merge.Identity{ID: n.ID}}
+		if f.drains[n.ID] {
+			mark.State = merge.Draining
+		}
+		marks = append(marks, mark)
+	}
+	return marks
 }
 
 // applyProgress applies a progress notification, which states that there are no other events up to its revision. It returns errStaleState
--- a/internal/membership/etcdsource/follower_test.go
+++ b/internal/membership/etcdsource/follower_test.go
@@ -72,6 +72,10 @@
 		{18, []keyValue{kv(15, "drain/a", "{}"), deleted(16, "drain/a"), kv(18, "drain/a", "{}")}, "a 127.0.0.1:1 draining"}, // never reported as up
 		{21, []keyValue{deleted(19, "nodes/a"), put(20, "a", 5), deleted(21, "drain/a")}, "a 127.0.0.1:5 up"},
 		{24, []keyValue{deleted(22, "nodes/a"), kv(23, "drain/a", "{}"), deleted(24, "drain/a")}, "a  gone"},
+		{26, []keyValue{put(25, "a", 5), kv(26, "drain/a", "{}")}, "a 127.0.0.1:5 draining"},
+		{28, []keyValue{deleted(27, "nodes/a"), deleted(28, "drain/a")}, "a  gone, a  up"}, // the mark ends too
+		{29, []keyValue{put(29, "a", 5)}, "a 127.0.0.1:5 up"},
+		{31, []keyValue{kv(30, "drain/a", "{}"), deleted(31, "nodes/a")}, "a  gone, a  draining"},
 	} {
 		got, err := f.applyEvents(header(1, tc.at, 1), tc.kvs)
 		if err != nil || describe(got) != tc.want {
--- a/internal/membership/merge/merge.go
+++ b/internal/membership/merge/merge.go
@@ -55,6 +55,7 @@
 // Config holds the parameters of the merge rules. All times are in seconds.
 type Config struct {
 	StaleAfterS   map[string]float64 // by source name: a source becomes stale after this silence
+	MarksIDs      map[string]bool    // by source name: Draining is a mark on the ID, which ends only when the source reports the ID without it
 	OrphanAfterS  float64            // rule 4: time until an orphaned node drains
 	FlapWindowS   float64            // rule 5: a node flaps if it stops being up within this time after a return
 	MaxFlapDelayS float64            // rule 5: upper bound of the delay before a return
@@ -79,7 +80,7 @@
 func NewMerger(cfg Config, now float64, known []Node) *Merger {
 	m := &Merger{cfg: cfg, now: now, sources: map[string]*source{}, entries: map[string]*entry{}}
 	for _, name := range slices.Sorted(maps.Keys(cfg.StaleAfterS)) {
-		s := newSource(name)
+		s := newSource(name, cfg.MarksIDs[name])
 		m.sources[name], m.sortedSources = s, append(m.sortedSources, s)
 	}
 	for _, n := range known {
@@ -100,7 +101,9 @@
 	clear(s.deferred)
 	for _, n := range nodes {
 		listed[n.ID] = n.Addr != ""
-		s.apply(n)
+		for _, part := range s.parts(n) {
+			s.apply(part)
+		}
 	}
 	for id, n := range s.reports {
 		if !listed[id] {
@@ -119,12 +122,9 @@
 	s := m.sources[name]
 	var ids []string
 	for _, n := range nodes {
-		if s.state != sourceCurrent && s.relaxes(n) {
-			s.deferred[n.ID] = n
-			continue
+		for _, part := range s.parts(n) {
+			s.applyOrDefer(part)
 		}
-		delete(s.deferred, n.ID)
-		s.apply(n)
 		ids = append(ids, n.ID)
 	}
 	if s.state == sourceCurrent {
@@ -144,7 +144,7 @@
 	}
 	before := s.state
 	s.state, s.lastHeardAt = sourceCurrent, m.now
-	for _, n := range s.deferred {
+	for _, n := range s.deferredReports() {
 		s.apply(n)
 	}
 	clear(s.deferred)
--- a/internal/membership/merge/snapshot.go
+++ b/internal/membership/merge/snapshot.go
@@ -18,11 +18,12 @@
 		snapshot.Entries = append(snapshot.Entries, e.Node)
 	}
 	for _, s := range m.sortedSources {
-		for _, reports := range []map[string]Node{s.reports, s.idReports, s.deferred} {
+		for _, reports := range []map[string]Node{s.reports, s.idReports} {
 			for _, id := range slices.Sorted(maps.Keys(reports)) {
 				snapshot.Reports[s.name] = append(snapshot.Reports[s.name], reports[id])
 			}
 		}
+		snapshot.Reports[s.name] = append(snapshot.Reports[s.name], s.deferredReports()...)
 	}
 	return snapshot
 }
@@ -36,8 +37,10 @@
 			continue
 		}
 		for _, n := range reports {
-			if !s.relaxes(n) {
-				s.apply(n)
+			for _, part := range s.parts(n) {
+				if !s.relaxes(part) {
+					s.apply(part)
+				}
 			}
 		}
 	}
--- a/internal/membership/merge/source.go
+++ b/internal/membership/merge/source.go
@@ -1,6 +1,11 @@
 package merge
 
-import "math"
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+)
 
 // removedRetentionS is the minimum time, in s, for which a removed node that no source lists is remembered as removed: a report of another
 // source may arrive that late and must not bring the node back.
@@ -18,15 +23,59 @@
 // source holds the reports of one source.
 type source struct {
 	name        string
+	marksIDs    bool // see Config.MarksIDs
 	state       sourceState
-	lastHeardAt float64         // last time that the source reported anything while current; -Inf: never
-	reports     map[string]Node // by ID: the last report on each node; a deletion is Removed
-	idReports   map[string]Node // by ID: the last report without an address, which applies to any node with that ID; its state is never Up
-	deferred    map[string]Node // by ID: reports that relax an earlier one, received while the source was not current
+	lastHeardAt float64                 // last time that the source reported anything while current; -Inf: never
+	reports     map[string]Node         // by ID: the last report on each node; a deletion is Removed
+	idReports   map[string]Node         // by ID: the last report without an address, which applies to any node with that ID; its state is never Up
+	deferred    map[deferredReport]Node // reports that relax an earlier one, received while the source was not current
+}
+
+// deferredReport identifies what a deferred report is about: a node, or any node with an ID.
+type deferredReport struct {
+	id   string
+	onID bool
+}
+
+func newSource(name string, marksIDs bool) *source {
+	return &source{name: name, marksIDs: marksIDs, lastHeardAt: math.Inf(-1), reports: map[string]Node{}, idReports: map[string]Node{},
+		deferred: map[deferredReport]Node{}}
+}
+
+// parts returns the reports that a report of the source consists of. If the source marks IDs, a report with an address says that the node
+// exists, and whether its ID is marked. The mark does not end with the node's start or address.
+func (s *source) parts(n Node) []Node {
+	if !s.marksIDs || n.Addr == "" || n.State == Removed {
+		return []Node{n}
+	}
+	mark := Node{Identity: Identity{ID: n.ID}, State: n.State}
+	n.State = Up
+	return []Node{n, mark}
 }
 
-func newSource(name string) *source {
-	return &source{name: name, lastHeardAt: math.Inf(-1), reports: map[string]Node{}, idReports: map[string]Node{}, deferred: map[string]Node{}}
+// applyOrDefer stores one report, or defers it if it relaxes an earlier one and the source is not current (rule 3).
+func (s *source) applyOrDefer(n Node) {
+	about := deferredReport{id: n.ID, onID: n.Addr == "" && n.State != Removed}
+	if s.state != sourceCurrent && s.relaxes(n) {
+		s.deferred[about] = n
+		return
+	}
+	delete(s.deferred, about)
+	s.apply(n)
+}
+
+// deferredReports returns the deferred reports by ID, those on nodes first.
+func (s *source) deferredReports() []Node {
+	var list []Node
+	for _, about := range slices.SortedFunc(maps.Keys(s.deferred), func(a, b deferredReport) int {
+		if a.onID != b.onID {
+			return map[bool]int{false: -1, true: 1}[a.onID]
+		}
+		return cmp.Compare(a.id, b.id)
+	}) {
+		list = append(list, s.deferred[about])
+	}
+	return list
 }
 
 // apply stores one report. A report without an address applies to the ID: Removed marks the node that the source listed as removed, Up
@@ -35,7 +84,9 @@
 	switch {
 	case n.Addr != "":
 		s.reports[n.ID] = n
-		delete(s.idReports, n.ID) // n already includes a drain mark on the ID
+		if !s.marksIDs {
+			delete(s.idReports, n.ID) // n already includes a drain mark on the ID
+		}
 	case n.State == Removed:
 		if report, ok := s.reports[n.ID]; ok {
 			report.State = Removed
@@ -52,6 +103,9 @@
 func (s *source) relaxes(n Node) bool {
 	report, ok := s.reports[n.ID]
 	idReport, onID := s.idReports[n.ID]
+	if s.marksIDs && n.Addr != "" {
+		onID = false
+	}
 	return ok && n.Addr != "" && sameNode(report.Identity, n.Identity) && n.State < report.State || onID && n.State < idReport.State
 }
 
@@ -68,7 +122,7 @@
 // lists reports whether the source lists the ID as not removed, or has a deferred report on it other than Removed.
 func (s *source) lists(id string) bool {
 	report, ok := s.reports[id]
-	waiting, deferred := s.deferred[id]
+	waiting, deferred := s.deferred[deferredReport{id: id}]
 	return ok && report.State != Removed || deferred && waiting.State != Removed
 }
 
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -386,7 +386,7 @@
 		Edits: edit("internal/controlplane/planner/requests.go", "\tc.applyCounts(cellID, cell.windows.initialCounts(c.now, msg.Name, planIndex))\n", "\tcell.windows.initialCounts(c.now, msg.Name, planIndex)\n"), Runs: []string{simTwo + "ceilings"}},
 	// ---- Membership from etcd ----
 	{Name: "a stale source takes nothing back", Rule: "none on a stale word", Unit: "./internal/membership/merge",
-		Edits: edit("internal/membership/merge/merge.go", "if s.state != sourceCurrent && s.relaxes(n) {", "if false {"), Runs: []string{labEtcd}},
+		Edits: edit("internal/membership/merge/source.go", "if s.state != sourceCurrent && s.relaxes(n) {", "if false {"), Runs: []string{labEtcd}},
 	{Name: "what was compacted away is read anew", Rule: "views equal the truth", Unit: "./internal/membership/etcdsource",
 		Edits: edit("internal/membership/etcdsource/session.go", `		s.resyncReason = fmt.Sprintf("revision %d was compacted away", s.follower.header.Revision+1)
 `, ""), Runs: []string{labEtcd + " -troubles cut-and-compacted"}},
@@ -461,6 +461,9 @@
 	{Name: "a socket is reached at a path of any length", Rule: "no request lost", Unit: "./internal/dataplane/hotrestart",
 		Reason: "no run has a long folder; the unit tests and those of cmd/eiderspread do",
 		Edits:  edit("internal/dataplane/hotrestart/socket_path.go", "if len(path) <= maxSocketAddress {", "if true {"), Runs: []string{hostile + "soak"}},
+	{Name: "a mark in etcd belongs to the id", Rule: "no new work at a marked node", Unit: "./internal/membership/etcdsource",
+		Reason: "nodes of the runs put themselves down in etcd at their start; the unit test draws the orders",
+		Edits:  edit("internal/membership/merge/source.go", "if !s.marksIDs || n.Addr == \"\" ||", "if s.marksIDs = false; n.Addr == \"\" ||"), Runs: []string{labEtcd}},
 	{Name: "a client that lags gets no new work at an end", Rule: "slow-reader-term", Unit: "./internal/dataplane/ingress",
 		Edits: edit(ingressDir+"request.go", "if in.shutdown.expired || c.hasLagged {", "if in.shutdown.expired {"), Runs: []string{hostile + "slow-reader-term -runs 3"}},
 	{Name: "a closed sending side waits for its client", Rule: "slow-reader-term", Unit: "./internal/dataplane/ingress",
