The end of a drain decides by when a connection was opened, and parts hold none

Cause: from 3.7 s on a connection closed as soon as all on it was answered and no part of a command had come. One on which the next command had always begun never closed; a client that came again was cut off after its first answer, with the rest on its way. An earlier end cuts more, a later one holds more, so that one rule has to mend both.

Change: Drain.CloseAfterResponse goes by when the connection was opened: before 3.4 s, it closes from then on; later, from 3.9 s on and not in its first 0.1 s. A part of a command is answered by a rejection then.

--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	_, size, err := resp.ParseCommand(c.input.Bytes(), nil)
-	return size > 0 || err != nil || !in.drain.CloseIdle(in.now, c.lastUsedAt, true)
+	return size > 0 || err != nil || !in.drain.CloseIdle(in.now, c.lastUsedAt, true) && !in.drain.CloseAfterResponse(in.now, c.acceptedAt)
 }
 
 // halfCloseIfSilent closes the sending side of a connection that is to be closed at once, and reports whether no bytes have arrived
--- a/internal/dataplane/ingress/drain.go
+++ b/internal/dataplane/ingress/drain.go
@@ -100,7 +100,7 @@
 	if in.drain.CloseIdle(in.now, c.lastUsedAt, receiving) && !c.lagging {
 		return true
 	}
-	return c.callReceived && !receiving && in.drain.CloseAfterResponse(in.now)
+	return c.callReceived && in.drain.CloseAfterResponse(in.now, c.acceptedAt)
 }
 
 // answerOpenRequests gives each open request of a connection its final answer now: a rejection if a retry by the client is harmless,
--- a/internal/dataplane/ingress/drain_test.go
+++ b/internal/dataplane/ingress/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"eiderspread/policy"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -278,6 +279,39 @@
 	}
 }
 
+// Guards against a connection that is held beyond the end of a drain because a part of the next command has always arrived (issue 59): the part
+// is answered by a rejection, and the connection ends. Earlier in the drain it is left alone.
+func TestDrain_PartsOfCommandsHoldNoConnection(t *testing.T) {
+	for _, since := range []float64{3.35, 3.45} {
+		t.Run(fmt.Sprint(since, " s after the call"), func(t *testing.T) {
+			r := startIngress(t, testConfig("127.0.0.1:1"), func(r *testIngress) {
+				r.decider.onRequest = func(q policy.Request) { r.ingress.Reject(q.ID, 0) }
+			})
+			c := r.client()
+			text := command(lookCommand("first")...)
+			write(c, text+text[:20])
+			if line := c.line(); !strings.HasPrefix(line, "-BUSY") {
+				t.Fatalf("first request: got %q, want -BUSY", line)
+			}
+			r.waitForSettledClients()
+			var client *clientConn
+			r.onLoop(func() {
+				for client = range r.ingress.clients.conns {
+					client.acceptedAt, client.lastUsedAt = client.acceptedAt-4, r.ingress.now
+				}
+				r.ingress.drain.Begin(r.ingress.now - since)
+				r.ingress.sweepDraining()
+				if closing := client.state != connOpen; closing != (since > 3.4) {
+					t.Errorf("the connection is closing: %v", closing)
+				}
+			})
+			if line := c.line(); !strings.HasPrefix(line, "-BUSY") || c.line() != "" {
+				t.Errorf("part of a command: got %q, want -BUSY and the end", line)
+			}
+		})
+	}
+}
+
 // Guards what a drain logs and counts: the end of each connection with its reason, and the connections that are still open at the
 // end of the drain.
 func TestDrain_LoggedAndCounted(t *testing.T) {
--- /dev/null
+++ b/internal/testbed/hostile/case_pipeline.go
@@ -0,0 +1,389 @@
+package hostile
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	pipelineClients     = 24
+	pipelineMaxDepth    = 12                     // requests in flight on a connection
+	pipelineMaxPause    = 25 * time.Millisecond  // of a client between an answer and the next request
+	pipelinePingShare   = 0.1                    // of the commands
+	pipelineSlowShare   = 0.2                    // of the requests, whose answers other answers wait for
+	pipelineSlowWork    = 900 * time.Millisecond // at most
+	pipelineQuickWork   = 40 * time.Millisecond  // at most
+	pipelineLargeShare  = 0.05                   // of the values
+	drainRecentRequest  = 2 * time.Second        // age below which no request may be open at the end of a drain
+	drainNewConnection  = 200 * time.Millisecond // age below which a connection may be open at the end of a drain
+	pipelineHalvesShare = 0.3                    // of the clients, that send a command in two parts
+	pipelineHalvesPause = 120 * time.Millisecond // at most, between the parts
+	pipelineStopAfter   = 500 * time.Millisecond // after the event, when clients stop
+)
+
+func init() {
+	for _, e := range []pipelineEvent{
+		{"drain", "is drained", false, (*pipelineRun).drainAndCheck},
+		{"term", "gets SIGTERM, and SIGKILL at the earliest time", true, (*pipelineRun).terminate},
+		{"upgrade", "is upgraded twice in a row", false, func(d *pipelineRun) { d.rig.upgradeWhileRead(d.res, 2, 0) }},
+		{"reload", "reads its configuration again", false, func(d *pipelineRun) { d.rig.ingress().HUP() }},
+	} {
+		register(Case{Name: e.name + "-pipeline", What: "an ingress " + e.what + " while clients keep many commands in flight and come again", Alone: true,
+			play: func(r *Rig, res *Result, _ time.Duration) { playPipeline(r, res, e) }})
+	}
+}
+
+// pipelineEvent is what happens to the ingress while clients keep commands in flight.
+type pipelineEvent struct {
+	name, what string
+	ends       bool // the ingress ends: clients that can't connect any more go elsewhere
+	happen     func(d *pipelineRun)
+}
+
+// pipelineRun is a run of playPipeline.
+type pipelineRun struct {
+	rig  *Rig
+	res  *Result
+	ends bool // see pipelineEvent
+	mu   sync.Mutex
+	open map[*pipelinedConn]bool
+	stop chan struct{}
+}
+
+// pipelinedCommand is a command of a client that is not answered.
+type pipelinedCommand struct {
+	request *Request // nil: PING
+	sentAt  time.Time
+	whole   bool // its last byte is sent
+	crossed bool // it was sent whole on an earlier connection, whose end it crossed
+}
+
+// pipelinedConn is a connection of a client that keeps commands in flight.
+type pipelinedConn struct {
+	net.Conn
+	reader   *bufio.Reader
+	openedAt time.Time
+	done     chan struct{} // closed when the connection has ended, after which endErr is set
+
+	mu       sync.Mutex
+	inFlight []pipelinedCommand
+	endErr   error
+}
+
+func (k *pipelinedConn) add(c pipelinedCommand) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.inFlight = append(k.inFlight, c)
+}
+
+// markWhole records that the last byte of the newest command is sent.
+func (k *pipelinedConn) markWhole() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.inFlight) > 0 { // else it is answered
+		last := &k.inFlight[len(k.inFlight)-1]
+		last.whole, last.sentAt = true, time.Now()
+	}
+}
+
+func (k *pipelinedConn) first() pipelinedCommand {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.inFlight) == 0 {
+		return pipelinedCommand{}
+	}
+	return k.inFlight[0]
+}
+
+func (k *pipelinedConn) removeFirst() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.inFlight = k.inFlight[1:]
+}
+
+func (k *pipelinedConn) depth() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.inFlight)
+}
+
+// hasEnded reports whether the client has read the end of the connection.
+func (k *pipelinedConn) hasEnded() bool {
+	select {
+	case <-k.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// mustBeClosed says why the connection must not be open at the end of a drain; "" if it may be.
+func (k *pipelinedConn) mustBeClosed(at time.Time) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.hasEnded() || at.Sub(k.openedAt) < drainNewConnection:
+		return ""
+	case len(k.inFlight) == 0:
+		return "idle"
+	}
+	if age := at.Sub(k.inFlight[len(k.inFlight)-1].sentAt); age < drainRecentRequest {
+		return fmt.Sprintf("%d commands in flight, the last sent %v before", len(k.inFlight), age.Round(time.Millisecond))
+	}
+	return ""
+}
+
+// playPipeline has an event happen to the ingress. No command that was sent may be lost: an end between two answers may be crossed by a command
+// once, which its client sends again on a new connection.
+func playPipeline(r *Rig, res *Result, e pipelineEvent) {
+	backendRng := rand.New(rand.NewPCG(r.cfg.Seed, 1))
+	var mu sync.Mutex
+	for _, b := range r.Backends {
+		b.setAnswerer(func(c net.Conn, call Call) error {
+			mu.Lock()
+			work, size := drawPipelineWork(backendRng)
+			mu.Unlock()
+			time.Sleep(work)
+			return writeInPieces(c, encodeAnswer(valueOf(call.ID, size)), pipelineQuickWork)
+		})
+	}
+	d := &pipelineRun{rig: r, res: res, ends: e.ends, open: map[*pipelinedConn]bool{}, stop: make(chan struct{})}
+	var wg sync.WaitGroup
+	for i := range pipelineClients {
+		wg.Go(func() { d.client(rand.New(rand.NewPCG(r.cfg.Seed, uint64(2+i)))) })
+	}
+	time.Sleep(readWarmUp)
+	d.countInFlight()
+	e.happen(d)
+	time.Sleep(pipelineStopAfter)
+	close(d.stop)
+	wg.Wait()
+}
+
+// countInFlight counts an occasion for each connection with commands in flight.
+func (d *pipelineRun) countInFlight() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for k := range d.open {
+		if k.depth() > 0 {
+			d.res.occasion()
+		}
+	}
+}
+
+// drainAndCheck drains the ingress. At the end no connection may be held that is idle or has a recent request.
+func (d *pipelineRun) drainAndCheck() {
+	d.rig.callWhileRead(d.res, "/v1/ingress/drain")
+	end := time.Now().Add(operatorsDrain)
+	time.Sleep(time.Until(end))
+	held := d.held(end)
+	time.Sleep(drainSlack)
+	for k, why := range d.held(end) {
+		if held[k] != "" {
+			d.res.breach("held %v after the drain call, opened %v before that: %s", operatorsDrain, end.Sub(k.openedAt).Round(time.Millisecond), why)
+		}
+	}
+}
+
+// terminate ends the ingress, and starts it again: a program that does not run counts as a crash.
+func (d *pipelineRun) terminate() {
+	d.rig.termWhileRead(d.res)
+	if err := d.rig.ingress().Start(); err != nil {
+		d.res.breach("start: %v", err)
+	}
+}
+
+// drawPipelineWork draws the time that a backend takes for a call, and the size of its value.
+func drawPipelineWork(rng *rand.Rand) (work time.Duration, size int) {
+	work, size = time.Duration(rng.Int64N(int64(pipelineQuickWork))), 100
+	if rng.Float64() < pipelineSlowShare {
+		work = time.Duration(rng.Int64N(int64(pipelineSlowWork)))
+	}
+	if rng.Float64() < pipelineLargeShare {
+		size = 200 << 10
+	}
+	return work, size
+}
+
+// held returns the connections that must not be open at the end of the drain, with the reasons.
+func (d *pipelineRun) held(at time.Time) map[*pipelinedConn]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := map[*pipelinedConn]string{}
+	for k := range d.open {
+		if why := k.mustBeClosed(at); why != "" {
+			list[k] = why
+		}
+	}
+	return list
+}
+
+// client sends requests on one connection after another, until stop is closed.
+func (d *pipelineRun) client(rng *rand.Rand) {
+	var again []pipelinedCommand
+	for {
+		conn, err := net.DialTimeout("tcp", d.rig.ingress().Listen, dialTimeout)
+		if err != nil {
+			if !d.ends {
+				d.res.breach("no connection: %v", err)
+			}
+			return
+		}
+		k := &pipelinedConn{Conn: conn, reader: bufio.NewReader(conn), openedAt: time.Now(), done: make(chan struct{})}
+		d.mu.Lock()
+		d.open[k] = true
+		d.mu.Unlock()
+		go d.read(k)
+		d.write(k, rng, 1+rng.IntN(pipelineMaxDepth), again)
+		conn.Close()
+		<-k.done
+		again = d.atEnd(k)
+		d.mu.Lock()
+		delete(d.open, k)
+		d.mu.Unlock()
+		select {
+		case <-d.stop:
+			return
+		default:
+		}
+	}
+}
+
+// write keeps depth commands in flight on a connection until it ends or the client has stopped, those of again first.
+func (d *pipelineRun) write(k *pipelinedConn, rng *rand.Rand, depth int, again []pipelinedCommand) {
+	halvesPause := time.Duration(0)
+	if rng.Float64() < pipelineHalvesShare {
+		halvesPause = pipelineHalvesPause
+	}
+	for !k.hasEnded() {
+		select {
+		case <-d.stop:
+			if k.depth() == 0 {
+				return
+			}
+			time.Sleep(time.Millisecond)
+			continue
+		default:
+		}
+		if len(again) == 0 && k.depth() >= depth {
+			time.Sleep(time.Duration(rng.Int64N(int64(pipelineMaxPause))))
+			continue
+		}
+		c := pipelinedCommand{sentAt: time.Now()}
+		switch {
+		case len(again) > 0:
+			c.request, c.crossed, again = again[0].request, again[0].crossed, again[1:]
+		case rng.Float64() >= pipelinePingShare:
+			q := newRequest([]string{"zone-check", otherClass, "slot-hold", "courier-send"}[rng.IntN(4)])
+			c.request = &q
+		}
+		k.add(c)
+		k.send(c, rng, halvesPause)
+	}
+	for _, c := range again { // not sent on this connection
+		k.add(c)
+	}
+}
+
+// send sends a command, in two parts if there is a pause between them. A failed write shows at the reader.
+func (k *pipelinedConn) send(c pipelinedCommand, rng *rand.Rand, pause time.Duration) {
+	text := encodeCommand("PING")
+	if c.request != nil {
+		text = c.request.encode()
+	}
+	if pause > 0 {
+		half := 1 + rng.IntN(len(text)-1)
+		_, _ = io.WriteString(k, text[:half])
+		text = text[half:]
+		select {
+		case <-k.done:
+			return
+		case <-time.After(time.Duration(rng.Int64N(int64(pause)))):
+		}
+	}
+	if _, err := io.WriteString(k, text); err == nil {
+		k.markWhole()
+	}
+}
+
+// read reads the answers on a connection until it ends.
+func (d *pipelineRun) read(k *pipelinedConn) {
+	_ = k.SetReadDeadline(time.Now().Add(readPatience + operatorsDrain)) // the next read reports an error
+	err := error(nil)
+	for err == nil {
+		if err = d.readAnswer(k); err == nil {
+			k.removeFirst()
+		}
+	}
+	k.mu.Lock()
+	k.endErr = err
+	k.mu.Unlock()
+	close(k.done)
+}
+
+var errPartAnswer = errors.New("the connection ended within an answer")
+
+// readAnswer reads the answer to the first command in flight.
+func (d *pipelineRun) readAnswer(k *pipelinedConn) error {
+	line, err := k.reader.ReadString('\n')
+	if errors.Is(err, io.EOF) && line != "" {
+		return errPartAnswer
+	}
+	if err != nil {
+		return err
+	}
+	line = strings.TrimSpace(line)
+	first := k.first()
+	switch {
+	case first.request == nil:
+		return nil
+	case strings.HasPrefix(line, "-BUSY"):
+		d.res.count(Rejected)
+		return nil
+	case line[0] != '$':
+		d.res.count(Failed)
+		return nil
+	}
+	size := 0
+	if _, err := fmt.Sscanf(line, "$%d", &size); err != nil {
+		return err
+	}
+	value := make([]byte, size+len("\r\n"))
+	if _, err := io.ReadFull(k.reader, value); err != nil {
+		return errPartAnswer
+	}
+	if d.res.count(Served); string(value[:size]) != valueOf(first.request.ID, size) {
+		d.res.breach("%s is served with the value of another request", first.request.ID)
+	}
+	return nil
+}
+
+// atEnd checks the commands that were in flight when a connection ended, and returns the requests that are to be sent again.
+func (d *pipelineRun) atEnd(k *pipelinedConn) (again []pipelinedCommand) {
+	for i, c := range k.inFlight {
+		if c.request == nil {
+			continue
+		}
+		d.res.occasion()
+		age := time.Since(c.sentAt).Round(time.Millisecond)
+		switch {
+		case c.whole && !errors.Is(k.endErr, io.EOF):
+			d.res.count(Cut)
+			d.res.breach("%s %s, command %d of %d, sent %v before: %v", c.request.Class, c.request.ID, i+1, len(k.inFlight), age, k.endErr)
+		case c.whole && c.crossed:
+			d.res.count(Cut)
+			d.res.breach("%s %s, command %d of %d, sent %v before: crossed a second end of a connection, opened %v before", c.request.Class, c.request.ID, i+1,
+				len(k.inFlight), age, time.Since(k.openedAt).Round(time.Millisecond))
+		default:
+			again = append(again, pipelinedCommand{request: c.request, crossed: c.crossed || c.whole})
+		}
+	}
+	return again
+}
--- a/internal/testbed/hostile/hostile_test.go
+++ b/internal/testbed/hostile/hostile_test.go
@@ -126,6 +126,10 @@
 // Guards against answers that are lost in the same way when the ingress is drained.
 func TestSlowReader_Drained(t *testing.T) { playCaseWithSeed(t, "slow-reader-drain", 0, 1) }
 
+// Guards the two ends of a drain under clients that keep many commands in flight (issue 59): a connection that always holds a part of the next
+// command was held beyond the end, and a command that was sent again crossed the end of a second connection.
+func TestDrain_PipeliningClients(t *testing.T) { playCaseWithSeed(t, "drain-pipeline", 0, 1) }
+
 // Guards against answers that are lost because they stay with the old process of an upgrade (review/7), in two upgrades in a row.
 func TestSlowReader_UpgradedTwice(t *testing.T) { playCaseWithSeed(t, "slow-reader-upgrades", 0, 1) }
 
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -12,9 +12,10 @@
 //	0    to 0.5  all requests are served, because new connections still arrive
 //	0.5  on      idle connections are closed
 //	1.9  on      requests are rejected
-//	3.4  on      connections that have sent nothing are closed with a rejection
+//	3.4  on      connections that have sent nothing are closed with a rejection; a connection that was opened
+//	             before is closed as soon as all of its requests are answered
 //	3.6  on      a request is ended if younger ones wait behind it on its connection
-//	3.7  on      a connection is closed as soon as all of its requests are answered
+//	3.9  on      connections opened later are closed in the same way, unless they are new
 //
 // The zero value is an inactive drain. Times are in Unix seconds.
 type Drain struct {
@@ -28,14 +29,17 @@
 	// From then on requests are rejected, because they could be less than drainRecentS old at the end.
 	drainRejectS         = 1.9
 	drainCloseUnusedS    = 3.4 // until then connections that have sent nothing stay open
+	drainCloseNewestS    = 3.7 // from then on those that were opened a moment ago are closed too
 	drainPartialRequestS = 3.5 // until then connections with a partly received request stay open
 	// From then on no request that could be less than drainRecentS old at the end may wait behind another one.
 	drainCloseBlockedS       = 3.6
-	drainCloseAfterResponseS = 3.7  // from then on connections in use are closed
+	drainCloseAfterResponseS = 3.4  // from then on connections in use are closed that were opened before
+	drainCloseReturnedS      = 3.9  // from then on those are closed that were opened later
 	drainCloseUndeliveredS   = 3.95 // until then a closed connection waits for its client
 	drainEndS                = 4.0  // the time that operators allow for a drain
 	drainRecentS             = 2.0  // age in seconds below which no request may be open at the end
 	drainIdleGraceS          = 0.15 // seconds that a connection stays idle, so that its client reads the answer
+	drainReturnGraceS        = 0.1  // seconds for which a new connection stays open, see CloseAfterResponse
 	drainRetryAfterS         = 0.2  // seconds, retry hint for the client of a rejected request
 	drainCheckIntervalS      = 0.1  // seconds between two checks for idle connections
 )
@@ -103,19 +107,29 @@
 // CloseUnused reports whether to close a connection, accepted at acceptedAt, on which no part of a request
 // has arrived yet. Its client may be about to send its first request, and must read a rejection before the
 // end: a connection that ends before its first answer may have lost that request. From
-// drainCloseAfterResponseS on even the newest connection is closed, because it would otherwise stay beyond
-// the end of the drain.
+// drainCloseNewestS on even the newest connection is closed, because it would otherwise stay beyond the end
+// of the drain.
 func (d *Drain) CloseUnused(now, acceptedAt float64) bool {
 	elapsed := now - d.startedAt
 	if !d.active || elapsed < drainCloseUnusedS {
 		return false
 	}
-	return elapsed >= drainCloseAfterResponseS || now-acceptedAt > drainIdleGraceS
+	return elapsed >= drainCloseNewestS || now-acceptedAt > drainIdleGraceS
 }
 
-// CloseAfterResponse reports whether to close a connection once all of its requests are answered.
-func (d *Drain) CloseAfterResponse(now float64) bool {
-	return d.active && now-d.startedAt >= drainCloseAfterResponseS
+// CloseAfterResponse reports whether to close a connection, accepted at acceptedAt, once all of its requests
+// are answered. Requests that cross its end are sent again on a new connection, and must not cross a second
+// end. Therefore a connection that was opened after the first ones were closed stays open almost until the
+// end of the drain, and for drainReturnGraceS at least.
+func (d *Drain) CloseAfterResponse(now, acceptedAt float64) bool {
+	elapsed := now - d.startedAt
+	switch {
+	case !d.active || elapsed < drainCloseAfterResponseS:
+		return false
+	case acceptedAt-d.startedAt < drainCloseAfterResponseS:
+		return true
+	}
+	return elapsed >= drainCloseReturnedS && now-acceptedAt >= drainReturnGraceS
 }
 
 // CloseBlocked reports whether to end the open requests of a connection because its last request, sent at
