--- a/internal/dataplane/ingress/backend_conn.go
+++ b/internal/dataplane/ingress/backend_conn.go
@@ -49,10 +49,12 @@
 	rawConn        syscall.RawConn
 	socket         *sockets.Reader // reads from conn for the reader
 	replies        replyMatcher
-	replyBytes     atomic.Int64  // bytes of the reply that have arrived, up to those of a large value that is streamed; set by the reader, reset by the loop before it writes a command
-	valueBegunAt   atomic.Uint64 // bits of the time at which a reply with a value began to arrive, 0 before; set by the reader, reset by the loop before it writes a command
-	written        writeState    // how much of the attempt's command has been written; of any goroutine
-	writeMu        sync.Mutex    // held while a goroutine writes the rest of a command
+	written        writeState // how much of the attempt's command has been written; of any goroutine
+	writeMu        sync.Mutex // held while a goroutine writes the rest of a command
+
+	// Set by the reader, and reset by the loop before it writes a command.
+	replyBytes   atomic.Int64  // bytes of the reply that have arrived, up to those of a large value that is streamed
+	valueBegunAt atomic.Uint64 // bits of the time at which a reply with a value began to arrive, 0 before
 
 	// The event loop owns the fields below.
 	attempt *attempt // whose command was written last; nil for a new or pooled connection
--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -51,9 +51,9 @@
 	}
 }
 
-// closeSendingSide half-closes a connection and closes it after halfCloseTimeout, or once its client has received everything. Commands that arrive meanwhile are read and dropped: closing
-// a socket with unread bytes would reset the connection, and the reset could destroy the previous answer in transit. After a half close the
-// client reads that answer and sends the command again.
+// closeSendingSide half-closes a connection and closes it after halfCloseTimeout, or once its client has received everything. Commands that
+// arrive meanwhile are read and dropped: closing a socket with unread bytes would reset the connection, and the reset could destroy the
+// previous answer in transit. After a half close the client reads that answer and sends the command again.
 func (in *Ingress) closeSendingSide(c *clientConn, reason closeReason) {
 	c.setCloseReason(reason)
 	if c.commandReceived && !c.receivingCommand.Load() {
--- a/internal/dataplane/ingress/client_conn.go
+++ b/internal/dataplane/ingress/client_conn.go
@@ -116,8 +116,9 @@
 	if err := resetOnProcessExit(conn); err != nil {
 		return nil, err
 	}
-	return &clientConn{connID: lastClientConnID.Add(1), conn: conn, rawConn: raw, socket: sockets.NewReader(raw, nil), pipelinePermits: make(chan struct{}, maxPipelinedCommands),
-		done: make(chan struct{}), stopReading: make(chan struct{}), input: inputbuffer.New(&in.inputBudget), commandLimiter: newClientLimiter()}, nil
+	return &clientConn{connID: lastClientConnID.Add(1), conn: conn, rawConn: raw, socket: sockets.NewReader(raw, nil),
+		pipelinePermits: make(chan struct{}, maxPipelinedCommands), done: make(chan struct{}), stopReading: make(chan struct{}),
+		input: inputbuffer.New(&in.inputBudget), commandLimiter: newClientLimiter()}, nil
 }
 
 // idle reports whether the client waits for no answer. Commands that have not reached the loop yet do not count.
--- a/internal/dataplane/ingress/client_delivery.go
+++ b/internal/dataplane/ingress/client_delivery.go
@@ -17,7 +17,7 @@
 func (c *clientConn) delivered() bool { return sockets.UnackedBytes(c.rawConn) <= 0 }
 
 // closeDelivered closes a half-closed connection after a delay, or later if its client has not received everything by then, see
-// deliveryWait.
+// deliveryWaitS.
 func (in *Ingress) closeDelivered(c *clientConn, reason closeReason, delay time.Duration) {
 	stall := newStallDetector(c.rawConn, time.Now())
 	var closeOrWait func()
@@ -76,7 +76,8 @@
 	}
 }
 
-// measureLag looks which clients lag behind their answers. One that has lagged would lag again if its requests were served again. It is called at intervals from the start of a drain or shutdown on.
+// measureLag looks which clients lag behind their answers. One that has lagged would lag again if its requests were served again. It is
+// called at intervals from the start of a drain or shutdown on.
 func (in *Ingress) measureLag() {
 	leftS := in.deliveryLeftS()
 	for c := range in.clients.conns {
