--- a/internal/testbed/hostile/case_late_copies.go
+++ b/internal/testbed/hostile/case_late_copies.go
@@ -13,20 +13,20 @@
 )
 
 const (
-	copyClients     = 48
-	copyShare       = 0.2                    // of the answers that come a second time
-	copyLatest      = 200 * time.Millisecond // after the end of the first answer
-	busyShare       = 0.1                    // of the calls that backends turn away
-	newReportShare  = 0.5                    // of the copies that hold a newer load report
-	copyWork        = 30 * time.Millisecond  // of a backend for a call, at most
-	copyWriteTime   = 500 * time.Millisecond // of a large value, at most
-	copyWritePieces = 8
-	largeAnswer     = 64 << 10
-	heldUp          = 300 * time.Millisecond // at most, of the ingress
-	heldUpEvery     = 700 * time.Millisecond // on average
-	largestValue    = 4 << 20
-	oneOfLargest    = 200 // requests has the largest value
-	copyServedShare = 0.8 // of the requests, at least
+	copyClients       = 48
+	copyFraction      = 0.2                    // of the answers that come a second time
+	copyLatest        = 200 * time.Millisecond // after the end of the first answer
+	busyFraction      = 0.1                    // of the calls that backends turn away
+	newReportFraction = 0.5                    // of the copies that hold a newer load report
+	copyWork          = 30 * time.Millisecond  // of a backend for a call, at most
+	copyWriteTime     = 500 * time.Millisecond // of a large value, at most
+	copyWritePieces   = 8
+	largeAnswer       = 64 << 10
+	maxPause          = 300 * time.Millisecond // at most, of the ingress
+	pauseInterval     = 700 * time.Millisecond // on average
+	largestValue      = 4 << 20
+	oneOfLargest      = 200 // requests has the largest value
+	servedFraction    = 0.8 // of the requests, at least
 )
 
 // copySizes are the sizes of values but for the largest one, which oneOfLargest requests have. Each request has one of them, by its id.
@@ -67,7 +67,7 @@
 		b.conns[c] = conn
 	}
 	conn.working = true
-	p := copyPlan{busy: b.rng.Float64() < busyShare, twice: b.rng.Float64() < copyShare, newReport: b.rng.Float64() < newReportShare,
+	p := copyPlan{busy: b.rng.Float64() < busyFraction, twice: b.rng.Float64() < copyFraction, newReport: b.rng.Float64() < newReportFraction,
 		work: time.Duration(b.rng.Int64N(int64(copyWork))), writing: time.Duration(b.rng.Int64N(int64(copyWriteTime))),
 		late: time.Duration(b.rng.Int64N(int64(copyLatest)))}
 	if !p.busy {
@@ -94,13 +94,13 @@
 	conn.working = false
 	b.mu.Unlock()
 	if p.twice {
-		defer time.AfterFunc(p.late, func() { b.answerAgain(c, conn, again) })
+		defer time.AfterFunc(p.late, func() { b.writeDuplicate(c, conn, again) })
 	}
 	return writeInPieces(c, reply, p.writing)
 }
 
-// answerAgain writes an answer a second time, unless another one is being written.
-func (b *copyingBackends) answerAgain(c net.Conn, conn *copyingConn, reply string) {
+// writeDuplicate writes an answer a second time, unless another one is being written.
+func (b *copyingBackends) writeDuplicate(c net.Conn, conn *copyingConn, reply string) {
 	if !conn.writing.TryLock() {
 		return
 	}
@@ -160,17 +160,17 @@
 	for i := range copyClients {
 		wg.Go(func() { r.sendOneByOneUntil(res, b, end, rand.New(rand.NewPCG(r.cfg.Seed, uint64(2+i)))) })
 	}
-	r.holdUpUntil(end, rand.New(rand.NewPCG(r.cfg.Seed, 0)))
+	r.pauseUntil(end, rand.New(rand.NewPCG(r.cfg.Seed, 0)))
 	wg.Wait()
 	b.check()
 }
 
-// holdUpUntil stops the ingress now and then.
-func (r *Rig) holdUpUntil(end time.Time, rng *rand.Rand) {
+// pauseUntil stops the ingress now and then.
+func (r *Rig) pauseUntil(end time.Time, rng *rand.Rand) {
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(rng.Int64N(int64(2 * heldUpEvery))))
+		time.Sleep(time.Duration(rng.Int64N(int64(2 * pauseInterval))))
 		r.ingress().Pause()
-		time.Sleep(time.Duration(rng.Int64N(int64(heldUp))))
+		time.Sleep(time.Duration(rng.Int64N(int64(maxPause))))
 		r.ingress().Resume()
 	}
 }
@@ -224,7 +224,7 @@
 	for _, n := range b.res.Outcomes {
 		all += n
 	}
-	if float64(served) < copyServedShare*float64(all) {
+	if float64(served) < servedFraction*float64(all) {
 		b.res.breach("%d of %d requests were served; %d answers came twice", served, all, b.copies)
 	}
 }
--- a/internal/testbed/hostile/case_pipeline.go
+++ b/internal/testbed/hostile/case_pipeline.go
@@ -13,19 +13,19 @@
 )
 
 const (
-	pipelineClients     = 24
-	pipelineMaxDepth    = 12                     // requests in flight on a connection
-	pipelineMaxPause    = 25 * time.Millisecond  // of a client between an answer and the next request
-	pipelinePingShare   = 0.1                    // of the commands
-	pipelineSlowShare   = 0.2                    // of the requests, whose answers other answers wait for
-	pipelineSlowWork    = 900 * time.Millisecond // at most
-	pipelineQuickWork   = 40 * time.Millisecond  // at most
-	pipelineLargeShare  = 0.05                   // of the values
-	drainRecentRequest  = 2 * time.Second        // age below which no request may be open at the end of a drain
-	drainNewConnection  = 200 * time.Millisecond // age below which a connection may be open at the end of a drain
-	pipelineHalvesShare = 0.3                    // of the clients, that send a command in two parts
-	pipelineHalvesPause = 120 * time.Millisecond // at most, between the parts
-	pipelineStopAfter   = 500 * time.Millisecond // after the event, when clients stop
+	pipelineClients        = 24
+	pipelineMaxDepth       = 12                     // requests in flight on a connection
+	pipelineMaxPause       = 25 * time.Millisecond  // of a client between an answer and the next request
+	pipelinePingFraction   = 0.1                    // of the commands
+	pipelineSlowFraction   = 0.2                    // of the requests, whose answers other answers wait for
+	pipelineSlowWork       = 900 * time.Millisecond // at most
+	pipelineQuickWork      = 40 * time.Millisecond  // at most
+	pipelineLargeFraction  = 0.05                   // of the values
+	drainRecentRequest     = 2 * time.Second        // age below which no request may be open at the end of a drain
+	drainNewConnection     = 200 * time.Millisecond // age below which a connection may be open at the end of a drain
+	pipelineHalvesFraction = 0.3                    // of the clients, that send a command in two parts
+	pipelineHalvesPause    = 120 * time.Millisecond // at most, between the parts
+	pipelineStopAfter      = 500 * time.Millisecond // after the event, when clients stop
 )
 
 func init() {
@@ -59,10 +59,10 @@
 
 // pipelinedCommand is a command of a client that is not answered.
 type pipelinedCommand struct {
-	request *Request // nil: PING
-	sentAt  time.Time
-	whole   bool // its last byte is sent
-	crossed bool // it was sent whole on an earlier connection, whose end it crossed
+	request  *Request // nil: PING
+	sentAt   time.Time
+	complete bool // its last byte is sent
+	crossed  bool // it was sent whole on an earlier connection, whose end it crossed
 }
 
 // pipelinedConn is a connection of a client that keeps commands in flight.
@@ -83,13 +83,13 @@
 	k.inFlight = append(k.inFlight, c)
 }
 
-// markWhole records that the last byte of the newest command is sent.
-func (k *pipelinedConn) markWhole() {
+// markComplete records that the last byte of the newest command is sent.
+func (k *pipelinedConn) markComplete() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.inFlight) > 0 { // else it is answered
 		last := &k.inFlight[len(k.inFlight)-1]
-		last.whole, last.sentAt = true, time.Now()
+		last.complete, last.sentAt = true, time.Now()
 	}
 }
 
@@ -183,10 +183,10 @@
 	d.rig.callWhileRead(d.res, "/v1/ingress/drain")
 	end := time.Now().Add(operatorsDrain)
 	time.Sleep(time.Until(end))
-	held := d.held(end)
+	open := d.openAtEnd(end)
 	time.Sleep(drainSlack)
-	for k, why := range d.held(end) {
-		if held[k] != "" {
+	for k, why := range d.openAtEnd(end) {
+		if open[k] != "" {
 			d.res.breach("held %v after the drain call, opened %v before that: %s", operatorsDrain, end.Sub(k.openedAt).Round(time.Millisecond), why)
 		}
 	}
@@ -203,17 +203,17 @@
 // drawPipelineWork draws the time that a backend takes for a call, and the size of its value.
 func drawPipelineWork(rng *rand.Rand) (work time.Duration, size int) {
 	work, size = time.Duration(rng.Int64N(int64(pipelineQuickWork))), 100
-	if rng.Float64() < pipelineSlowShare {
+	if rng.Float64() < pipelineSlowFraction {
 		work = time.Duration(rng.Int64N(int64(pipelineSlowWork)))
 	}
-	if rng.Float64() < pipelineLargeShare {
+	if rng.Float64() < pipelineLargeFraction {
 		size = 200 << 10
 	}
 	return work, size
 }
 
-// held returns the connections that must not be open at the end of the drain, with the reasons.
-func (d *pipelineRun) held(at time.Time) map[*pipelinedConn]string {
+// openAtEnd returns the connections that must not be open at the end of the drain, with the reasons.
+func (d *pipelineRun) openAtEnd(at time.Time) map[*pipelinedConn]string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := map[*pipelinedConn]string{}
@@ -259,7 +259,7 @@
 // write keeps depth commands in flight on a connection until it ends or the client has stopped, those of again first.
 func (d *pipelineRun) write(k *pipelinedConn, rng *rand.Rand, depth int, again []pipelinedCommand) {
 	halvesPause := time.Duration(0)
-	if rng.Float64() < pipelineHalvesShare {
+	if rng.Float64() < pipelineHalvesFraction {
 		halvesPause = pipelineHalvesPause
 	}
 	for !k.hasEnded() {
@@ -280,7 +280,7 @@
 		switch {
 		case len(again) > 0:
 			c.request, c.crossed, again = again[0].request, again[0].crossed, again[1:]
-		case rng.Float64() >= pipelinePingShare:
+		case rng.Float64() >= pipelinePingFraction:
 			q := newRequest([]string{"zone-check", otherClass, "slot-hold", "courier-send"}[rng.IntN(4)])
 			c.request = &q
 		}
@@ -309,7 +309,7 @@
 		}
 	}
 	if _, err := io.WriteString(k, text); err == nil {
-		k.markWhole()
+		k.markComplete()
 	}
 }
 
@@ -374,15 +374,15 @@
 		d.res.occasion()
 		age := time.Since(c.sentAt).Round(time.Millisecond)
 		switch {
-		case c.whole && !errors.Is(k.endErr, io.EOF):
+		case c.complete && !errors.Is(k.endErr, io.EOF):
 			d.res.count(Cut)
 			d.res.breach("%s %s, command %d of %d, sent %v before: %v", c.request.Class, c.request.ID, i+1, len(k.inFlight), age, k.endErr)
-		case c.whole && c.crossed:
+		case c.complete && c.crossed:
 			d.res.count(Cut)
 			d.res.breach("%s %s, command %d of %d, sent %v before: crossed a second end of a connection, opened %v before", c.request.Class, c.request.ID, i+1,
 				len(k.inFlight), age, time.Since(k.openedAt).Round(time.Millisecond))
 		default:
-			again = append(again, pipelinedCommand{request: c.request, crossed: c.crossed || c.whole})
+			again = append(again, pipelinedCommand{request: c.request, crossed: c.crossed || c.complete})
 		}
 	}
 	return again
