--- a/cmd/eiderspread/upgrade_test.go
+++ b/cmd/eiderspread/upgrade_test.go
@@ -43,7 +43,7 @@
 // folderOfLength returns a new folder whose path has the given length in bytes.
 func folderOfLength(t *testing.T, length int) string {
 	t.Helper()
-	folder, err := os.MkdirTemp("/tmp", "u")
+	folder, err := os.MkdirTemp("", "u")
 	if err != nil {
 		t.Fatal(err)
 	}
