Drain: no connection closes after a response in its first 0.1 s

Found by reading the change again: a client whose idle connection is closed just before 3.4 s comes again just before it, and its new connection was closed after the first answer from 3.4 s on, with the other commands that it sends again on their way. The grace held for connections alone that were opened after 3.4 s.

Change: the grace holds for each connection. TestDrain_Schedule fails on the code before (3.41 s after the call, opened 0.09 s before) and passes.

--- a/policy/drain.go
+++ b/policy/drain.go
@@ -119,17 +119,17 @@
 
 // CloseAfterResponse reports whether to close a connection, accepted at acceptedAt, once all of its requests
 // are answered. Requests that cross its end are sent again on a new connection, and must not cross a second
-// end. Therefore a connection that was opened after the first ones were closed stays open almost until the
-// end of the drain, and for drainReturnGraceS at least.
+// end. Therefore every connection stays open for drainReturnGraceS, and one that was opened after the first
+// ones in use were closed almost until the end of the drain.
 func (d *Drain) CloseAfterResponse(now, acceptedAt float64) bool {
 	elapsed := now - d.startedAt
 	switch {
-	case !d.active || elapsed < drainCloseAfterResponseS:
+	case !d.active || elapsed < drainCloseAfterResponseS || now-acceptedAt < drainReturnGraceS:
 		return false
 	case acceptedAt-d.startedAt < drainCloseAfterResponseS:
 		return true
 	}
-	return elapsed >= drainCloseReturnedS && now-acceptedAt >= drainReturnGraceS
+	return elapsed >= drainCloseReturnedS
 }
 
 // CloseBlocked reports whether to end the open requests of a connection because its last request, sent at
