Log at the end of a drain what the process does not see as open connections

Change: "drain time is over" has the connections accepted since the call, the length of the accept queue and the loop's lag; "connection still open after drain" has queued commands, input in part, unwritten and undelivered bytes; "drain call has no effect" says why.

Measured: TestAcceptQueueLength and TestDrain_LoggedAndCounted (extended by the new fields) pass; ingress and sockets pass under the race detector.

--- a/internal/dataplane/ingress/drain.go
+++ b/internal/dataplane/ingress/drain.go
@@ -14,6 +14,7 @@
 	deadlineTimer *timer // runs the checks at the end of the time that operators allow
 
 	// For the log.
+	acceptedBefore      int // connections that were accepted before the drain
 	sweeps              int
 	sweptAt             float64 // when the last sweep ran
 	longestSweepGapS    float64 // longest time between two sweeps
@@ -34,11 +35,12 @@
 // idle connection may be in transfer to another process.
 func (in *Ingress) startDrain() {
 	if in.drain.Active() || in.shutdown.closingClients || in.successor.stage != handoverNone {
+		in.log.Info("drain call has no effect", "draining", in.drain.Active(), "closing_clients", in.shutdown.closingClients, "handover", in.successor.stage)
 		return
 	}
 	in.log.Info("drain started", "connections", in.clients.open(), "requests", len(in.requests))
 	in.drainLogLines = 0
-	in.drain = drainState{}
+	in.drain = drainState{acceptedBefore: in.counters.accepted}
 	in.drain.Begin(in.now)
 	in.acceptingClients.Store(false)
 	in.measureLag()
--- a/internal/dataplane/ingress/drain_log.go
+++ b/internal/dataplane/ingress/drain_log.go
@@ -31,17 +31,28 @@
 // logOpenConns logs each connection that is still open at the end of a drain or shutdown, with its state.
 func (in *Ingress) logOpenConns() {
 	in.log.Warn("drain time is over", "connections", in.clients.open(), "requests", len(in.requests), "looks", in.drain.sweeps,
-		"longest_gap", roundToMillis(in.drain.longestSweepGapS), "pings", in.drain.rejectedPings, "pings_behind_answers", in.drain.rejectedPingsQueued)
+		"longest_gap", roundToMillis(in.drain.longestSweepGapS), "pings", in.drain.rejectedPings, "pings_behind_answers", in.drain.rejectedPingsQueued,
+		"accepted", in.counters.accepted-in.drain.acceptedBefore, "accept_queue", in.acceptQueueLength(), "loop_lag", roundToMillis(in.clock.Now()-in.now))
 	lines := 0
 	for c := range in.clients.conns {
 		if lines++; lines > maxDrainLogLines {
 			break
 		}
 		in.logClientConn("connection still open after drain", c, "command_received", c.commandReceived, "idle", roundToMillis(in.now-c.lastUsedAt), "reader_stopped", c.reader != readerRunning, "loop_owns_input", c.reader >= readerStopped,
-			"ending", c.state == connClosing, "writing", c.writing, "unread_bytes", sockets.UnreadBytes(c.rawConn))
+			"ending", c.state == connClosing, "writing", c.writing, "unread_bytes", sockets.UnreadBytes(c.rawConn), "queued_commands", len(c.pipelinePermits),
+			"receiving", c.receivingCommand.Load(), "unwritten_bytes", c.unwrittenBytes(), "undelivered_bytes", sockets.UnackedBytes(c.rawConn))
 	}
 }
 
+// acceptQueueLength returns the number of clients' connections that the kernel has accepted and this process has not, or -1 if it is not known.
+func (in *Ingress) acceptQueueLength() int {
+	raw, err := in.listener.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	return sockets.AcceptQueueLength(raw)
+}
+
 // waitingAnswerBytes returns the length of the final answers that wait behind others, without the batch or value that is being written.
 func (c *clientConn) waitingAnswerBytes() (n int) {
 	for _, slot := range c.answerSlots {
--- a/internal/dataplane/ingress/drain_test.go
+++ b/internal/dataplane/ingress/drain_test.go
@@ -340,6 +340,7 @@
 	for _, want := range []string{
 		`msg="connection closed"`, "reason=drained", `msg="drain time is over" connections=1 requests=1`,
 		`msg="connection still open after drain"`, "open=1", "reader_stopped=false", "unread_bytes=0",
+		"accepted=0", "accept_queue=0", "loop_lag=", "queued_commands=1", "receiving=false", "unwritten_bytes=0", "undelivered_bytes=0",
 	} {
 		if !strings.Contains(log.String(), want) {
 			t.Errorf("the log lacks %s:\n%s", want, log.String())
--- a/internal/dataplane/sockets/sockets.go
+++ b/internal/dataplane/sockets/sockets.go
@@ -61,6 +61,21 @@
 // UnackedBytes returns the number of written bytes that the peer's kernel has not acknowledged, or -1 if it is not known.
 func UnackedBytes(raw syscall.RawConn) int { return queuedBytes(raw, unix.SIOCOUTQ) }
 
+// AcceptQueueLength returns the number of connections that the kernel has accepted on a listener and the process has not, or -1 if it is not
+// known.
+func AcceptQueueLength(raw syscall.RawConn) int {
+	length := -1
+	controlErr := raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			length = int(info.Unacked) // the kernel reports the queue of a listener in this field
+		}
+	})
+	if controlErr != nil {
+		return -1
+	}
+	return length
+}
+
 // SendProgress tells how far a connection's output has come, in bytes since the connection was opened.
 type SendProgress struct {
 	Written uint64 // by this side
--- a/internal/dataplane/sockets/sockets_test.go
+++ b/internal/dataplane/sockets/sockets_test.go
@@ -99,3 +99,26 @@
 		t.Error("a write to a closed connection succeeds, want an error")
 	}
 }
+
+// Guards the figure by which a drain's log tells connections that only the kernel has accepted.
+func TestAcceptQueueLength(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for want := range 3 {
+		if got := AcceptQueueLength(raw); got != want {
+			t.Errorf("after %d connections: got %d", want, got)
+		}
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+}
