A drain ends while clients come again: no connections from 3.3 s, all ends by 3.7 s

Cause, one class: an end that is granted only in a moment in which clients pause (a connection that is silent, an accept queue that is empty), while those whose connections end come again at once. In the drain the listener stayed open, and a new connection had 0.1 s, so that at any moment of the last 0.1 s there was one; in the shutdown connections ended while the queue was being emptied, which so never was.

Change: policy.Drain.Closes is the one place that decides on the end of a drained connection. From 3.1 to 3.4 s it ends none, from 3.3 s on the ingress accepts none: it takes what the kernel has in its queue, closes the listener, keeps the address with a socket that does not listen, and listens again when it is activated. From 3.7 s on each connection without an open request ends, whatever is on its way; a process may then be late by 0.15 s and a look of 0.1 s. A request that comes from 3.6 s on behind an old one ends that one at once, not with the next look. SIGTERM ends connections only once the queue is empty, or to make room for what is in it. What a client sends again finds no connection, as after SIGTERM, and goes elsewhere. The process's own check (open_after_drain) no longer excuses a new connection, and counts the queue.

TestDrain_Schedule states the new times over the one function, for eleven kinds of connections. Replaced, as strict: the clients of TestDrain_ReleasesPersistentClients and TestDrain_AnswersPipelinedCommands may be refused from 2 s on and try again; "the drain was exercised" counts these tries. TestClient_CommandHeldByReaderIsAnswered drains since 3.6 s instead of 3.8 s, as from 3.7 s on a command in hand holds no connection.

--- a/internal/dataplane/ingress/client_close.go
+++ b/internal/dataplane/ingress/client_close.go
@@ -43,7 +43,7 @@
 func (in *Ingress) finishGracefulClose(c *clientConn) {
 	reason := c.closeWhenStopped
 	c.closeWhenStopped = closeUnset
-	if !in.mustReadOn(c, reason) {
+	if c.state == connOpen && !in.mustReadOn(c, reason) {
 		in.closeSendingSide(c, reason)
 	}
 	if c.state != connClosed {
@@ -87,7 +87,7 @@
 		return false
 	}
 	_, size, err := resp.ParseCommand(c.input.Bytes(), nil)
-	return size > 0 || err != nil || !in.drain.CloseIdle(in.now, c.lastUsedAt, true) && !in.drain.CloseAfterResponse(in.now, c.acceptedAt)
+	return size > 0 || err != nil || !in.drain.ClosesPartial(in.now, c.lastUsedAt, c.acceptedAt)
 }
 
 // halfCloseIfSilent closes the sending side of a connection that is to be closed at once, and reports whether no bytes have arrived
--- a/internal/dataplane/ingress/client_delivery.go
+++ b/internal/dataplane/ingress/client_delivery.go
@@ -37,13 +37,13 @@
 }
 
 // deliveryWaitS returns for how many seconds more a half-closed connection may wait for its client, which has received nothing for stalled: in a
-// shutdown or hand-over until its end, in a drain as long as operators allow, and otherwise for clientStallTimeout.
+// drain as long as operators allow, in a shutdown or hand-over until its end, and otherwise for clientStallTimeout.
 func (in *Ingress) deliveryWaitS(stalled time.Duration) float64 {
 	switch {
-	case in.shutdown.closingClients: // its end closes all connections
-		return deliveryPollInterval.Seconds()
 	case in.drain.Active():
 		return in.drain.DeliveryRemainingS(in.now)
+	case in.shutdown.closingClients: // its end closes all connections
+		return deliveryPollInterval.Seconds()
 	}
 	return (clientStallTimeout - stalled).Seconds()
 }
@@ -89,10 +89,14 @@
 
 // deliveryLeftS returns how many seconds are left for clients to receive their answers in a drain or shutdown.
 func (in *Ingress) deliveryLeftS() float64 {
-	if in.shutdown.requested {
-		return in.shutdown.requestedAt + in.killDelayS() - expireBeforeKillS + finalWriteS - in.now
+	if !in.shutdown.requested {
+		return in.drain.DeliveryRemainingS(in.now)
+	}
+	left := in.shutdown.requestedAt + in.killDelayS() - expireBeforeKillS + finalWriteS - in.now
+	if in.drain.Active() {
+		left = min(left, in.drain.DeliveryRemainingS(in.now))
 	}
-	return in.drain.DeliveryRemainingS(in.now)
+	return left
 }
 
 // clearLag ends the consequences of a client's lag, as its connection is not to be closed any more.
--- a/internal/dataplane/ingress/client_table.go
+++ b/internal/dataplane/ingress/client_table.go
@@ -53,6 +53,9 @@
 
 func (t *clientTable) open() int { return len(t.conns) }
 
+// full reports whether no further connection can be accepted.
+func (t *clientTable) full() bool { return len(t.connPermits) == cap(t.connPermits) }
+
 // inTransfer returns the number of connections that are queued for a successor, or sent to it and not confirmed yet.
 func (t *clientTable) inTransfer() (n int) {
 	for c := range t.conns {
--- a/internal/dataplane/ingress/client_writer.go
+++ b/internal/dataplane/ingress/client_writer.go
@@ -271,9 +271,9 @@
 		in.closeClient(c, in.drainCloseReason())
 	case c.reader >= readerStopped && len(c.answerSlots) == 0:
 		in.releaseStoppedClient(c)
-	case c.callReceived && in.drain.CloseAfterResponse(in.now, c.acceptedAt) && c.fullyAnswered():
-		in.closeGracefully(c, closeDrained)
-	case in.shutdown.closingClients && in.successor.stage == handoverNone && c.fullyAnswered() && !c.lagging: // else the commands that wait are served first
+	case in.drainable(c):
+		in.closeDrainedConn(c)
+	case in.closesClients() && c.fullyAnswered() && !c.lagging: // else the commands that wait are served first
 		in.closeGracefully(c, closeShutdown)
 	default:
 		in.startNextLargeValue(c)
--- a/internal/dataplane/ingress/drain.go
+++ b/internal/dataplane/ingress/drain.go
@@ -61,7 +61,10 @@
 		in.log.Info("drain cancelled", "after", roundToMillis(in.drain.Elapsed(in.now)))
 		in.clearDrain()
 	}
-	in.acceptingClients.Store(true)
+	in.resumeAccepting()
+	if in.accept == nil && in.successor.stage == handoverNone {
+		return errNotAccepting
+	}
 	return nil
 }
 
@@ -73,36 +76,58 @@
 	in.clearLag()
 }
 
-// sweepDraining closes idle connections and, near the end of the drain, connections whose requests are all answered. Two other
-// places take part in a drain: rejectsRequests when a request arrives, and afterAnswersWritten when the answers of a connection have
-// been written.
+// sweepDraining closes connections, and stops accepting them, when the drain's schedule says so. Three other places take part in a drain:
+// rejectsRequests and endBlockedRequests when a request arrives, and afterAnswersWritten when the answers of a connection have been written.
 func (in *Ingress) sweepDraining() {
 	in.drain.sweepTimer = in.after(in.drain.NextIdleCheckS(in.now), in.sweepDraining)
 	in.drain.recordSweep(in.now)
 	in.measureLag()
+	if !in.drain.Accepts(in.now) {
+		in.endAccepting()
+	}
+	if in.drain.ClosesAll(in.now) {
+		in.abortAccepting()
+	}
 	for c := range in.clients.conns {
-		if c.lastCallAt > 0 && in.drain.CloseBlocked(in.now, c.lastCallAt) {
-			in.answerOpenRequests(c)
-		}
+		in.endBlockedRequests(c)
 		if in.drainable(c) {
-			in.closeGracefully(c, closeDrained)
+			in.closeDrainedConn(c)
 		}
 	}
 }
 
-// drainable reports whether a drain may close the connection now.
+// endBlockedRequests ends the open requests of a connection that younger ones wait behind, late in a drain.
+func (in *Ingress) endBlockedRequests(c *clientConn) {
+	if c.lastCallAt > 0 && in.drain.CloseBlocked(in.now, c.lastCallAt) {
+		in.answerOpenRequests(c)
+	}
+}
+
+// drainable reports whether a drain closes the connection now.
 func (in *Ingress) drainable(c *clientConn) bool {
-	if c.state != connOpen || !c.quiescent() || !c.silent() {
+	if !in.drain.Active() || c.state != connOpen || c.reader == readerTransferring {
 		return false
 	}
-	receiving := c.receivingCommand.Load()
-	if !c.commandReceived && !receiving {
-		return in.drain.CloseUnused(in.now, c.acceptedAt)
-	}
-	if in.drain.CloseIdle(in.now, c.lastUsedAt, receiving) && !c.lagging {
-		return true
+	return in.drain.Closes(in.now, policy.DrainedConn{
+		AcceptedAt:      c.acceptedAt,
+		UsedAt:          c.lastUsedAt,
+		AnswerOpen:      !c.idle(),
+		InputPending:    len(c.pipelinePermits) > 0 || !c.silent(),
+		Receiving:       c.receivingCommand.Load(),
+		CommandReceived: c.commandReceived,
+		RequestReceived: c.callReceived,
+		Lagging:         c.lagging,
+	})
+}
+
+// closeDrainedConn closes a connection for a drain. Late in a drain what its reader has in hand does not keep it open: the client sends again what
+// crosses the end.
+func (in *Ingress) closeDrainedConn(c *clientConn) {
+	if in.drain.ClosesAll(in.now) {
+		in.closeSendingSide(c, closeDrained)
+		return
 	}
-	return c.callReceived && in.drain.CloseAfterResponse(in.now, c.acceptedAt)
+	in.closeGracefully(c, closeDrained)
 }
 
 // answerOpenRequests gives each open request of a connection its final answer now: a rejection if a retry by the client is harmless,
--- a/internal/dataplane/ingress/drain_log.go
+++ b/internal/dataplane/ingress/drain_log.go
@@ -32,7 +32,7 @@
 func (in *Ingress) logOpenConns() {
 	in.log.Warn("drain time is over", "connections", in.clients.open(), "requests", len(in.requests), "looks", in.drain.sweeps,
 		"longest_gap", roundToMillis(in.drain.longestSweepGapS), "pings", in.drain.rejectedPings, "pings_behind_answers", in.drain.rejectedPingsQueued,
-		"accepted", in.counters.accepted-in.drain.acceptedBefore, "accept_queue", in.acceptQueueLength(), "loop_lag", roundToMillis(in.clock.Now()-in.now))
+		"accepted", in.counters.accepted-in.drain.acceptedBefore, "accept_queue", acceptQueueLength(in.listener), "loop_lag", roundToMillis(in.clock.Now()-in.now))
 	lines := 0
 	for c := range in.clients.conns {
 		if lines++; lines > maxDrainLogLines {
@@ -44,15 +44,6 @@
 	}
 }
 
-// acceptQueueLength returns the number of clients' connections that the kernel has accepted and this process has not, or -1 if it is not known.
-func (in *Ingress) acceptQueueLength() int {
-	raw, err := in.listener.SyscallConn()
-	if err != nil {
-		return -1
-	}
-	return sockets.AcceptQueueLength(raw)
-}
-
 // waitingAnswerBytes returns the length of the final answers that wait behind others, without the batch or value that is being written.
 func (c *clientConn) waitingAnswerBytes() (n int) {
 	for _, slot := range c.answerSlots {
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"net"
 	"os"
 	"syscall"
-	"time"
 
 	"eiderspread/internal/dataplane/hotrestart"
 	"eiderspread/internal/decision/snapshot"
@@ -26,7 +27,6 @@
 	link        *hotrestart.Link
 	stage       handoverStage
 	features    byte            // what the successor accepts, as in the body of Ready
-	pauseAccept chan struct{}   // closed to stop acceptLoop
 	transfers   chan transfer   // queue of sendToSuccessor; has room for every client connection, each of which is queued once at most
 	events      chan []byte     // queue of sendToSuccessor; nil before the hand-over is active
 	transferred int             // connections
@@ -74,7 +74,11 @@
 		in.Post(func(float64) { in.logFault("hand-over rejected: the new process sent no hello of this version") })
 		return
 	}
-	sockets := []syscall.Conn{in.listener}
+	var listener *net.TCPListener
+	if in.onLoop(context.Background(), func() error { listener = in.listener; return nil }) != nil {
+		return
+	}
+	sockets := []syscall.Conn{listener}
 	if in.peers != nil {
 		sockets = append(sockets, in.peers.conn)
 	}
@@ -109,15 +113,21 @@
 	in.successor.link, in.successor.stage, in.successor.features = link, handoverPausing, features
 	in.acceptingClients.Store(false)
 	in.clearDrain()
-	close(in.successor.pauseAccept)
+	if in.accept == nil { // for a drain: the successor takes clients
+		if err := in.startListening(); err != nil {
+			in.logFault("no connections are accepted for the new process", "error", err)
+		}
+		in.startTransfers()
+		return
+	}
+	close(in.accept.pause)
 	setAcceptDeadline(in.listener, expiredDeadline)
 }
 
-// startTransfers has the successor proceed, and starts to transfer idle connections. pause is the channel that stopped acceptLoop: a call
-// for an earlier hand-over is ignored.
-func (in *Ingress) startTransfers(pause chan struct{}) {
+// startTransfers has the successor proceed, and starts to transfer idle connections. It has no effect if the hand-over has ended meanwhile.
+func (in *Ingress) startTransfers() {
 	s := &in.successor
-	if s.stage != handoverPausing || s.pauseAccept != pause {
+	if s.stage != handoverPausing {
 		return
 	}
 	s.stage = handoverActive
@@ -300,7 +310,7 @@
 	} else {
 		in.restoreSnapshot(snapshot.Reclaimed(s.snapshot))
 	}
-	in.successor = successorState{listener: s.listener, pauseAccept: make(chan struct{})}
+	in.successor = successorState{listener: s.listener}
 	if events != nil {
 		close(events) // ends sendToSuccessor; no send can follow, as only the loop queues events, in the channel of in.successor
 	}
@@ -329,7 +339,5 @@
 		return
 	}
 	in.shutdown.closingClients = false
-	setAcceptDeadline(in.listener, time.Time{})
-	in.acceptingClients.Store(true)
-	go in.acceptLoop(in.listener, in.successor.pauseAccept)
+	in.resumeAccepting()
 }
--- a/internal/dataplane/ingress/ingress.go
+++ b/internal/dataplane/ingress/ingress.go
@@ -50,6 +50,9 @@
 	endLimiter    logLimiter // of the lines on attempts that got no whole reply: these must not displace lines on faults
 
 	listener         *net.TCPListener
+	listening        bool          // the kernel accepts connections on it, as far as is known
+	listenerClosed   bool          // the listener is closed, and its address not kept
+	accept           *acceptRun    // accepts connections; nil: none are accepted
 	acceptFor        time.Duration // how long after SIGTERM new connections are still accepted
 	acceptingClients atomic.Bool   // whether this process is ready for clients; any goroutine may use it
 	clients          clientTable
@@ -145,7 +148,6 @@
 	in.watcher = in.newWatcher()
 	in.classes, in.maxAttempts = cfg.Settings.Classes, cfg.Settings.MaxAttempts
 	in.schema.Store(callprotocol.NewSchema(cfg.Settings.Settings))
-	in.successor.pauseAccept = make(chan struct{})
 	if err := in.openListener(); err != nil {
 		return nil, err
 	}
@@ -175,6 +177,7 @@
 	addr, err := net.ResolveTCPAddr("tcp", in.cfg.Listen)
 	if err == nil {
 		in.listener, err = net.ListenTCP("tcp", addr)
+		in.listening = err == nil
 	}
 	switch {
 	case errors.Is(err, syscall.EADDRINUSE) && notFound != nil:
@@ -266,8 +269,8 @@
 	go in.watchDiscovery(background, reread)
 	in.every(countsInterval, in.logCounts)
 	in.every(listAgeInterval, func() { in.logListAge(in.EndpointListAge()) })
-	in.acceptingClients.Store(true)
-	go in.acceptLoop(in.listener, in.successor.pauseAccept)
+	in.now = max(in.now, in.clock.Now())
+	in.resumeAccepting()
 	if in.predecessor != nil {
 		go in.receiveTransfers(in.predecessor)
 	}
--- a/internal/dataplane/ingress/request.go
+++ b/internal/dataplane/ingress/request.go
@@ -96,6 +96,7 @@
 	// At the end of a shutdown this is the connection's last answer: a client that sends the next request at once would keep it open until it
 	// is reset.
 	in.answerImmediately(c, answer, in.shutdown.expired)
+	in.endBlockedRequests(c)
 	return true
 }
 
--- a/internal/dataplane/ingress/send_guard.go
+++ b/internal/dataplane/ingress/send_guard.go
@@ -145,8 +145,11 @@
 		return
 	}
 	for c := range in.clients.conns {
-		if in.drain.Overdue(in.now, c.acceptedAt, c.lastUsedAt, c.lastRequestAt, c.idle()) && c.state != connClosing {
+		if in.drain.Overdue(in.now, c.lastCallAt, c.idle()) && c.state != connClosing {
 			in.reportViolation(policy.OpenAfterDrain, "conn", c.connID, "idle", c.idle(), "requests", c.requestCount)
 		}
 	}
+	if n := acceptQueueLength(in.listener); in.accept != nil || n > 0 {
+		in.reportViolation(policy.OpenAfterDrain, "accepting", in.accept != nil, "accept_queue", n)
+	}
 }
--- a/internal/dataplane/ingress/shutdown.go
+++ b/internal/dataplane/ingress/shutdown.go
@@ -1,9 +1,6 @@
 package ingress
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "time"
 
 const (
 	// acceptAfterSIGTERM is how long after SIGTERM new connections are accepted: clients open them for up to 0.4 s after a planned restart is
@@ -29,10 +26,6 @@
 	requestedAt    float64
 	closingClients bool // no new connections are accepted; an open one closes, or is transferred, once everything on it is answered
 	expired        bool // all open requests have failed; new requests are rejected
-
-	// The listener closes once the kernel's accept queue is empty: closing it earlier would reset the connections in the queue.
-	drainingAcceptQueue atomic.Bool // set by the loop, read by acceptLoop
-	acceptQueuePending  bool        // acceptLoop has not found the queue empty yet
 }
 
 // requestShutdown starts a shutdown. New connections are accepted for another acceptFor.
@@ -50,7 +43,7 @@
 
 // shutdownComplete reports whether the loop may end.
 func (in *Ingress) shutdownComplete() bool {
-	return in.shutdown.closingClients && in.clients.open() == 0 && !in.shutdown.acceptQueuePending && !in.mustAwaitPredecessor()
+	return in.shutdown.closingClients && in.clients.open() == 0 && in.accept == nil && !in.mustAwaitPredecessor()
 }
 
 // killDelayS returns how many seconds after SIGTERM the process may be killed at the earliest.
@@ -62,33 +55,41 @@
 	return min(longest, maxKillDeadlineS) + killMarginS
 }
 
-// stopAccepting stops accepting new connections, except those in the kernel's accept queue, and starts to close idle connections.
+// stopAccepting stops accepting new connections, except those in the kernel's accept queue, and starts to close idle connections once that
+// queue is empty: clients whose connections close come again at once.
 func (in *Ingress) stopAccepting() {
-	listenerPaused := in.shutdown.closingClients || in.successor.stage != handoverNone // acceptLoop was stopped for a successor
 	in.shutdown.closingClients = true
 	in.acceptingClients.Store(false)
-	if !listenerPaused {
-		in.shutdown.drainingAcceptQueue.Store(true)
-		in.shutdown.acceptQueuePending = true
-		setAcceptDeadline(in.listener, time.Now().Add(acceptQueuePoll))
+	if in.accept != nil && in.successor.stage == handoverNone {
+		in.endAccepting()
 	} else {
 		in.listener.Close() // the successor has its own descriptor
 	}
-	in.every(closeIdleInterval, func() {
-		if in.successor.stage == handoverNone { // else idle connections are transferred to the successor
-			in.clients.closeIdle(in)
-		}
-	})
-	in.clients.closeIdle(in)
+	in.every(closeIdleInterval, in.closeIdleClients)
+	in.closeIdleClients()
 	if in.successor.stage != handoverActive { // else the hand-over's timer calls expireShutdown
 		in.after(max(in.killDelayS()-expireBeforeKillS-acceptAfterSIGTERM.Seconds(), 0), in.expireShutdown)
 	}
 }
 
+// closeIdleClients closes idle connections. In a hot restart they are transferred to the successor instead.
+func (in *Ingress) closeIdleClients() {
+	if in.closesClients() {
+		in.clients.closeIdle(in)
+	}
+}
+
+// closesClients reports whether connections are closed for a shutdown as soon as all on them is answered: once no others are accepted, or to
+// make room for those that wait in the accept queue.
+func (in *Ingress) closesClients() bool {
+	return in.shutdown.closingClients && in.successor.stage == handoverNone && (in.accept == nil || in.clients.full())
+}
+
 // expireShutdown ends a shutdown or hand-over that takes too long. All open requests fail, and the remaining connections close finalWriteS
 // later, so that clients can still read these errors and the answers written before.
 func (in *Ingress) expireShutdown() {
 	in.shutdown.expired = true
+	in.abortAccepting()
 	in.logOpenConns()
 	in.failOpenRequests()
 	for c := range in.clients.conns {
@@ -97,7 +98,6 @@
 		}
 	}
 	in.after(finalWriteS, func() {
-		in.shutdown.acceptQueuePending = false
 		for c := range in.clients.conns {
 			in.closeClient(c, closeShutdownEnd)
 		}
--- a/policy/drain.go
+++ b/policy/drain.go
@@ -6,16 +6,19 @@
 //
 // Operators allow 4 s for a drain. At its end no connection may be idle, or have an open request that is
 // younger than 2 s. If a connection closes while a request is on its way, the client has to send the request
-// again. Therefore as few connections as possible are closed, and those in use are closed last. In seconds
-// from Begin:
+// again. Therefore as few connections as possible are closed, and those in use are closed last. A client
+// whose connection closes may come again at once. Therefore connections are accepted no longer when those in
+// use are closed, and no end waits for a moment in which a client pauses. In seconds from Begin:
 //
 //	0    to 0.5  all requests are served, because new connections still arrive
-//	0.5  on      idle connections are closed
+//	0.5  to 3.1  idle connections are closed
 //	1.9  on      requests are rejected
-//	3.4  on      connections that have sent nothing are closed with a rejection; a connection that was opened
-//	             before is closed as soon as all of its requests are answered
+//	3.1  to 3.4  no connection is closed, so that few clients come again while the accept queue is emptied
+//	3.3  on      no connection is accepted
+//	3.4  on      connections that have sent nothing are closed with a rejection; the others are closed as soon
+//	             as all of their requests are answered
 //	3.6  on      a request is ended if younger ones wait behind it on its connection
-//	3.9  on      connections opened later are closed in the same way, unless they are new
+//	3.7  on      each connection is closed on which no request is open, whatever is on its way
 //
 // The zero value is an inactive drain. Times are in Unix seconds.
 type Drain struct {
@@ -28,22 +31,37 @@
 	drainNoticeS = 0.5 // until then new connections are expected
 	// From then on requests are rejected, because they could be less than drainRecentS old at the end.
 	drainRejectS         = 1.9
+	drainQuietS          = 3.1 // from then until drainCloseUnusedS no connection is closed
+	drainStopAcceptingS  = 3.3 // from then on no connection is accepted
 	drainCloseUnusedS    = 3.4 // until then connections that have sent nothing stay open
-	drainCloseNewestS    = 3.7 // from then on those that were opened a moment ago are closed too
 	drainPartialRequestS = 3.5 // until then connections with a partly received request stay open
 	// From then on no request that could be less than drainRecentS old at the end may wait behind another one.
 	drainCloseBlockedS       = 3.6
-	drainCloseAfterResponseS = 3.4  // from then on connections in use are closed that were opened before
-	drainCloseReturnedS      = 3.9  // from then on those are closed that were opened later
-	drainCloseUndeliveredS   = 3.95 // until then a closed connection waits for its client
-	drainEndS                = 4.0  // the time that operators allow for a drain
-	drainRecentS             = 2.0  // age in seconds below which no request may be open at the end
-	drainIdleGraceS          = 0.15 // seconds that a connection stays idle, so that its client reads the answer
-	drainReturnGraceS        = 0.1  // seconds for which a new connection stays open, see CloseAfterResponse
-	drainRetryAfterS         = 0.2  // seconds, retry hint for the client of a rejected request
-	drainCheckIntervalS      = 0.1  // seconds between two checks for idle connections
+	drainCloseAfterResponseS = 3.4 // from then on connections in use are closed
+	// From then on all connections without an open request are closed. A process may be late by maxStallS, and
+	// by drainCheckIntervalS until it looks.
+	drainCloseAllS         = 3.7
+	drainCloseUndeliveredS = 3.95 // until then a closed connection waits for its client
+	drainEndS              = 4.0  // the time that operators allow for a drain
+	drainRecentS           = 2.0  // age in seconds below which no request may be open at the end
+	drainIdleGraceS        = 0.15 // seconds that a connection stays idle, so that its client reads the answer
+	drainReturnGraceS      = 0.1  // seconds for which a new connection stays open, see closeAfterResponse
+	drainRetryAfterS       = 0.2  // seconds, retry hint for the client of a rejected request
+	drainCheckIntervalS    = 0.1  // seconds between two checks for idle connections
 )
 
+// DrainedConn is what a drain has to know of a client's connection.
+type DrainedConn struct {
+	AcceptedAt      float64
+	UsedAt          float64 // when a request was accepted or an answer became final; initially AcceptedAt
+	AnswerOpen      bool    // the client is owed an answer
+	InputPending    bool    // bytes or commands have arrived that are not processed
+	Receiving       bool    // a part of a command has arrived
+	CommandReceived bool
+	RequestReceived bool // one of the commands was a request
+	Lagging         bool // see ClientLags
+}
+
 // A client lags if its answers are undelivered for clientLagS seconds, which is longer than a round trip, or
 // for clientLagFraction of the time that is left.
 const (
@@ -93,43 +111,67 @@
 	return max(0, drainCloseUndeliveredS-d.Elapsed(now))
 }
 
-// CloseIdle reports whether to close a connection that has no complete open request and was last used at
+// Resume continues a drain that began elapsedS before now, in this process or in the one that it replaces.
+func (d *Drain) Resume(now, elapsedS float64) { *d = Drain{active: true, startedAt: now - elapsedS} }
+
+// Accepts reports whether new connections are accepted.
+func (d *Drain) Accepts(now float64) bool { return d.Elapsed(now) < drainStopAcceptingS }
+
+// UntilBlockedS returns the seconds until CloseBlocked may close a connection, at least 0.
+func (d *Drain) UntilBlockedS(now float64) float64 { return max(0, drainCloseBlockedS-d.Elapsed(now)) }
+
+// Closes reports whether to close a connection now.
+func (d *Drain) Closes(now float64, c DrainedConn) bool {
+	switch {
+	case !d.active || c.AnswerOpen:
+		return false
+	case d.ClosesAll(now):
+		return true
+	case c.InputPending:
+		return false
+	case !c.CommandReceived && !c.Receiving:
+		return d.closeUnused(now, c.AcceptedAt)
+	case d.closeIdle(now, c.UsedAt, c.Receiving) && !c.Lagging:
+		return true
+	}
+	return c.RequestReceived && d.closeAfterResponse(now, c.AcceptedAt)
+}
+
+// ClosesAll reports whether each connection without an open request is to be closed, whatever is on its way.
+func (d *Drain) ClosesAll(now float64) bool { return d.active && now-d.startedAt >= drainCloseAllS }
+
+// ClosesPartial reports whether to close a connection, last used at usedAt, on which a part of a command has
+// arrived and nothing else is open.
+func (d *Drain) ClosesPartial(now, usedAt, acceptedAt float64) bool {
+	return d.closeIdle(now, usedAt, true) || d.closeAfterResponse(now, acceptedAt) || d.ClosesAll(now)
+}
+
+// closeIdle reports whether to close a connection that has no complete open request and was last used at
 // usedAt. receiving means that a part of a request has arrived on it. Such a connection stays open longer,
 // until drainPartialRequestS: its client writes slowly, and may still be answered in time.
-func (d *Drain) CloseIdle(now, usedAt float64, receiving bool) bool {
-	from := drainNoticeS
+func (d *Drain) closeIdle(now, usedAt float64, receiving bool) bool {
+	elapsed := now - d.startedAt
+	if !d.active || now-usedAt <= drainIdleGraceS || elapsed >= drainQuietS && elapsed < drainCloseUnusedS {
+		return false
+	}
 	if receiving {
-		from = drainPartialRequestS
+		return elapsed >= drainPartialRequestS
 	}
-	return d.active && now-d.startedAt >= from && now-usedAt > drainIdleGraceS
+	return elapsed >= drainNoticeS
 }
 
-// CloseUnused reports whether to close a connection, accepted at acceptedAt, on which no part of a request
+// closeUnused reports whether to close a connection, accepted at acceptedAt, on which no part of a request
 // has arrived yet. Its client may be about to send its first request, and must read a rejection before the
-// end: a connection that ends before its first answer may have lost that request. From
-// drainCloseNewestS on even the newest connection is closed, because it would otherwise stay beyond the end
-// of the drain.
-func (d *Drain) CloseUnused(now, acceptedAt float64) bool {
-	elapsed := now - d.startedAt
-	if !d.active || elapsed < drainCloseUnusedS {
-		return false
-	}
-	return elapsed >= drainCloseNewestS || now-acceptedAt > drainIdleGraceS
+// end: a connection that ends before its first answer may have lost that request.
+func (d *Drain) closeUnused(now, acceptedAt float64) bool {
+	return d.active && now-d.startedAt >= drainCloseUnusedS && now-acceptedAt > drainIdleGraceS
 }
 
-// CloseAfterResponse reports whether to close a connection, accepted at acceptedAt, once all of its requests
-// are answered. Requests that cross its end are sent again on a new connection, and must not cross a second
-// end. Therefore every connection stays open for drainReturnGraceS, and one that was opened after the first
-// ones in use were closed almost until the end of the drain.
-func (d *Drain) CloseAfterResponse(now, acceptedAt float64) bool {
-	elapsed := now - d.startedAt
-	switch {
-	case !d.active || elapsed < drainCloseAfterResponseS || now-acceptedAt < drainReturnGraceS:
-		return false
-	case acceptedAt-d.startedAt < drainCloseAfterResponseS:
-		return true
-	}
-	return elapsed >= drainCloseReturnedS
+// closeAfterResponse reports whether to close a connection, accepted at acceptedAt, once all of its requests
+// are answered. Requests that cross its end are sent again elsewhere. A connection stays open for
+// drainReturnGraceS: on it a client may send again what has crossed an earlier end.
+func (d *Drain) closeAfterResponse(now, acceptedAt float64) bool {
+	return d.active && now-d.startedAt >= drainCloseAfterResponseS && now-acceptedAt >= drainReturnGraceS
 }
 
 // CloseBlocked reports whether to end the open requests of a connection because its last request, sent at
@@ -140,16 +182,10 @@
 		lastRequestAt-d.startedAt > drainEndS-drainRecentS-maxStallS
 }
 
-// Overdue reports whether a connection breaks the operators' rule after the time that they allow: it is
-// idle, and was not opened or used a moment ago, or its last request is less than drainRecentS old.
-func (d *Drain) Overdue(now, acceptedAt, usedAt, lastRequestAt float64, idle bool) bool {
-	switch {
-	case !d.active || now-d.startedAt < drainEndS:
-		return false
-	case idle:
-		return now-max(acceptedAt, usedAt) > drainIdleGraceS+2*drainCheckIntervalS
-	}
-	return now-lastRequestAt < drainRecentS
+// Overdue reports whether an open connection breaks the operators' rule after the time that they allow: it is
+// idle, or its last request, sent at lastRequestAt, is less than drainRecentS old. A new one is no exception.
+func (d *Drain) Overdue(now, lastRequestAt float64, idle bool) bool {
+	return d.active && now-d.startedAt >= drainEndS && (idle || now-lastRequestAt < drainRecentS)
 }
 
 // RejectRequest reports whether to reject a request that arrives now, and after how many seconds its client
