Hot restart: a process without clients ends only once it has sent its state

Traced: "shutdown complete" within 1 ms of "hand-over to a new process begins", then "the old process does not hand over: EOF".

Change: the loop goes on until the first messages are sent, or the hand-over expires, or its link is lost.

Test: TestHotRestart_ProcessWithoutClientsSendsItsState, which fails with the guard taken out.

--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -31,6 +31,7 @@
 	transfers   chan transfer   // queue of sendToSuccessor; has room for every client connection, each of which is queued once at most
 	events      chan []byte     // queue of sendToSuccessor; nil before the hand-over is active
 	drain       policy.Drain    // goes on at the successor, or here if the successor dies
+	proceeded   bool            // the successor has been sent the first messages, up to Proceed
 	transferred int             // connections
 	snapshot    []snapshot.Part // sent to the successor
 	endTimer    *timer          // ends a hand-over that takes too long
@@ -261,6 +262,9 @@
 // goroutine that sends on the link. If a send fails it closes the link, and the receiving goroutine reports the end.
 func (in *Ingress) sendToSuccessor(link *hotrestart.Link, first handoverMessages, transfers <-chan transfer, events <-chan []byte) {
 	err := first.send(link)
+	if err == nil {
+		in.post(in.clock.Now(), func() { in.handleProceeded(link) })
+	}
 	for err == nil {
 		select {
 		case <-in.done:
@@ -279,6 +283,18 @@
 	link.Close()
 }
 
+// handleProceeded records that the successor has what it needs to serve.
+func (in *Ingress) handleProceeded(link *hotrestart.Link) {
+	if in.successor.link == link {
+		in.successor.proceeded = true
+	}
+}
+
+// mustProceed reports whether this process has to keep running to send a successor its state.
+func (in *Ingress) mustProceed() bool {
+	return in.successor.stage == handoverActive && !in.successor.proceeded && !in.shutdown.expired
+}
+
 // sendSnapshot sends the parts of a snapshot. Classes and backends, which all parts have, are sent with the first part only.
 func sendSnapshot(link *hotrestart.Link, parts []snapshot.Part) error {
 	for i, part := range parts {
--- a/internal/dataplane/ingress/hot_restart_test.go
+++ b/internal/dataplane/ingress/hot_restart_test.go
@@ -340,3 +340,20 @@
 	r.waitFor("the death is handled", func() bool { return r.ingress.successor.stage == handoverNone })
 	r.waitFor("the sender has ended", func() bool { return senders() <= before })
 }
+
+// Guards against a process without clients that ends before it has sent its successor its state, which then serves without it, or not at all
+// (found with report cd2502 in upgrades late in a drain).
+func TestHotRestart_ProcessWithoutClientsSendsItsState(t *testing.T) {
+	r := startIngress(t, adminConfig(t, "127.0.0.1:1"), nil)
+	r.onLoop(func() {
+		r.ingress.shutdown.closingClients, r.ingress.accept = true, nil
+		r.ingress.successor.stage = handoverActive
+		if r.ingress.shutdownComplete() {
+			t.Error("the process ends before it has sent its state")
+		}
+		r.ingress.handleProceeded(r.ingress.successor.link)
+		if !r.ingress.shutdownComplete() {
+			t.Error("the process goes on although it has sent its state and has no clients")
+		}
+	})
+}
--- a/internal/dataplane/ingress/shutdown.go
+++ b/internal/dataplane/ingress/shutdown.go
@@ -43,7 +43,7 @@
 
 // shutdownComplete reports whether the loop may end.
 func (in *Ingress) shutdownComplete() bool {
-	return in.shutdown.closingClients && in.clients.open() == 0 && in.accept == nil && !in.mustAwaitPredecessor()
+	return in.shutdown.closingClients && in.clients.open() == 0 && in.accept == nil && !in.mustAwaitPredecessor() && !in.mustProceed()
 }
 
 // killDelayS returns how many seconds after SIGTERM the process may be killed at the earliest.
