A drain goes on at the old process of a hot restart whose new process dies

Cause: the hand-over ended the drain, and the old process took clients again once its successor was lost.

Change: the drain that the predecessor keeps for its successor is resumed by its first call's time, with a look at once, before anything is accepted.

The testbed kills such a successor after up to 0.3 s, as a drained one is never ready; a reset within an answer is told from an orderly end within one, so that a killed process is excused and an orderly end never is. Where the old process had ended by then, the new one is drained anew.

--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -373,7 +373,7 @@
 	}
 	in.log.Error("link to the new process lost: this process continues to serve", "transferred", s.transferred,
 		"transfers_unconfirmed", in.clients.inTransfer(), "requests_taken_back", len(in.requests))
-	stageBefore := s.stage
+	stageBefore, drain := s.stage, s.drain
 	events := s.events
 	in.stopTimer(s.endTimer)
 	if _, migrated := in.decider.(*eventRelay); migrated {
@@ -410,5 +410,8 @@
 		return
 	}
 	in.shutdown.closingClients = false
+	if drain.Active() {
+		in.resumeDrain(drain.StartedAt())
+	}
 	in.resumeAccepting()
 }
--- a/internal/testbed/hostile/case_drain.go
+++ b/internal/testbed/hostile/case_drain.go
@@ -18,6 +18,7 @@
 	activateTime       = 2 * time.Second        // for an ingress to accept clients after operators activate it
 	stallTime          = 150 * time.Millisecond // for which an ingress may be held up
 	stallPause         = 200 * time.Millisecond // between two times for which it is held up
+	longestSuccessor   = 300 * time.Millisecond // lifetime of a process that is killed before it has taken over
 	latestDrainEvent   = 3800 * time.Millisecond
 	maxDrainEvents     = 3
 	drainSoakStream    = 83
@@ -191,14 +192,18 @@
 	}
 }
 
-// failUpgrade starts an upgrade whose new process is killed. Clients whose connections it had read a reset.
+// failUpgrade starts an upgrade whose new process is killed. Clients whose connections it had read a reset. If the old process has ended by then,
+// the program is started anew, and is not drained.
 func (d *drainRun) failUpgrade() {
+	before := d.rig.ingress().Incarnation()
 	d.crashes.Store(true)
 	defer time.AfterFunc(stallPause, func() { d.crashes.Store(false) })
-	err := d.rig.ingress().ReplaceAndKillSuccessor(func() { time.Sleep(time.Duration(d.rng.Int64N(int64(stallPause)))) })
-	if err != nil {
+	if err := d.rig.ingress().ReplaceAndKillSuccessorAfter(time.Duration(d.rng.Int64N(int64(longestSuccessor)))); err != nil {
 		d.res.breach("upgrade that fails: %v", err)
 	}
+	if d.rig.ingress().Incarnation() != before {
+		d.drain()
+	}
 }
 
 func (d *drainRun) terminateInBackground() {
--- a/internal/testbed/hostile/case_pipeline.go
+++ b/internal/testbed/hostile/case_pipeline.go
@@ -358,8 +358,10 @@
 		return err
 	}
 	value := make([]byte, size+len("\r\n"))
-	if _, err := io.ReadFull(k.reader, value); err != nil {
+	if _, err := io.ReadFull(k.reader, value); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return errPartAnswer
+	} else if err != nil {
+		return err
 	}
 	if d.res.count(Served); string(value[:size]) != valueOf(first.request.ID, size) {
 		d.res.breach("%s is served with the value of another request", first.request.ID)
--- a/internal/testbed/operators.go
+++ b/internal/testbed/operators.go
@@ -112,6 +112,17 @@
 // ReplaceAndKillSuccessor starts a successor, calls meanwhile when it is ready or after half of replaceTimeout, and kills it. The predecessor
 // goes on; the method returns when the predecessor accepts clients again.
 func (p *Proc) ReplaceAndKillSuccessor(meanwhile func()) error {
+	return p.replaceAndKill(func() { p.waitReady(replaceTimeout / 2); meanwhile() }, func() bool { return p.waitReady(replaceTimeout / 2) })
+}
+
+// ReplaceAndKillSuccessorAfter starts a successor and kills it after a time. Other than ReplaceAndKillSuccessor, it is for a program that is drained,
+// which is never ready.
+func (p *Proc) ReplaceAndKillSuccessorAfter(lifetime time.Duration) error {
+	return p.replaceAndKill(func() { time.Sleep(lifetime) }, p.Up)
+}
+
+// replaceAndKill starts a successor, calls meanwhile and kills it. goesOn then reports whether the predecessor goes on.
+func (p *Proc) replaceAndKill(meanwhile func(), goesOn func() bool) error {
 	p.mu.Lock()
 	old, exited, paused, replacements := p.running, p.exited, p.paused, p.replacements
 	p.replacements++
@@ -121,7 +132,6 @@
 	}
 	err := p.start(false)
 	if err == nil {
-		p.waitReady(replaceTimeout / 2)
 		meanwhile()
 		p.Kill()
 	}
@@ -133,7 +143,7 @@
 	p.mu.Lock()
 	p.running, p.exited, p.paused, p.replacements = old, exited, paused, replacements
 	p.mu.Unlock()
-	if err == nil && !p.waitReady(replaceTimeout/2) {
+	if err == nil && !goesOn() {
 		if !p.Up() { // it had handed over everything, and was still ending when its successor was killed
 			return p.startAndWait()
 		}
