--- /dev/null
+++ b/internal/dataplane/ingress/hot_restart_drain.go
@@ -0,0 +1,54 @@
+package ingress
+
+import (
+	"eiderspread/internal/dataplane/hotrestart"
+	"eiderspread/internal/dataplane/sockets"
+)
+
+// A drain is of the ingress, not of a process: a successor goes on with it.
+
+// takesDrain reports whether the successor goes on with a drain.
+func (s *successorState) takesDrain() bool { return s.features&hotrestart.TakesDrain != 0 }
+
+// listenForOldSuccessor has the listener listen for a successor that takes clients whether or not its predecessor drained.
+func (in *Ingress) listenForOldSuccessor() {
+	if err := in.startListening(); err != nil {
+		in.logFault("no connections are accepted for the new process", "error", err)
+	}
+}
+
+// leaveDrainToSuccessor closes this process's copy of the listener, so that the kernel refuses connections once the successor closes its own, and
+// ends late in the drain the requests that commands in unread input wait behind: their connections go to the successor, which rejects these.
+func (in *Ingress) leaveDrainToSuccessor() {
+	in.listener.Close()
+	in.listening, in.listenerClosed = false, true
+	link := in.successor.link
+	in.after(in.successor.drain.UntilBlockedS(in.now), func() {
+		if in.successor.link != link {
+			return
+		}
+		for c := range in.clients.conns {
+			if c.reader >= readerStopped && (c.input.Len() > 0 || !c.silent()) {
+				in.answerOpenRequests(c)
+			}
+		}
+	})
+}
+
+// continueDrain continues the predecessor's drain, if there is one. A listener on which the predecessor has not yet stopped accepting is emptied
+// and closed once the schedule says so.
+func (in *Ingress) continueDrain(p *predecessorState) {
+	if p.drainedAt == 0 {
+		return
+	}
+	in.resumeDrain(p.drainedAt + in.timeShiftS(p))
+	raw, err := in.listener.SyscallConn()
+	if err != nil || in.drain.Accepts(in.now) || !sockets.Listens(raw) {
+		return // resumeAccepting does what is due
+	}
+	in.listening = true
+	if err := in.startAccepting(); err != nil {
+		in.logFault("accept queue not emptied", "error", err)
+	}
+	in.endAccepting()
+}
--- a/internal/dataplane/ingress/hot_restart_predecessor.go
+++ b/internal/dataplane/ingress/hot_restart_predecessor.go
@@ -9,7 +9,6 @@
 
 	"eiderspread/internal/dataplane/hotrestart"
 	"eiderspread/internal/dataplane/ingressconfig"
-	"eiderspread/internal/dataplane/sockets"
 	"eiderspread/internal/decision/snapshot"
 )
 
@@ -178,24 +177,6 @@
 	return nil
 }
 
-// continueDrain continues the predecessor's drain, if there is one. A listener on which the predecessor has not yet stopped accepting is emptied
-// and closed once the schedule says so.
-func (in *Ingress) continueDrain(p *predecessorState) {
-	if p.drainedAt == 0 {
-		return
-	}
-	in.resumeDrain(p.drainedAt + in.timeShiftS(p))
-	raw, err := in.listener.SyscallConn()
-	if err != nil || in.drain.Accepts(in.now) || !sockets.Listens(raw) {
-		return // resumeAccepting does what is due
-	}
-	in.listening = true
-	if err := in.startAccepting(); err != nil {
-		in.logFault("accept queue not emptied", "error", err)
-	}
-	in.endAccepting()
-}
-
 // restoreSnapshot has the decider continue from the parts of a snapshot. A decider that takes no snapshots ignores them.
 func (in *Ingress) restoreSnapshot(parts []snapshot.Part) {
 	if d, ok := in.decider.(MigratingDecider); ok {
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -128,34 +128,6 @@
 	setAcceptDeadline(in.listener, expiredDeadline)
 }
 
-// takesDrain reports whether the successor goes on with a drain.
-func (s *successorState) takesDrain() bool { return s.features&hotrestart.TakesDrain != 0 }
-
-// listenForOldSuccessor has the listener listen for a successor that takes clients whether or not its predecessor drained.
-func (in *Ingress) listenForOldSuccessor() {
-	if err := in.startListening(); err != nil {
-		in.logFault("no connections are accepted for the new process", "error", err)
-	}
-}
-
-// leaveDrainToSuccessor closes this process's copy of the listener, so that the kernel refuses connections once the successor closes its own, and
-// ends late in the drain the requests that commands in unread input wait behind: their connections go to the successor, which rejects these.
-func (in *Ingress) leaveDrainToSuccessor() {
-	in.listener.Close()
-	in.listening, in.listenerClosed = false, true
-	link := in.successor.link
-	in.after(in.successor.drain.UntilBlockedS(in.now), func() {
-		if in.successor.link != link {
-			return
-		}
-		for c := range in.clients.conns {
-			if c.reader >= readerStopped && (c.input.Len() > 0 || !c.silent()) {
-				in.answerOpenRequests(c)
-			}
-		}
-	})
-}
-
 // startTransfers has the successor proceed, and starts to transfer idle connections. It has no effect if the hand-over has ended meanwhile.
 func (in *Ingress) startTransfers() {
 	s := &in.successor
--- a/internal/testbed/client_conn.go
+++ b/internal/testbed/client_conn.go
@@ -69,7 +69,7 @@
 	for k := range c.openConns {
 		switch {
 		case k.forwarder != forwarder || k.closedByPeer():
-		case !k.awaitingReply && time.Since(k.idleSince) > recent/4: // a connection that is idle for less may be closing right now
+		case !k.awaitingReply:
 			overdue[k] = "idle"
 		case k.awaitingReply && time.Since(k.sentAt) < recent:
 			overdue[k] = "with a request sent " + time.Since(k.sentAt).Round(time.Millisecond).String() + " ago"
--- a/internal/testbed/hostile/case_drain.go
+++ b/internal/testbed/hostile/case_drain.go
@@ -79,20 +79,20 @@
 	slices.Sort(times)
 	began := d.drainedAt
 	for _, at := range times {
-		d.suffer(drainFaults[d.rng.IntN(len(drainFaults))], began.Add(at))
+		d.inject(drainFaults[d.rng.IntN(len(drainFaults))], began.Add(at))
 	}
-	d.judge()
+	d.checkAndActivate()
 }
 
 // play drains the ingress, with a fault after a time.
 func (d *drainRun) play(f drainFault, after time.Duration) {
 	d.drain()
-	d.suffer(f, d.drainedAt.Add(after))
-	d.judge()
+	d.inject(f, d.drainedAt.Add(after))
+	d.checkAndActivate()
 }
 
-// suffer has a fault happen at a time, unless the process is ending.
-func (d *drainRun) suffer(f drainFault, at time.Time) {
+// inject has a fault happen at a time, unless the process is ending.
+func (d *drainRun) inject(f drainFault, at time.Time) {
 	time.Sleep(time.Until(at))
 	if d.ended != nil {
 		return
@@ -107,10 +107,10 @@
 	d.drainedAt = time.Now()
 }
 
-// judge looks at the clients' sockets at the end of the drain, whatever the process believes, and activates the ingress.
-func (d *drainRun) judge() {
+// checkAndActivate looks at the clients' sockets at the end of the drain, whatever the process believes, and activates the ingress.
+func (d *drainRun) checkAndActivate() {
 	time.Sleep(time.Until(d.drainedAt.Add(operatorsDrain + drainTimeSlack)))
-	for k, why := range d.held(time.Now()) {
+	for k, why := range d.openAtEnd(time.Now()) {
 		d.res.breach("held %v after the drain call, opened %v before: %s; faults: %v", time.Since(d.drainedAt).Round(time.Millisecond),
 			time.Since(k.openedAt).Round(time.Millisecond), why, d.names)
 	}
@@ -125,8 +125,8 @@
 	d.refuses.Store(false)
 }
 
-// held returns the connections that a drained ingress must not hold, with the reasons.
-func (d *drainRun) held(at time.Time) map[*pipelinedConn]string {
+// openAtEnd returns the connections that a drained ingress must not hold, with the reasons.
+func (d *drainRun) openAtEnd(at time.Time) map[*pipelinedConn]string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := map[*pipelinedConn]string{}
--- a/internal/testbed/hostile/case_pipeline.go
+++ b/internal/testbed/hostile/case_pipeline.go
@@ -95,18 +95,18 @@
 	openedAt time.Time
 	done     chan struct{} // closed when the connection has ended, after which endErr is set
 
-	mu            sync.Mutex
-	inFlight      []pipelinedCommand
-	answeredAhead int // answers that came before their commands: rejections by an ingress that was about to close the connection
-	endErr        error
+	mu           sync.Mutex
+	inFlight     []pipelinedCommand
+	earlyAnswers int // answers that came before their commands: rejections by an ingress that was about to close the connection
+	endErr       error
 }
 
 // add records a command that is about to be sent, unless its answer is here already.
 func (k *pipelinedConn) add(c pipelinedCommand) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.answeredAhead > 0 {
-		k.answeredAhead--
+	if k.earlyAnswers > 0 {
+		k.earlyAnswers--
 		return
 	}
 	k.inFlight = append(k.inFlight, c)
@@ -135,7 +135,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.inFlight) == 0 {
-		k.answeredAhead++
+		k.earlyAnswers++
 		return
 	}
 	k.inFlight = k.inFlight[1:]
@@ -148,9 +148,11 @@
 }
 
 // hasEnded reports whether the client has read the end of the connection.
-func (k *pipelinedConn) hasEnded() bool {
+func (k *pipelinedConn) hasEnded() bool { return isClosed(k.done) }
+
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-k.done:
+	case <-c:
 		return true
 	default:
 		return false
@@ -254,14 +256,7 @@
 }
 
 // stopped reports whether the clients have to stop.
-func (d *pipelineRun) stopped() bool {
-	select {
-	case <-d.stop:
-		return true
-	default:
-		return false
-	}
-}
+func (d *pipelineRun) stopped() bool { return isClosed(d.stop) }
 
 // write keeps a number of commands in flight on a connection until it ends or the client has stopped, those of again first.
 func (d *pipelineRun) write(k *pipelinedConn, rng *rand.Rand, profile pipelineProfile, again []pipelinedCommand) {
--- a/internal/testbed/soakfaults.go
+++ b/internal/testbed/soakfaults.go
@@ -20,7 +20,7 @@
 const (
 	drainTimeout     = 4 * time.Second        // after this time a drained ingress may hold no client connection,
 	drainRequestAge  = 2 * time.Second        // except those with a pending request that is older than this
-	drainSlack       = 250 * time.Millisecond // grace until connections that violate this must be closed
+	drainSlack       = 50 * time.Millisecond  // of each time limit on sockets, by the protocol's page
 	activateTimeout  = 2 * time.Second        // for an ingress to accept clients again after its activation
 	minStall         = 40 * time.Millisecond  // shortest time for which a process is stopped
 	maxStall         = 150 * time.Millisecond // longest time, as stated on the operators' page
@@ -42,15 +42,10 @@
 	incarnation := p.Incarnation()
 	f.Front.SetDrained(i, !deaf)
 	defer f.Front.SetDrained(i, false)
-	if wait(drainTimeout) {
-		overdue := f.clients.overdueConns(i, drainRequestAge)
-		wait(drainSlack)
-		still := f.clients.overdueConns(i, drainRequestAge+drainSlack)
+	if wait(drainTimeout + drainSlack) {
 		result := oracle.DrainResult{Forwarder: i}
-		for k, how := range overdue {
-			if still[k] != "" {
-				result.OpenConnections = append(result.OpenConnections, how)
-			}
+		for _, how := range f.clients.overdueConns(i, drainRequestAge) {
+			result.OpenConnections = append(result.OpenConnections, how)
 		}
 		if incarnation >= 0 && p.Incarnation() == incarnation {
 			f.Hist.AddDrainResult(result)
