Soak: a connection that the ingress has refused is not held by it

Narrowed to what the trace shows: after the look the link has 0.05 s to find out, and only connections that it reports as refused are left out; one that has reached the ingress counts, also if it closes meanwhile.

--- a/internal/testbed/client_conn.go
+++ b/internal/testbed/client_conn.go
@@ -78,6 +78,16 @@
 	return overdue
 }
 
+// reachedConns returns the descriptions of connections of overdueConns, but for those that the link had taken and the ingress refused.
+func (c *Clients) reachedConns(overdue map[*clientConn]string) (descriptions []string) {
+	for k, description := range overdue {
+		if !c.front.Unreached(k.LocalAddr().String()) {
+			descriptions = append(descriptions, description)
+		}
+	}
+	return descriptions
+}
+
 var errIngressLeaving = errors.New("the front opens no new connections to an ingress that is leaving")
 
 // maxConnIdle is how long a connection may stay in the pool. It is shorter than the forwarders' idle timeout, so that a
--- a/internal/testbed/soak_test.go
+++ b/internal/testbed/soak_test.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -98,3 +99,29 @@
 		}
 	}
 }
+
+// Guards the check at the end of a drain: a connection that only the testbed's link has taken, and the ingress has refused, is not held by the
+// ingress (soak, seed 313); any other open one is, however new it is.
+func TestDrainCheck_CountsConnectionsThatReachedTheIngress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	front := NewFront(oracle.NewHistory(), []string{l.Addr().String()}, func(int) int { return 0 }, 1)
+	clients := NewClients(Traffic{}, nil, front)
+	var conns []*clientConn
+	for range 2 {
+		k, err := clients.acquire(0, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer k.Close()
+		k.setAwaiting(true)
+		conns = append(conns, k)
+	}
+	front.noteUnreached(conns[0].LocalAddr().String())
+	if overdue := clients.overdueConns(0, time.Second); len(overdue) != 2 || len(clients.reachedConns(overdue)) != 1 {
+		t.Errorf("%d connections, %v of them held, want 2 and 1", len(overdue), clients.reachedConns(overdue))
+	}
+}
--- a/internal/testbed/soakfaults.go
+++ b/internal/testbed/soakfaults.go
@@ -21,6 +21,7 @@
 	drainTimeout     = 4 * time.Second        // after this time a drained ingress may hold no client connection,
 	drainRequestAge  = 2 * time.Second        // except those with a pending request that is older than this
 	drainSlack       = 50 * time.Millisecond  // of each time limit on sockets, by the protocol's page
+	linkDialTime     = 50 * time.Millisecond  // for a link to connect to its ingress, or to be refused
 	activateTimeout  = 2 * time.Second        // for an ingress to accept clients again after its activation
 	minStall         = 40 * time.Millisecond  // shortest time for which a process is stopped
 	maxStall         = 150 * time.Millisecond // longest time, as stated on the operators' page
@@ -43,10 +44,9 @@
 	f.Front.SetDrained(i, !deaf)
 	defer f.Front.SetDrained(i, false)
 	if wait(drainTimeout + drainSlack) {
-		result := oracle.DrainResult{Forwarder: i}
-		for _, how := range f.clients.overdueConns(i, drainRequestAge) {
-			result.OpenConnections = append(result.OpenConnections, how)
-		}
+		overdue := f.clients.overdueConns(i, drainRequestAge)
+		wait(linkDialTime) // until a link that has taken a connection knows whether its ingress refuses it
+		result := oracle.DrainResult{Forwarder: i, OpenConnections: f.clients.reachedConns(overdue)}
 		if incarnation >= 0 && p.Incarnation() == incarnation {
 			f.Hist.AddDrainResult(result)
 		}
