Drain cases: whether a connection may be refused is asked before the client connects

Cause, in the case: a client that was refused before the activation looked at the flag after it, when the flag had been cleared. The check is as strict: a connection that is asked for after the activation must not be refused.

README says that a drained ingress refuses connections.

--- a/internal/testbed/hostile/case_pipeline.go
+++ b/internal/testbed/hostile/case_pipeline.go
@@ -225,14 +225,15 @@
 func (d *pipelineRun) client(rng *rand.Rand, profile pipelineProfile) {
 	var again []pipelinedCommand
 	for {
+		mayBeRefused := d.refuses.Load() // asked first: the client may be held up after it was refused
 		conn, err := net.DialTimeout("tcp", d.rig.ingress().Listen, dialTimeout)
-		if errors.Is(err, syscall.ECONNREFUSED) && d.refuses.Load() && !d.stopped() {
+		if errors.Is(err, syscall.ECONNREFUSED) && mayBeRefused && !d.stopped() {
 			again = nil // its client sends it elsewhere
 			time.Sleep(refusedPause)
 			continue
 		}
 		if err != nil {
-			if !d.ends && !d.refuses.Load() {
+			if !d.ends && !mayBeRefused {
 				d.res.breach("no connection: %v", err)
 			}
 			return
