A new connection's reader starts once the first command is written

What callers saw: a request that was answered in time failed as a reset, or ran and was reported as failed if it must not run twice; the log has "unsolicited bytes from backend".

Cause, traced: a reader notes directly before each read whether a command is out, so that bytes which it took before a command count for none. The reader of a new connection was started before the first command was written; where it was held up between the note and the read, the genuine reply was taken for unsolicited.

Change: the first command is written, then the reader starts. What a backend sends before it is asked shows at the look before the write, as before.

--- a/internal/dataplane/ingress/backend_dial.go
+++ b/internal/dataplane/ingress/backend_dial.go
@@ -61,9 +61,9 @@
 		}
 		return policy.ConnectFailed
 	}
-	go c.readLoop(in)
 	if in.usable(c) {
 		in.assignConn(c)
+		go c.readLoop(in) // after the write of the first command: it must know of the command when it first reads
 		return policy.ConnectFailed
 	}
 	in.closeBackendConn(c)
--- a/internal/dataplane/ingress/backend_pool_test.go
+++ b/internal/dataplane/ingress/backend_pool_test.go
@@ -1,12 +1,14 @@
 package ingress
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
 
 	"eiderspread/internal/dataplane/resp"
+	"eiderspread/internal/dataplane/sockets"
 	"eiderspread/internal/membership/discovery"
 	"eiderspread/policy"
 )
@@ -345,3 +347,50 @@
 		t.Errorf("%q was written, want %q, and the write must stay abandoned", b, "res")
 	}
 }
+
+// Guards against a reply that is taken for bytes that nobody asked for, because the reader of a new connection began before the first command was
+// written and was held up (KNOWN-RED TestInputBudget_ReadersWaitForMemory): it must know of the command when it first reads.
+func TestPool_ReaderOfNewConnectionKnowsFirstCommand(t *testing.T) {
+	const conns = 50
+	addr, backends := listenBackend(t)
+	ended := make(chan struct{})
+	r := startIngress(t, testConfig(addr), func(r *testIngress) {
+		sendTo(0)(r)
+		r.ingress.backends.dial = func(string) (net.Conn, error) { <-ended; return nil, net.ErrClosed } // the test brings the connections
+	})
+	defer close(ended)
+	unaware := 0
+	for i := range conns {
+		r.client().send(lookCommand(fmt.Sprint("q", i))...)
+		r.waitFor("the attempt waits for a connection", func() bool {
+			return r.ingress.backends.byID["s0"] != nil && len(r.ingress.backends.byID["s0"].waitingAttempts) == 1
+		})
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		known := make(chan bool, 1) // whether the command was known at the first read
+		r.onLoop(func() {
+			backend := r.ingress.backends.byID["s0"]
+			c, err := newBackendConn(backend, backend.Endpoint, conn.(*net.TCPConn))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.socket = sockets.NewReader(c.rawConn, func() {
+				c.replies.noteBeforeRead()
+				select {
+				case known <- c.replies.awaitedBeforeRead:
+				default:
+				}
+			})
+			r.ingress.handleDialed(backend, c, nil)
+		})
+		receive(t, backends).command()
+		if !receive(t, known) {
+			unaware++
+		}
+	}
+	if unaware > 0 {
+		t.Errorf("%d of %d readers began to read before the first command was written", unaware, conns)
+	}
+}
