--- a/cmd/eiderspread/drain_test.go
+++ b/cmd/eiderspread/drain_test.go
@@ -158,8 +158,11 @@
 }
 
 // sinceDrainCall returns the time since the drain call; 0 before it.
-func (f *persistentFront) sinceDrainCall() time.Duration {
-	called := f.drainCalledAt.Load()
+func (f *persistentFront) sinceDrainCall() time.Duration { return sinceDrainCall(&f.drainCalledAt) }
+
+// sinceDrainCall returns the time since calledAt, in Unix nanoseconds; 0 if that is 0.
+func sinceDrainCall(calledAt *atomic.Int64) time.Duration {
+	called := calledAt.Load()
 	if called == 0 {
 		return 0
 	}
@@ -264,11 +267,11 @@
 // pipeliningClient keeps several commands in flight on each connection, and opens a new connection when one has ended. It counts as lost
 // the commands that the ingress had received when it closed their connection, and did not answer.
 //
-// Once refused is set, a connection may be refused; the client tries again.
-func pipeliningClient(listen string, stop <-chan struct{}, refused *atomic.Bool, ids, answered, lost *atomic.Int64) error {
+// Later than lateInDrain after drainCalledAt, in Unix nanoseconds, a connection may be refused; the client tries again.
+func pipeliningClient(listen string, stop <-chan struct{}, drainCalledAt, ids, answered, lost *atomic.Int64) error {
 	for {
 		conn, err := net.Dial("tcp", listen)
-		if errors.Is(err, syscall.ECONNREFUSED) && refused.Load() {
+		if errors.Is(err, syscall.ECONNREFUSED) && sinceDrainCall(drainCalledAt) > lateInDrain {
 			select {
 			case <-stop:
 				return nil
@@ -326,12 +329,11 @@
 	console := freeAddress(t)
 	listen, _ := startProgram(t, programOptions{deadline: "2", console: console, answerAfter: 300 * time.Millisecond})
 	stop := make(chan struct{})
-	var ids, answered, lost atomic.Int64
-	var refused atomic.Bool
+	var drainCalledAt, ids, answered, lost atomic.Int64
 	var all sync.WaitGroup
 	for range drainClients {
 		all.Go(func() {
-			if err := pipeliningClient(listen, stop, &refused, &ids, &answered, &lost); err != nil {
+			if err := pipeliningClient(listen, stop, &drainCalledAt, &ids, &answered, &lost); err != nil {
 				t.Error(err)
 			}
 		})
@@ -344,9 +346,8 @@
 		t.Fatal(resp, err)
 	}
 	resp.Body.Close()
-	time.Sleep(lateInDrain)
-	refused.Store(true)
-	time.Sleep(drainTime - lateInDrain)
+	drainCalledAt.Store(time.Now().UnixNano())
+	time.Sleep(drainTime)
 	close(stop)
 	all.Wait()
 	if before == 0 || answered.Load() < before+int64(drainClients) {
