Tests for guards of a drain's end that no test took away; one state for the listener

Two booleans told three states of the listener, and each failed activate began another chain of retries.

Change: TestDrain_LateRequestEndsOldOneAtOnce, TestDrain_ListenerClosesWithFullTable (also plants the violation: an open listener counts once), TestDrain_OldSuccessorGetsOpenListener; listenerState; one timer of retries.

--- a/internal/dataplane/ingress/accept.go
+++ b/internal/dataplane/ingress/accept.go
@@ -19,6 +19,15 @@
 	acceptQueueTime = 100 * time.Millisecond
 )
 
+// listenerState is what the listener of clients is good for.
+type listenerState uint8
+
+const (
+	listenerClosed listenerState = iota
+	listenerBound                // it has its address; whether it listens is not known
+	listenerOpen                 // it listens
+)
+
 // acceptRun is one run of acceptLoop. The loop owns the reference to it; its fields may be used by any goroutine.
 type acceptRun struct {
 	listener *net.TCPListener
@@ -50,7 +59,7 @@
 
 // startListening has the kernel accept connections, if it does not.
 func (in *Ingress) startListening() error {
-	if in.listening {
+	if in.listenerState == listenerOpen {
 		return nil
 	}
 	if err := in.keepAddress(); err != nil {
@@ -60,7 +69,9 @@
 	if err == nil {
 		err = sockets.StartListening(raw)
 	}
-	in.listening = err == nil
+	if err == nil {
+		in.listenerState = listenerOpen
+	}
 	return err
 }
 
@@ -70,16 +81,17 @@
 	if in.shutdown.closingClients || in.successor.stage != handoverNone || !in.drain.Accepts(in.now) {
 		return
 	}
+	in.stopTimer(in.acceptRetry)
 	if err := in.startAccepting(); err != nil {
 		in.logFault("no connections are accepted", "error", err)
-		in.after(acceptRetryDelay.Seconds(), in.resumeAccepting)
+		in.acceptRetry = in.after(acceptRetryDelay.Seconds(), in.resumeAccepting)
 	}
 	in.acceptingClients.Store(in.accept != nil && !in.drain.Active())
 }
 
 // keepAddress replaces a closed listener by one that has its address and does not listen, so that no other socket gets the address.
 func (in *Ingress) keepAddress() error {
-	if !in.listenerClosed {
+	if in.listenerState != listenerClosed {
 		return nil
 	}
 	addr, err := net.ResolveTCPAddr("tcp", in.cfg.Listen)
@@ -90,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	in.listener, in.listenerClosed = listener, false
+	in.listener, in.listenerState = listener, listenerBound
 	return nil
 }
 
@@ -118,7 +130,7 @@
 	if in.accept != run {
 		return
 	}
-	in.accept, in.listening, in.listenerClosed = nil, false, true
+	in.accept, in.listenerState = nil, listenerClosed
 	in.log.Info("no connections are accepted any more")
 	if in.shutdown.requested && in.successor.stage == handoverNone {
 		in.closeIdleClients()
--- a/internal/dataplane/ingress/drain_test.go
+++ b/internal/dataplane/ingress/drain_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"eiderspread/internal/dataplane/hotrestart"
+	"eiderspread/internal/dataplane/sockets"
 	"eiderspread/policy"
 )
 
@@ -328,6 +330,83 @@
 	}
 }
 
+// Guards against a request that comes in the last moments of a drain on a connection that waits for an old answer, and is held until the next look
+// (report cd2502): the old request ends at once, and with it the connection.
+func TestDrain_LateRequestEndsOldOneAtOnce(t *testing.T) {
+	addr, conns := listenBackend(t)
+	r := startIngress(t, testConfig(addr), sendTo(300))
+	c := r.client()
+	c.send(lookCommand("old")...)
+	receive(t, conns).command()
+	r.drainSince(3.75) // no look follows, as the drain has no timers
+	c.send(lookCommand("late")...)
+	for _, what := range []string{"the old request", "the late one"} {
+		if line := c.line(); !strings.HasPrefix(line, "-BUSY") {
+			t.Errorf("%s: got %q, want -BUSY", what, line)
+		}
+	}
+	if line := c.line(); line != "" {
+		t.Errorf("got %q, want the end of the connection", line)
+	}
+}
+
+// Guards against a listener that stays open to the end of a drain because connections in its queue can't be accepted, and the check of a drain's end:
+// an open listener is a violation, and none is left once the schedule has closed it.
+func TestDrain_ListenerClosesWithFullTable(t *testing.T) {
+	r := startIngress(t, testConfig("127.0.0.1:1"), func(r *testIngress) {
+		for range cap(r.ingress.clients.connPermits) {
+			r.ingress.clients.connPermits <- struct{}{}
+		}
+	})
+	waiting := r.client() // only the kernel has accepted it
+	r.drainSince(3.6)
+	violations := func() (n int) { return r.ingress.guardCounts.violated[policy.OpenAfterDrain] }
+	r.onLoop(func() {
+		r.ingress.sweepDraining()
+		if r.ingress.accept == nil {
+			t.Error("the listener is closed 3.6 s after the call, with a connection in its queue")
+		}
+	})
+	r.drainSince(4.1)
+	r.onLoop(func() {
+		if r.ingress.checkClientsDrained(); violations() != 1 {
+			t.Errorf("%d violations with an open listener, want 1", violations())
+		}
+		r.ingress.sweepDraining()
+		if r.ingress.checkClientsDrained(); r.ingress.accept != nil || violations() != 1 {
+			t.Errorf("after the look at 4.1 s: accepts %t, %d violations, want false, 1", r.ingress.accept != nil, violations())
+		}
+		for range cap(r.ingress.clients.connPermits) {
+			<-r.ingress.clients.connPermits
+		}
+	})
+	if line := waiting.line(); line != "" {
+		t.Errorf("got %q, want the end of the connection", line)
+	}
+	if c, err := net.Dial("tcp", r.ingress.cfg.Listen); err == nil {
+		c.Close()
+		t.Error("a connection was accepted")
+	}
+}
+
+// Guards an older successor, which takes clients whether or not its predecessor drained: it must get a listener that listens.
+func TestDrain_OldSuccessorGetsOpenListener(t *testing.T) {
+	for features, want := range map[byte]bool{0: true, hotrestart.TakesDrain: false} {
+		r := startIngress(t, adminConfig(t, "127.0.0.1:1"), nil)
+		r.drainSince(3.5)
+		r.onLoop(r.ingress.sweepDraining)
+		r.waitFor("the listener is closed", func() bool { return r.ingress.accept == nil })
+		r.onLoop(func() {
+			r.ingress.successor.features = features
+			r.ingress.prepareListener()
+			raw, err := r.ingress.listener.SyscallConn()
+			if err != nil || sockets.Listens(raw) != want {
+				t.Errorf("features %d: error %v, listens %t, want %t", features, err, !want, want)
+			}
+		})
+	}
+}
+
 // Guards what a drain logs and counts: the end of each connection with its reason, and the connections that are still open at the
 // end of the drain.
 func TestDrain_LoggedAndCounted(t *testing.T) {
--- a/internal/dataplane/ingress/hot_restart_drain.go
+++ b/internal/dataplane/ingress/hot_restart_drain.go
@@ -10,8 +10,12 @@
 // takesDrain reports whether the successor goes on with a drain.
 func (s *successorState) takesDrain() bool { return s.features&hotrestart.TakesDrain != 0 }
 
-// listenForOldSuccessor has the listener listen for a successor that takes clients whether or not its predecessor drained.
-func (in *Ingress) listenForOldSuccessor() {
+// prepareListener has a listener that was closed for a drain listen again, unless the successor goes on with the drain: an older one takes clients
+// whether or not its predecessor drained.
+func (in *Ingress) prepareListener() {
+	if in.successor.takesDrain() {
+		return
+	}
 	if err := in.startListening(); err != nil {
 		in.logFault("no connections are accepted for the new process", "error", err)
 	}
@@ -21,7 +25,7 @@
 // ends late in the drain the requests that commands in unread input wait behind: their connections go to the successor, which rejects these.
 func (in *Ingress) leaveDrainToSuccessor() {
 	in.listener.Close()
-	in.listening, in.listenerClosed = false, true
+	in.listenerState = listenerClosed
 	link := in.successor.link
 	in.after(in.successor.drain.UntilBlockedS(in.now), func() {
 		if in.successor.link != link {
@@ -46,7 +50,7 @@
 	if err != nil || in.drain.Accepts(in.now) || !sockets.Listens(raw) {
 		return // resumeAccepting does what is due
 	}
-	in.listening = true
+	in.listenerState = listenerOpen
 	if err := in.startAccepting(); err != nil {
 		in.logFault("accept queue not emptied", "error", err)
 	}
--- a/internal/dataplane/ingress/hot_restart_successor.go
+++ b/internal/dataplane/ingress/hot_restart_successor.go
@@ -118,9 +118,7 @@
 	in.successor.drain = in.drain.Drain
 	in.clearDrain()
 	if in.accept == nil { // for a drain
-		if !in.successor.takesDrain() {
-			in.listenForOldSuccessor()
-		}
+		in.prepareListener()
 		in.startTransfers()
 		return
 	}
--- a/internal/dataplane/ingress/ingress.go
+++ b/internal/dataplane/ingress/ingress.go
@@ -50,9 +50,9 @@
 	endLimiter    logLimiter // of the lines on attempts that got no whole reply: these must not displace lines on faults
 
 	listener         *net.TCPListener
-	listening        bool          // the kernel accepts connections on it, as far as is known
-	listenerClosed   bool          // the listener is closed, and its address not kept
+	listenerState    listenerState // of listener
 	accept           *acceptRun    // accepts connections; nil: none are accepted
+	acceptRetry      *timer        // runs resumeAccepting again after a failure
 	acceptFor        time.Duration // how long after SIGTERM new connections are still accepted
 	acceptingClients atomic.Bool   // whether this process is ready for clients; any goroutine may use it
 	clients          clientTable
@@ -170,14 +170,14 @@
 		}
 	}
 	if in.predecessor != nil {
-		in.listener = in.predecessor.listener
+		in.listener, in.listenerState = in.predecessor.listener, listenerBound // it listens already, unless the predecessor is drained
 		in.splitLimitsWithPredecessor()
 		return nil
 	}
 	addr, err := net.ResolveTCPAddr("tcp", in.cfg.Listen)
 	if err == nil {
 		in.listener, err = net.ListenTCP("tcp", addr)
-		in.listening = err == nil
+		in.listenerState = listenerOpen
 	}
 	switch {
 	case errors.Is(err, syscall.EADDRINUSE) && notFound != nil:
