The accept queue counts as empty only if the kernel says so

Cause: the queue counted as empty after two accept polls without a connection. A process that was stopped meanwhile finds both over before it has asked the kernel, closes the listener, and resets what is in the queue.

Change: after two polls the kernel is asked for the queue's length, which has to be 0, or not known.

Test: TestShutdown_AcceptQueueIsServedIfPollsExpire keeps the polls expired.

--- a/internal/dataplane/ingress/accept.go
+++ b/internal/dataplane/ingress/accept.go
@@ -13,7 +13,9 @@
 
 const (
 	acceptRetryDelay = 5 * time.Millisecond // after a failed accept, most likely for lack of file descriptors
-	acceptQueuePoll  = 2 * time.Millisecond // duration of an accept poll while the queue is emptied; two in a row without a connection end it
+	// acceptQueuePoll is the duration of an accept poll while the queue is emptied. Two in a row without a connection end it, unless the kernel has
+	// one: a process that was stopped finds its poll over before it has asked.
+	acceptQueuePoll = 2 * time.Millisecond
 	// acceptQueueTime is how long the queue is emptied in this way. Clients that come again at once could fill it for ever: from then on one moment
 	// without a connection is enough.
 	acceptQueueTime = 100 * time.Millisecond
@@ -184,8 +186,8 @@
 		case errors.Is(err, net.ErrClosed):
 			in.post(at, func() { in.handleAcceptPaused(run) })
 			return
-		case run.ending() && (errors.Is(err, syscall.EINVAL) || emptyPolls > 0): // an earlier close would reset what is in the queue
-			in.closeListener(run, at)
+		case run.ending() && (errors.Is(err, syscall.EINVAL) || emptyPolls > 0 && acceptQueueLength(run.listener) <= 0):
+			in.closeListener(run, at) // an earlier close would reset what is in the queue
 			return
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			in.post(at, func() { in.logFault("accept failed", "error", err) })
--- a/internal/dataplane/ingress/shutdown_test.go
+++ b/internal/dataplane/ingress/shutdown_test.go
@@ -101,6 +101,35 @@
 	}
 }
 
+// Guards against a listener that closes over a connection in its queue because the polls of the queue were over before they had asked, as in a process
+// that is stopped for a moment (drain-stalls, seed 3).
+func TestShutdown_AcceptQueueIsServedIfPollsExpire(t *testing.T) {
+	r := startIngress(t, testConfig("127.0.0.1:1"), func(r *testIngress) {
+		r.decider.onRequest = func(q policy.Request) { r.ingress.Reject(q.ID, 0) }
+		for range cap(r.ingress.clients.connPermits) { // no connection is accepted until permits are released
+			r.ingress.clients.connPermits <- struct{}{}
+		}
+	})
+	c := r.client()
+	c.send(lookCommand("a")...)
+	listener := r.ingress.listener
+	r.onLoop(r.ingress.stopAccepting)
+	expired := make(chan struct{})
+	go func() {
+		defer close(expired)
+		for range 20_000 {
+			setAcceptDeadline(listener, expiredDeadline)
+		}
+	}()
+	for range cap(r.ingress.clients.connPermits) {
+		<-r.ingress.clients.connPermits
+	}
+	if got := c.line(); got != "-BUSY" {
+		t.Errorf("got %q, want -BUSY", got)
+	}
+	<-expired
+}
+
 // Guards against a shutdown that closes a new connection while its first command is in transit: a connection closed without an answer is a
 // lost request.
 func TestShutdown_NewConnectionMaySendFirstCommand(t *testing.T) {
