Drain cases: slow heads, slow readers, backends that hang and a silent discovery

Change: four more clients beside the usual ones, the faults drain-hang and drain-silence (also drawn by drain-soak), TestDrain_SilentPeers.

--- a/internal/testbed/hostile/case_drain.go
+++ b/internal/testbed/hostile/case_drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"syscall"
@@ -13,20 +14,24 @@
 )
 
 const (
-	drainRecentRequest = 2 * time.Second        // age below which no request may be open at the end of a drain
-	drainTimeSlack     = 50 * time.Millisecond  // of each time limit on sockets, by the protocol's page
-	activateTime       = 2 * time.Second        // for an ingress to accept clients after operators activate it
-	stallTime          = 150 * time.Millisecond // for which an ingress may be held up
-	stallPause         = 200 * time.Millisecond // between two times for which it is held up
-	longestSuccessor   = 300 * time.Millisecond // lifetime of a process that is killed before it has taken over
+	drainRecentRequest = 2 * time.Second         // age below which no request may be open at the end of a drain
+	drainTimeSlack     = 50 * time.Millisecond   // of each time limit on sockets, by the protocol's page
+	activateTime       = 2 * time.Second         // for an ingress to accept clients after operators activate it
+	stallTime          = 150 * time.Millisecond  // for which an ingress may be held up
+	stallPause         = 200 * time.Millisecond  // between two times for which it is held up
+	longestSuccessor   = 300 * time.Millisecond  // lifetime of a process that is killed before it has taken over
+	slowCommandPause   = 1500 * time.Millisecond // at most, between the parts of a command
+	slowReadPause      = 60 * time.Millisecond   // between two answers that a client reads
 	latestDrainEvent   = 3800 * time.Millisecond
 	maxDrainEvents     = 3
 	drainSoakStream    = 83
 )
 
-// drainClients are the clients beside the usual ones while an ingress is drained: some send without a pause, some send nothing.
+// drainClients are the clients beside the usual ones while an ingress is drained: some send without a pause, some send nothing, some write a command
+// slowly, and some read slowly.
 var drainClients = []pipelineProfile{{maxPause: time.Microsecond}, {maxPause: time.Microsecond}, {maxPause: time.Millisecond, rests: true},
-	{maxPause: time.Millisecond, rests: true}}
+	{maxPause: time.Millisecond, rests: true}, {maxPause: pipelineMaxPause, halvesPause: slowCommandPause}, {maxPause: pipelineMaxPause, halvesPause: slowCommandPause},
+	{maxPause: pipelineMaxPause, readPause: slowReadPause}, {maxPause: pipelineMaxPause, readPause: slowReadPause}}
 
 // drainFault is what happens to an ingress that is being drained.
 type drainFault struct {
@@ -40,6 +45,8 @@
 	{"twice", ", and drained again", func(d *drainRun) { d.rig.callWhileRead(d.res, "/v1/ingress/drain") }},
 	{"activate", ", activated, and drained anew", (*drainRun).activateAndDrain},
 	{"reload", ", and reads its configuration again", (*drainRun).reload},
+	{"silence", ", while discovery is silent", (*drainRun).silenceDiscovery},
+	{"hang", ", while its backends hang", (*drainRun).hangBackends},
 	{"upgrade", ", and upgraded", func(d *drainRun) { d.rig.upgradeWhileRead(d.res, 1, 0) }},
 	{"upgrade-fails", ", and its upgrade fails", (*drainRun).failUpgrade},
 	{"term", ", and gets SIGTERM, and SIGKILL at the earliest time", (*drainRun).terminateInBackground},
@@ -63,6 +70,7 @@
 	drainedAt time.Time     // when the drain that holds was called
 	ended     chan struct{} // closed when the process has ended after SIGTERM; nil: it got none
 	names     []string      // of the faults so far
+	repair    []func()      // ends what lasts beyond the drain
 }
 
 func newDrainRun(p *pipelineRun) *drainRun {
@@ -114,6 +122,9 @@
 		d.res.breach("held %v after the drain call, opened %v before: %s; faults: %v", time.Since(d.drainedAt).Round(time.Millisecond),
 			time.Since(k.openedAt).Round(time.Millisecond), why, d.names)
 	}
+	for _, repair := range d.repair {
+		repair()
+	}
 	if d.ended != nil {
 		<-d.ended
 		if err := d.rig.ingress().Start(); err != nil {
@@ -185,6 +196,26 @@
 	}
 }
 
+func (d *drainRun) silenceDiscovery() {
+	d.rig.fleet.Discovery.SetSilent(true)
+	d.repair = append(d.repair, func() { d.rig.fleet.Discovery.SetSilent(false) })
+}
+
+// hangBackends has half of the backends answer nothing that comes from now on until the end of the drain. Requests that wait for them grow old, and
+// young ones come behind them.
+func (d *drainRun) hangBackends() {
+	hang := make(chan struct{})
+	for i, b := range d.rig.Backends {
+		if i%2 == 0 {
+			b.setAnswerer(func(c net.Conn, call Call) error {
+				<-hang
+				return writeInPieces(c, encodeAnswer(valueOf(call.ID, len(call.ID))), 0)
+			})
+		}
+	}
+	d.repair = append(d.repair, func() { close(hang) })
+}
+
 func (d *drainRun) reload() {
 	for range 3 {
 		d.rig.ingress().HUP()
@@ -196,11 +227,12 @@
 // the program is started anew, and is not drained.
 func (d *drainRun) failUpgrade() {
 	before := d.rig.ingress().Incarnation()
-	d.crashes.Store(true)
-	defer time.AfterFunc(stallPause, func() { d.crashes.Store(false) })
-	if err := d.rig.ingress().ReplaceAndKillSuccessorAfter(time.Duration(d.rng.Int64N(int64(longestSuccessor)))); err != nil {
+	lifetime := time.Duration(d.rng.Int64N(int64(longestSuccessor)))
+	d.kills.Store(time.Now().Add(lifetime + killVisible).UnixNano()) // until it is known when the process was killed
+	if err := d.rig.ingress().ReplaceAndKillSuccessorAfter(lifetime); err != nil {
 		d.res.breach("upgrade that fails: %v", err)
 	}
+	d.kills.Store(time.Now().UnixNano())
 	if d.rig.ingress().Incarnation() != before {
 		d.drain()
 	}
--- a/internal/testbed/hostile/case_pipeline.go
+++ b/internal/testbed/hostile/case_pipeline.go
@@ -25,6 +25,7 @@
 	pipelineLargeFraction  = 0.05                   // of the values
 	pipelineHalvesFraction = 0.3                    // of the clients, that send a command in two parts
 	pipelineHalvesPause    = 120 * time.Millisecond // at most, between the parts
+	killVisible            = 200 * time.Millisecond // after a process was killed, until clients that read at once have read the reset
 	refusedPause           = 2 * time.Millisecond   // of a client that was refused a connection
 	otherClientsStream     = 1000                   // first random stream of the clients beside the usual ones
 	pipelineStopAfter      = 500 * time.Millisecond // after the event, when clients stop
@@ -57,6 +58,7 @@
 type pipelineProfile struct {
 	maxPause    time.Duration // between an answer and the next request
 	halvesPause time.Duration // at most, between the two parts of a command; 0: it sends whole commands
+	readPause   time.Duration // between two answers that it reads
 	rests       bool          // it sends nothing
 }
 
@@ -72,9 +74,9 @@
 type pipelineRun struct {
 	rig     *Rig
 	res     *Result
-	ends    bool        // see pipelineEvent
-	refuses atomic.Bool // the ingress may refuse connections: clients try again a moment later, as if they had no other ingress
-	crashes atomic.Bool // a process is killed without notice, which resets the connections that it has
+	ends    bool         // see pipelineEvent
+	refuses atomic.Bool  // the ingress may refuse connections: clients try again a moment later, as if they had no other ingress
+	kills   atomic.Int64 // when a process was last killed without notice, which resets the connections that it has, in Unix nanoseconds; 0: never
 	mu      sync.Mutex
 	open    map[*pipelinedConn]bool
 	stop    chan struct{}
@@ -93,11 +95,13 @@
 	net.Conn
 	reader   *bufio.Reader
 	openedAt time.Time
+	pause    time.Duration // between two answers that the client reads
 	done     chan struct{} // closed when the connection has ended, after which endErr is set
 
 	mu           sync.Mutex
 	inFlight     []pipelinedCommand
-	earlyAnswers int // answers that came before their commands: rejections by an ingress that was about to close the connection
+	resetOnWrite bool // a write has reported a reset, which the reader then does not see
+	earlyAnswers int  // answers that came before their commands: rejections by an ingress that was about to close the connection
 	endErr       error
 }
 
@@ -238,7 +242,7 @@
 			}
 			return
 		}
-		k := &pipelinedConn{Conn: conn, reader: bufio.NewReader(conn), openedAt: time.Now(), done: make(chan struct{})}
+		k := &pipelinedConn{Conn: conn, reader: bufio.NewReader(conn), openedAt: time.Now(), pause: profile.readPause, done: make(chan struct{})}
 		d.mu.Lock()
 		d.open[k] = true
 		d.mu.Unlock()
@@ -306,18 +310,28 @@
 		case <-time.After(time.Duration(rng.Int64N(int64(pause)))):
 		}
 	}
-	if _, err := io.WriteString(k, text); err == nil {
+	_, err := io.WriteString(k, text)
+	if err == nil {
 		k.markComplete()
 	}
+	k.resetOnWrite = k.resetOnWrite || errors.Is(err, syscall.ECONNRESET)
 }
 
-// read reads the answers on a connection until it ends.
+// wasKilled reports whether a reset of the connection is that of a process that was killed. A client that reads slowly finds it late.
+func (d *pipelineRun) wasKilled(k *pipelinedConn) bool {
+	killedAt := time.Unix(0, d.kills.Load())
+	return k.openedAt.Before(killedAt) && time.Since(killedAt) < killVisible+pipelineMaxDepth*k.pause &&
+		(errors.Is(k.endErr, syscall.ECONNRESET) || errors.Is(k.endErr, errPartAnswer) && k.resetOnWrite)
+}
+
+// read reads the answers on a connection until it ends, with a pause behind each.
 func (d *pipelineRun) read(k *pipelinedConn) {
 	_ = k.SetReadDeadline(time.Now().Add(readPatience + operatorsDrain)) // the next read reports an error
 	err := error(nil)
 	for err == nil {
 		if err = d.readAnswer(k); err == nil {
 			k.removeFirst()
+			time.Sleep(k.pause)
 		}
 	}
 	k.mu.Lock()
@@ -374,7 +388,7 @@
 		d.res.occasion()
 		age := time.Since(c.sentAt).Round(time.Millisecond)
 		switch {
-		case c.complete && d.crashes.Load() && errors.Is(k.endErr, syscall.ECONNRESET): // the request may have run: its client does not send it again
+		case c.complete && d.wasKilled(k): // the request may have run: its client does not send it again
 		case c.complete && !errors.Is(k.endErr, io.EOF):
 			d.res.count(Cut)
 			d.res.breach("%s %s, command %d of %d, sent %v before: %v", c.request.Class, c.request.ID, i+1, len(k.inFlight), age, k.endErr)
--- a/internal/testbed/hostile/hostile_test.go
+++ b/internal/testbed/hostile/hostile_test.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// Guards against connections that are held because old requests on them get no answer, or while discovery is silent (report cd2502).
+func TestDrain_SilentPeers(t *testing.T) {
+	for _, name := range []string{"drain-hang", "drain-silence"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playCaseWithSeed(t, name, 0, 1)
+		})
+	}
+}
+
 // Guards against connections that are held because an upgrade in the drain gave them to a process that did not drain (report cd2502).
 func TestDrain_Upgraded(t *testing.T) { playCaseWithSeed(t, "drain-upgrade", 0, 1) }
 
